Add the workspace, the core's tables and systems, configuration and schema

Parts of a cap travel with the backend server in the allotment row, so that parts need no protocol of their own: a part moves when its server moves.

--- /dev/null
+++ b/elmstream/src/code.rs
@@ -0,0 +1,146 @@
+//! The numbered result codes, one table for every program.
+
+/// What a caller may conclude about its request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The backend server answered.
+    Ran,
+    /// No byte of the request reached a backend server.
+    NotRun,
+    /// The request may or may not have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// The value of the `elmstream-outcome` header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Ran => "ran",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+/// Declares the codes, their numbers, HTTP statuses and texts.
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $status:literal, $text:literal;)*) => {
+        /// A result code; its number is stable over versions.
+        #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        #[repr(u16)]
+        pub enum Code {
+            $(#[doc = $text] $name = $number,)*
+        }
+
+        impl Code {
+            /// All codes in the order of their numbers.
+            pub const ALL: &[Code] = &[$(Code::$name,)*];
+
+            /// The HTTP status that carries the code to a caller.
+            pub fn http_status(self) -> u16 {
+                match self { $(Code::$name => $status,)* }
+            }
+
+            /// A short text in plain English.
+            pub fn text(self) -> &'static str {
+                match self { $(Code::$name => $text,)* }
+            }
+
+            /// The code with this number.
+            pub fn from_number(number: u16) -> Option<Code> {
+                match number { $($number => Some(Code::$name),)* _ => None }
+            }
+        }
+    };
+}
+
+codes! {
+    Ok = 0, 200, "success";
+    BadRequest = 1001, 400, "the request is malformed";
+    UnknownService = 1002, 404, "no such service";
+    HeadersTooLarge = 1003, 431, "the headers are too large";
+    NotReady = 1101, 503, "no configuration is in force yet";
+    NoCapacity = 1102, 503, "every backend server that may serve this is busy";
+    ShiftCapped = 1103, 503, "the home region is full and the shift cap is used up";
+    NoOwner = 1104, 503, "no entry host owns a backend server for this service now";
+    LinkLimited = 1105, 503, "the link between the regions is at its limit";
+    LowPriority = 1106, 503, "overload: services of higher priority go first";
+    DeadlineTooShort = 1107, 503, "the deadline leaves no time to run the request";
+    Stopping = 1108, 503, "the entry host is stopping";
+    Isolated = 1109, 503, "the entry host may be behind and the service's policy is to stop";
+    LeaseLapsed = 1110, 503, "the owner's lease does not cover the request";
+    Draining = 1111, 503, "the backend server is leaving";
+    RetryBudget = 1112, 503, "the retry budget is used up";
+    BackendShed = 1113, 503, "the backend server refused the request";
+    BackendConnect = 1114, 503, "no connection to the backend server";
+    PeerUnreachable = 1115, 503, "the owning entry host could not be reached";
+    DeadlinePassed = 1201, 504, "the deadline passed while the request was running";
+    BackendFailed = 1202, 502, "the backend server failed after the request was sent";
+    PeerLost = 1203, 502, "contact with the owning entry host was lost after the request was sent";
+    CallerAborted = 1204, 400, "the caller cut its request short";
+    TicketBad = 1301, 400, "the ticket is forged, expired or for another service";
+    TicketNeeded = 1302, 428, "the service runs this request only with a ticket";
+    TicketRunning = 1303, 409, "the first try with this ticket is still running";
+    TicketHostGone = 1304, 503, "the entry host that issued the ticket is gone; the first try may have run";
+    TicketUsed = 1305, 409, "the first try with this ticket has ended and its answer is not kept";
+    ClaimTaken = 1306, 409, "another try has claimed this request";
+    ClaimUnknown = 1307, 503, "the claim could not be read back from the table service";
+    RevisionConflict = 2001, 409, "another change came first";
+    ChangeUnknown = 2002, 503, "the table service did not say whether the change took effect";
+    ChangeInvalid = 2003, 400, "the configuration does not pass its checks";
+    TokenBad = 2004, 401, "the operator's token is not known";
+    RoleDenied = 2005, 403, "the operator's role does not allow this";
+    TableUnavailable = 2006, 503, "the table service is not available; nothing was changed";
+    NotFound = 2007, 404, "no such entity, revision or request";
+    StoreUnavailable = 2008, 503, "the object store is not available; nothing was changed";
+    SettingsUnreadable = 3001, 500, "the settings file cannot be read";
+    SettingsInvalid = 3002, 500, "a setting is unknown, missing or of the wrong form";
+    SettingsAddress = 3003, 500, "an address in the settings cannot be used";
+    SettingsFile = 3004, 500, "a file named in the settings cannot be used";
+    SettingsDomain = 3005, 500, "the configuration does not know the failure domain in the settings";
+    ConfigurationSyntax = 3101, 400, "the configuration is not valid JSON of the documented form";
+    ConfigurationDuplicate = 3102, 400, "two entities of one kind have the same name";
+    ConfigurationReference = 3103, 400, "an entity refers to one that does not exist";
+    ConfigurationRange = 3104, 400, "a value is out of its range";
+    ConfigurationOverlap = 3105, 400, "two sites claim the same block of clients";
+    ConfigurationTable = 3106, 500, "a row of the table service is not of the documented form";
+    PeerMessage = 3201, 400, "a message from another entry host is malformed";
+    PeerIdentity = 3202, 403, "the other side does not prove the cluster key";
+    OperatorUnreachable = 4001, 503, "the operators' address cannot be reached";
+    OperatorReply = 4002, 502, "the daemon's reply was cut or malformed";
+    FileUnreadable = 4003, 400, "a file cannot be read or written";
+    WaitTimeout = 4004, 504, "the change is accepted but not yet in force everywhere";
+}
+
+impl Code {
+    /// The stable number.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// What the caller may conclude when the system answers with this code.
+    ///
+    /// Codes below 1200 are refusals made before a byte of the request was
+    /// sent to a backend server, or a backend server's own refusal.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Code::Ok => Outcome::Ran,
+            Code::DeadlinePassed
+            | Code::BackendFailed
+            | Code::PeerLost
+            | Code::CallerAborted
+            | Code::TicketRunning
+            | Code::TicketHostGone
+            | Code::TicketUsed
+            | Code::ClaimTaken
+            | Code::ClaimUnknown => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// Whether waiting and asking again can help.
+    pub fn waiting_helps(self) -> bool {
+        matches!(self.http_status(), 503) && self != Code::TicketHostGone
+            || self == Code::TicketRunning
+    }
+}
--- /dev/null
+++ b/elmstream/src/lookup.rs
@@ -0,0 +1,89 @@
+//! Look-ups: which entry hosts a caller should use.
+//!
+//! Weighted rendezvous hashing over the live entry hosts of the client's home
+//! region, so that every host gives a site the same answer as long as it sees
+//! the same hosts. A host's weight moves by bounded steps, because answers that
+//! clients have cached still bring load.
+
+use std::net::SocketAddr;
+
+use crate::{
+    allotment::rendezvous,
+    catalog::Catalog,
+    id::{Name, RegionId},
+    member::{Member, Members},
+    time::Time,
+};
+
+/// Entry hosts in an answer at most.
+pub const ANSWER_MAX: usize = 3;
+/// Weight of a host that takes its full share, in thousandths.
+pub const WEIGHT_FULL: u32 = 1_000;
+/// Change of a weight per heartbeat interval at most.
+pub const WEIGHT_STEP: u32 = 100;
+/// Weight that a host begins with when it is first heard.
+pub const WEIGHT_FIRST: u32 = 100;
+
+/// An entry host in an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// Its name.
+    pub host: Name,
+    /// Where it takes callers' requests.
+    pub callers: SocketAddr,
+    /// Its weight, in thousandths.
+    pub weight: u32,
+}
+
+/// Ranks the entry hosts for a key (site and service); best first.
+pub fn rank(
+    catalog: &Catalog,
+    members: &Members,
+    now: Time,
+    home: RegionId,
+    key: &str,
+) -> Vec<Choice> {
+    let score = |m: &Member| -> Option<(u64, f64)> {
+        if !is_usable(catalog, m, now) {
+            return None;
+        }
+        let region = catalog.region_of_domain(&m.domain)?;
+        let distance = if region == home { 0 } else { 1 + catalog.delay(home, region) };
+        Some((distance, weighted(rendezvous(&m.name, key), m.weight)))
+    };
+    let mut ranked: Vec<_> = members.iter().filter_map(|m| Some((score(m)?, m))).collect();
+    ranked.sort_by(|((d1, s1), _), ((d2, s2), _)| d1.cmp(d2).then(s2.total_cmp(s1)));
+    ranked.truncate(ANSWER_MAX);
+    let choice = |(_, m): (_, &Member)| Choice {
+        host: m.name.clone(),
+        callers: m.callers,
+        weight: m.weight,
+    };
+    ranked.into_iter().map(choice).collect()
+}
+
+/// Moves each host's weight a step towards what its state allows.
+pub fn step_weights(members: &mut Members, now: Time) {
+    for member in members.iter_mut() {
+        let live = member.is_live(now) && member.is_staying();
+        let target = if live { WEIGHT_FULL } else { 0 };
+        member.weight = match member.weight {
+            0 if live => WEIGHT_FIRST,
+            weight if weight < target => (weight + WEIGHT_STEP).min(target),
+            weight => weight.saturating_sub(WEIGHT_STEP).max(target),
+        };
+    }
+}
+
+/// Whether a host may be named in an answer at all.
+fn is_usable(catalog: &Catalog, member: &Member, now: Time) -> bool {
+    let drained = catalog.draining_hosts.contains(&member.name);
+    member.is_live(now) && member.is_staying() && member.weight > 0 && !drained
+}
+
+/// The score of weighted rendezvous hashing: `-w / ln(h)`, `h` in (0, 1).
+fn weighted(hash: u64, weight: u32) -> f64 {
+    let unit = (hash >> 11) as f64 + 0.5;
+    let fraction = unit / (1u64 << 53) as f64;
+    f64::from(weight) / -fraction.ln()
+}
--- /dev/null
+++ b/elmstream/src/message.rs
@@ -0,0 +1,121 @@
+//! Messages between entry hosts, and the commands that systems give.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    allotment::Row,
+    id::{HostRef, Name},
+};
+
+/// What an owner reports of one service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: Name,
+    /// Slots that the owner may fill now.
+    pub slots: u32,
+    /// Slots that are filled.
+    pub in_flight: u32,
+    /// Requests that wait for a slot.
+    pub queued: u32,
+}
+
+/// A heartbeat: it tells that the host is alive and what it owns, and asks a
+/// witness of the same region to renew the sender's lease.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub from: HostRef,
+    /// The sender's failure domain.
+    pub domain: Name,
+    /// The sender's region, whose row `epoch` is of.
+    pub region: Name,
+    /// Counts the sender's rounds.
+    pub sequence: u64,
+    /// The epoch that the sender has taken; it keeps nothing of an older one.
+    pub epoch: u64,
+    /// Whether the sender knows that the epoch is settled.
+    pub settled: bool,
+    /// The revision of the configuration in force at the sender.
+    pub revision: u64,
+    /// Whether the sender is stopping.
+    pub leaving: bool,
+    /// What the sender owns, by service.
+    pub loads: Vec<ServiceLoad>,
+}
+
+/// The answer to a heartbeat.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HeartbeatReply {
+    /// The sender of the answer.
+    pub from: HostRef,
+    /// Which round is answered.
+    pub sequence: u64,
+    /// The epoch at which a witness promises the renewal.
+    pub promised: Option<u64>,
+    /// The revision in force at the sender of the answer.
+    pub revision: u64,
+    /// The region's row, where the asker's is older.
+    pub row: Option<Row>,
+}
+
+/// A steward's demand that a witness promises no more at `epoch`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fence {
+    /// The region whose row the epoch is of.
+    pub region: Name,
+    /// The epoch.
+    pub epoch: u64,
+}
+
+/// The answer of a witness that is fenced.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FenceReply {
+    /// The witness.
+    pub from: HostRef,
+    /// The region.
+    pub region: Name,
+    /// The epoch.
+    pub epoch: u64,
+}
+
+/// What a system wants done outside the core.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Send a heartbeat to the named host.
+    Heartbeat(Name, Heartbeat),
+    /// Send a fence to the named host.
+    Fence(Name, Fence),
+    /// Read the region's allotment row.
+    ReadRow(Name),
+    /// Write the row if its version in the table is still `expect`.
+    WriteRow {
+        /// The row.
+        row: Row,
+        /// The version that the write is conditional on; 0 is "no row yet".
+        expect: u64,
+    },
+    /// A queued request may go on.
+    Wake(u64),
+    /// Something an operator may ask about later.
+    Event(Event),
+}
+
+/// Changes that are logged and counted.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// A row was taken: region, epoch, settled, backend servers owned here.
+    RowTaken(Name, u64, bool, usize),
+    /// This host's lease lapsed.
+    LeaseLapsed,
+    /// This host holds its lease again.
+    LeaseHeld,
+    /// A host fell silent.
+    HostSilent(HostRef),
+    /// A host was heard for the first time, or again.
+    HostHeard(HostRef),
+    /// As steward, this host proposes a row: region, epoch, moves.
+    RowProposed(Name, u64, usize),
+    /// A backend server was ejected as an outlier.
+    BackendEjected(Name),
+}
--- /dev/null
+++ b/elmstream/src/serve.rs
@@ -0,0 +1,314 @@
+//! Decisions on the path of a request: look-up, route, admission, limits.
+
+use std::net::IpAddr;
+
+use crate::{
+    admission::{Admission, Ask, RunResult, Slot},
+    cap::WHOLE,
+    catalog::{Isolation, Service, ShiftCap},
+    code::Code,
+    id::{Name, RegionId, ServiceId},
+    lookup::{self, Choice},
+    node::Node,
+    once::{Decision, Ticket, TicketId},
+    route::{self, Attempt},
+    time::{MILLI, SECOND, Time},
+};
+
+/// Time between a lease's end and the last deadline under it, in microseconds.
+const LEASE_MARGIN: u64 = 50 * MILLI;
+/// Least time that a request must have left to be dispatched.
+const DEADLINE_MIN: u64 = MILLI;
+
+/// A refusal: the code, and when to come back in microseconds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub code: Code,
+    /// When asking again may help.
+    pub retry_after: u64,
+}
+
+impl Refusal {
+    fn new(code: Code, retry_after: u64) -> Refusal {
+        Refusal { code, retry_after }
+    }
+}
+
+/// A request as its owner sees it.
+#[derive(Clone, Debug)]
+pub struct OwnerAsk<'a> {
+    /// The service's name.
+    pub service: &'a str,
+    /// The caller's home region.
+    pub home: &'a str,
+    /// Time left for the request, in microseconds.
+    pub deadline: u64,
+    /// How long it may wait for a slot, in microseconds.
+    pub patience: u64,
+}
+
+/// The owner's answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OwnerAnswer {
+    /// Dispatch to this backend server.
+    Run(Slot),
+    /// Wait for the wake-up with this number.
+    Wait(u64),
+    /// Refused; nothing ran.
+    Refuse(Refusal),
+}
+
+impl Node {
+    /// The caller's home region: that of its site, or else this host's.
+    pub fn home_region(&self, client: IpAddr) -> Option<RegionId> {
+        let site = self.catalog.blocks.site(client);
+        site.map(|id| self.catalog.sites[id.index()].home).or_else(|| self.region())
+    }
+
+    /// Ranks the entry hosts for a client and a service.
+    pub fn lookup(&self, now: Time, client: IpAddr, service: &str) -> Result<Vec<Choice>, Refusal> {
+        if self.catalog.revision == 0 {
+            return Err(Refusal::new(Code::NotReady, SECOND));
+        }
+        if self.catalog.service(service).is_none() {
+            return Err(Refusal::new(Code::UnknownService, 0));
+        }
+        let home = self.home_region(client).ok_or(Refusal::new(Code::NotReady, SECOND))?;
+        let site = self.catalog.blocks.site(client);
+        let site = site.map_or("", |id| &self.catalog.sites[id.index()].name);
+        Ok(lookup::rank(&self.catalog, &self.members, now, home, &[site, service].join("/")))
+    }
+
+    /// The service that a request names.
+    pub fn service_of(
+        &self,
+        header: Option<&str>,
+        host: Option<&str>,
+    ) -> Result<ServiceId, Refusal> {
+        if self.catalog.revision == 0 {
+            return Err(Refusal::new(Code::NotReady, SECOND));
+        }
+        let by_header = header.and_then(|name| self.catalog.service(name));
+        let by_host = || host.and_then(|host| self.catalog.service_by_host(host));
+        let found = if header.is_some() { by_header } else { by_host() };
+        found.ok_or(Refusal::new(Code::UnknownService, 0))
+    }
+
+    /// A service by index.
+    pub fn service(&self, id: ServiceId) -> &Service {
+        &self.catalog.services[id.index()]
+    }
+
+    /// The owners to ask for a request, in order.
+    pub fn route(
+        &mut self,
+        now: Time,
+        id: ServiceId,
+        home: RegionId,
+        deadline: u64,
+    ) -> Result<Vec<Attempt>, Refusal> {
+        let service = &self.catalog.services[id.index()];
+        let isolated = self.is_isolated(now);
+        if isolated && service.isolation == Isolation::Stop {
+            return Err(Refusal::new(Code::Isolated, SECOND));
+        }
+        self.retries.entry(id).or_default().first_try(service.retry_percent);
+        let me = &self.settings.me.host;
+        let request = route::Request { service: id, home, deadline, me, may_shift: !isolated };
+        let attempts = route::plan(&self.catalog, &self.members, now, &mut self.rng, &request);
+        if attempts.is_empty() {
+            return Err(Refusal::new(Code::NoOwner, SECOND));
+        }
+        Ok(attempts)
+    }
+
+    /// Spends one retry of the service's budget.
+    pub fn may_retry(&mut self, id: ServiceId) -> bool {
+        self.retries.entry(id).or_default().retry()
+    }
+
+    /// Notes that a request was sent to an owner.
+    pub fn sent(&mut self, owner: &str, service: &Name) {
+        if let Some(member) = self.members.get_mut(owner) {
+            *member.sent.entry(service.clone()).or_default() += 1;
+        }
+    }
+
+    /// Notes that an owner answered.
+    pub fn answered(&mut self, owner: &str, service: &Name) {
+        let member = self.members.get_mut(owner);
+        if let Some(sent) = member.and_then(|m| m.sent.get_mut(service)) {
+            *sent = sent.saturating_sub(1);
+        }
+    }
+
+    /// Asks this host, as owner, to take a request.
+    pub fn ask(&mut self, now: Time, ask: &OwnerAsk<'_>) -> OwnerAnswer {
+        match self.try_ask(now, ask) {
+            Ok(Admission::Run(slot)) => OwnerAnswer::Run(slot),
+            Ok(Admission::Wait(number)) => OwnerAnswer::Wait(number),
+            Ok(Admission::Refuse(code, after)) => OwnerAnswer::Refuse(Refusal::new(code, after)),
+            Err(refusal) => OwnerAnswer::Refuse(refusal),
+        }
+    }
+
+    /// The slot of a waiting request that was woken.
+    pub fn granted(&mut self, number: u64) -> Option<Slot> {
+        self.admissions.granted(number)
+    }
+
+    /// A waiting request gives up. Returns the waiting requests to wake.
+    pub fn give_up(&mut self, now: Time, number: u64) -> Vec<u64> {
+        match self.admissions.give_up(number) {
+            Some(slot) => self.finish(now, &slot, RunResult::Cancelled, 0),
+            None => Vec::new(),
+        }
+    }
+
+    /// Checks the lease at the moment of dispatch, and gives the time that
+    /// the backend server may spend: to the request's deadline, and not beyond
+    /// the lease.
+    pub fn dispatch(&self, now: Time, slot: &Slot, deadline: Time) -> Result<u64, Refusal> {
+        let owns = self.row.may_act(&self.settings.me, &slot.backend);
+        let lease_end = self.lease.until() - LEASE_MARGIN;
+        let left = deadline.min(lease_end).since(now);
+        if !owns || lease_end <= now {
+            return Err(Refusal::new(Code::LeaseLapsed, SECOND));
+        }
+        if left < DEADLINE_MIN {
+            return Err(Refusal::new(Code::DeadlineTooShort, 0));
+        }
+        Ok(left)
+    }
+
+    /// A run has ended. Returns the waiting requests to wake.
+    pub fn finish(&mut self, now: Time, slot: &Slot, result: RunResult, took: u64) -> Vec<u64> {
+        let catalog = self.catalog.clone();
+        self.admissions.release(now, &catalog, slot, result, took)
+    }
+
+    /// Issues tickets for a service.
+    pub fn issue_tickets(
+        &mut self,
+        now: Time,
+        service: &Name,
+        count: u32,
+        life: u64,
+    ) -> Vec<Ticket> {
+        let me = self.settings.me.clone();
+        let issue = |_| self.tickets.issue(me.clone(), service.clone(), now + life);
+        (0..count).map(issue).collect()
+    }
+
+    /// Decides on a try with a ticket that this incarnation issued.
+    pub fn begin_ticket(&mut self, now: Time, ticket: &Ticket, service: &str) -> Decision {
+        self.tickets.begin(now, ticket, service)
+    }
+
+    /// A ticketed try has ended.
+    pub fn end_ticket(&mut self, id: TicketId, not_run: bool) {
+        self.tickets.end(id, not_run);
+    }
+
+    fn try_ask(&mut self, now: Time, ask: &OwnerAsk<'_>) -> Result<Admission, Refusal> {
+        if self.stopping && !self.lease.is_held(now) {
+            return Err(Refusal::new(Code::Stopping, 0));
+        }
+        if !self.lease.is_held(now) {
+            return Err(Refusal::new(Code::LeaseLapsed, SECOND));
+        }
+        let unknown = Refusal::new(Code::UnknownService, 0);
+        let id = self.catalog.service(ask.service).ok_or(unknown)?;
+        let home = self.catalog.region(ask.home).ok_or(unknown)?;
+        let here = self.region().ok_or(unknown)?;
+        let shifted = home != here;
+        let request = Ask { service: id, shifted, patience: ask.patience.min(ask.deadline) };
+        if shifted {
+            self.check_shift(now, id, home, here)?;
+        }
+        let service = &self.catalog.services[id.index()];
+        let admission = self.admissions.ask(now, service, &request);
+        if let (true, Admission::Run(slot)) = (shifted, &admission) {
+            let slot = slot.clone();
+            if let Err(refusal) = self.spend(now, id, home, here) {
+                self.finish(now, &slot, RunResult::Cancelled, 0);
+                return Err(refusal);
+            }
+        }
+        Ok(admission)
+    }
+
+    /// Whether a shift is allowed at all.
+    fn check_shift(
+        &self,
+        now: Time,
+        id: ServiceId,
+        home: RegionId,
+        here: RegionId,
+    ) -> Result<(), Refusal> {
+        if self.is_isolated(now) {
+            return Err(Refusal::new(Code::Isolated, SECOND));
+        }
+        match self.catalog.shift_caps.contains_key(&(id, home, here)) {
+            true => Ok(()),
+            false => Err(Refusal::new(Code::ShiftCapped, SECOND)),
+        }
+    }
+
+    /// Spends one request of the shift cap and of the link.
+    fn spend(
+        &mut self,
+        now: Time,
+        id: ServiceId,
+        home: RegionId,
+        here: RegionId,
+    ) -> Result<(), Refusal> {
+        let cap = self.catalog.shift_caps.get(&(id, home, here)).copied().unwrap_or_default();
+        let part = self.part_of(Some(id));
+        let ShiftCap { per_second, ramp } = cap;
+        let bucket = self.shift_buckets.entry((id, home)).or_default();
+        if !bucket.take(now, 1, u64::from(per_second), part, ramp) {
+            let wait = bucket.wait(u64::from(per_second), part);
+            return Err(Refusal::new(Code::ShiftCapped, wait));
+        }
+        let Some(link) = self.catalog.links.get(&(home, here)).copied() else {
+            return Ok(());
+        };
+        let part = self.part_of(None);
+        let bucket = self.link_buckets.entry(home).or_default();
+        let rate = u64::from(link.requests_per_second);
+        if !bucket.take(now, 1, rate, part, 0) {
+            return Err(Refusal::new(Code::LinkLimited, bucket.wait(rate, part)));
+        }
+        Ok(())
+    }
+
+    /// This host's part of its region's caps: for one service, or over all
+    /// services for limits that they share.
+    fn part_of(&self, service: Option<ServiceId>) -> u64 {
+        let of_service = |name: &Name| {
+            let backend = self.catalog.backend(name).map(|id| &self.catalog.backends[id.index()]);
+            service.is_none_or(|id| backend.is_some_and(|b| b.service == id))
+        };
+        let owned = self.row.owned_by(&self.settings.me).filter(|(name, _)| of_service(name));
+        let sum: u64 = owned.map(|(_, grant)| self.row.part(grant)).sum();
+        let services = self.services_in_row().max(1);
+        match service {
+            Some(_) => sum.min(WHOLE),
+            None => (sum / services).min(WHOLE),
+        }
+    }
+
+    /// Services that have a backend server in the row.
+    fn services_in_row(&self) -> u64 {
+        let of = |name: &Name| {
+            let id = self.catalog.backend(name)?;
+            Some(self.catalog.backends[id.index()].service)
+        };
+        let mut services: Vec<ServiceId> = self.row.grants.keys().filter_map(of).collect();
+        services.sort();
+        services.dedup();
+        services.len() as u64
+    }
+}
--- /dev/null
+++ b/elmstream/src/steward.rs
@@ -0,0 +1,259 @@
+//! The steward: the host that changes its region's allotment row.
+//!
+//! Any host of the region may act as steward; the lowest-ranked live one does.
+//! Two at once only lose compare-and-swaps to each other. A change takes four
+//! steps: swap the row to the next epoch; fence a majority of the witnesses of
+//! the epoch before; wait one lease, or until each former owner has taken the
+//! new epoch; mark the row as settled. Only then may new owners act.
+
+use std::collections::HashSet;
+
+use crate::{
+    allotment::{Candidate, Row, plan},
+    catalog::Catalog,
+    id::{HostRef, Name, RegionId},
+    lease::{self, is_majority},
+    time::{MILLI, SECOND, Time},
+};
+
+/// Time between two reads of the row by a steward at rest, in microseconds.
+pub const READ_INTERVAL: u64 = 2 * SECOND;
+/// Time between two reads by a host that is not the steward.
+pub const IDLE_READ_INTERVAL: u64 = 10 * SECOND;
+/// Time after which a table call without an answer is given up.
+const CALL_TIMEOUT: u64 = 5 * SECOND;
+/// Time between two writes of changes.
+const CHANGE_INTERVAL: u64 = 500 * MILLI;
+
+/// How a conditional write ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WriteOutcome {
+    /// It took effect and the row has this version now.
+    Written(u64),
+    /// Another write came first.
+    Conflict,
+    /// The table did not take it, and said so.
+    Refused,
+    /// No answer: it may have taken effect.
+    Unknown,
+}
+
+/// A row as the table holds it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Stored {
+    /// The row.
+    pub row: Row,
+    /// Its version in the table; 0 is "no row yet".
+    pub version: u64,
+}
+
+/// What the steward wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Read the row.
+    Read,
+    /// Write the row if its version is still `expect`.
+    Write {
+        /// The row.
+        row: Row,
+        /// The version that the write is conditional on.
+        expect: u64,
+    },
+    /// Fence these witnesses at this epoch.
+    Fence(Vec<HostRef>, u64),
+    /// Nobody acts by an older epoch any more; take this row.
+    Settled(Row),
+}
+
+/// State of a host's part as steward.
+#[derive(Debug, Default)]
+pub struct Steward {
+    /// The row as last read from or written to the table.
+    stored: Option<Stored>,
+    read_at: Option<Time>,
+    /// A call to the table is under way since then.
+    calling: Option<Time>,
+    /// The row whose write is under way.
+    writing: Option<Row>,
+    changed_at: Time,
+    /// Witnesses of the epoch before that are fenced.
+    fenced: HashSet<HostRef>,
+    /// When a majority was heard to be fenced.
+    majority_at: Option<Time>,
+    nonce: u64,
+}
+
+/// What the steward looks at.
+#[derive(Debug)]
+pub struct View<'a> {
+    /// The configuration in force.
+    pub catalog: &'a Catalog,
+    /// The region.
+    pub region: RegionId,
+    /// Its name.
+    pub name: &'a Name,
+    /// Live hosts of the region, in the order of their names.
+    pub hosts: &'a [Candidate],
+    /// Hosts that have taken the row's epoch.
+    pub taken: &'a HashSet<HostRef>,
+    /// Witnesses that cannot promise any more: replaced, or gone from the list.
+    pub gone: &'a HashSet<HostRef>,
+}
+
+impl Steward {
+    /// A steward whose writes are named from `nonce` on.
+    pub fn new(nonce: u64) -> Steward {
+        Steward { nonce, ..Steward::default() }
+    }
+
+    /// The row as the table held it when last heard.
+    pub fn stored(&self) -> Option<&Stored> {
+        self.stored.as_ref()
+    }
+
+    /// One tick of a host that is the steward.
+    pub fn tick(&mut self, now: Time, view: &View<'_>) -> Vec<Step> {
+        if self.is_calling(now) {
+            return self.settle(now, view).into_iter().collect();
+        }
+        if self.is_read_due(now, READ_INTERVAL) {
+            return vec![self.read(now)];
+        }
+        let Some(stored) = self.stored.clone() else {
+            return Vec::new();
+        };
+        if !stored.row.settled && stored.version != 0 {
+            return self.settle(now, view).into_iter().collect();
+        }
+        self.change(now, view, &stored).into_iter().collect()
+    }
+
+    /// One tick of a host that is not the steward.
+    pub fn idle(&mut self, now: Time) -> Option<Step> {
+        let due = !self.is_calling(now) && self.is_read_due(now, IDLE_READ_INTERVAL);
+        due.then(|| self.read(now))
+    }
+
+    /// The table answered a read; `None` is "no such row".
+    pub fn row_read(&mut self, stored: Option<Stored>) {
+        self.calling = None;
+        self.writing = None;
+        self.take(stored.unwrap_or_default());
+    }
+
+    /// The table did not answer a read.
+    pub fn read_failed(&mut self) {
+        self.calling = None;
+    }
+
+    /// The table answered a write, or did not.
+    ///
+    /// After anything but success the row is read again, and the nonce there
+    /// tells whose write it holds.
+    pub fn row_written(&mut self, outcome: WriteOutcome) {
+        self.calling = None;
+        let row = self.writing.take();
+        match (outcome, row) {
+            (WriteOutcome::Written(version), Some(row)) => self.take(Stored { row, version }),
+            (WriteOutcome::Refused, _) => {}
+            _ => self.read_at = None,
+        }
+    }
+
+    /// A witness answered that it is fenced.
+    pub fn fenced(&mut self, by: HostRef, epoch: u64) {
+        let Some(stored) = &self.stored else { return };
+        if epoch + 1 == stored.row.epoch && stored.row.witnesses_from.contains(&by) {
+            self.fenced.insert(by);
+        }
+    }
+
+    /// Takes a row, and forgets the fences of another epoch.
+    fn take(&mut self, stored: Stored) {
+        let before = self.stored.as_ref().map_or(0, |s| s.row.epoch);
+        if stored.row.epoch != before {
+            self.fenced.clear();
+            self.majority_at = None;
+        }
+        self.stored = Some(stored);
+    }
+
+    /// Brings an unsettled epoch forward: fence, wait, mark as settled.
+    fn settle(&mut self, now: Time, view: &View<'_>) -> Option<Step> {
+        let stored = self.stored.clone()?;
+        if stored.row.settled || stored.version == 0 {
+            return None;
+        }
+        let row = &stored.row;
+        let gone = row.witnesses_from.iter().filter(|w| view.gone.contains(*w));
+        self.fenced.extend(gone.cloned());
+        if !self.has_waited(now, row) && !is_released(row, view) {
+            let left = row.witnesses_from.iter().filter(|w| !self.fenced.contains(*w));
+            return Some(Step::Fence(left.cloned().collect(), row.epoch - 1));
+        }
+        let settled = Row { settled: true, nonce: self.next_nonce(), ..row.clone() };
+        if self.is_calling(now) {
+            return Some(Step::Settled(settled));
+        }
+        Some(self.write(now, settled, stored.version))
+    }
+
+    /// Whether one lease has passed since a majority was heard to be fenced.
+    fn has_waited(&mut self, now: Time, row: &Row) -> bool {
+        let is_first_epoch = row.witnesses_from.is_empty();
+        if !is_first_epoch && !is_majority(self.fenced.len(), row.witnesses_from.len()) {
+            return false;
+        }
+        let since = *self.majority_at.get_or_insert(now);
+        is_first_epoch || now.since(since) >= lease::LENGTH
+    }
+
+    /// Proposes the next epoch if the plan differs from the row.
+    fn change(&mut self, now: Time, view: &View<'_>, stored: &Stored) -> Option<Step> {
+        if now.since(self.changed_at) < CHANGE_INTERVAL {
+            return None;
+        }
+        let present = Row { region: view.name.clone(), ..stored.row.clone() };
+        let mut next = plan(view.catalog, view.region, &present, view.hosts)?;
+        next.nonce = self.next_nonce();
+        self.changed_at = now;
+        Some(self.write(now, next, stored.version))
+    }
+
+    fn read(&mut self, now: Time) -> Step {
+        self.read_at = Some(now);
+        self.calling = Some(now);
+        Step::Read
+    }
+
+    fn write(&mut self, now: Time, row: Row, expect: u64) -> Step {
+        self.calling = Some(now);
+        self.writing = Some(row.clone());
+        Step::Write { row, expect }
+    }
+
+    fn next_nonce(&mut self) -> u64 {
+        self.nonce = self.nonce.wrapping_add(1);
+        self.nonce
+    }
+
+    fn is_calling(&mut self, now: Time) -> bool {
+        if self.calling.is_some_and(|since| now.since(since) >= CALL_TIMEOUT) {
+            self.row_written(WriteOutcome::Unknown);
+        }
+        self.calling.is_some()
+    }
+
+    fn is_read_due(&self, now: Time, interval: u64) -> bool {
+        self.read_at.is_none_or(|at| now.since(at) >= interval)
+    }
+}
+
+/// Whether each owner of the epoch before has taken this one.
+///
+/// An owner that has taken an epoch keeps nothing of the one before but what
+/// both give it, and never asks at the old one again.
+fn is_released(row: &Row, view: &View<'_>) -> bool {
+    let former = row.former_owners();
+    former.iter().all(|owner| view.taken.contains(*owner))
+}
