--- /dev/null
+++ b/elmstream_http/src/body.rs
@@ -0,0 +1,81 @@
+//! Bodies that stay on one thread.
+
+use std::{
+    error::Error,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body::{Body, Frame};
+use http_body_util::{BodyExt, Empty, Full, StreamBody};
+
+/// Any error of a body.
+pub type BoxError = Box<dyn Error + Send + Sync>;
+
+/// A body of any kind, boxed.
+pub type LocalBody = Pin<Box<dyn Body<Data = Bytes, Error = BoxError>>>;
+
+/// Boxes a body.
+pub fn boxed<B>(body: B) -> LocalBody
+where
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<BoxError>,
+{
+    Box::pin(body.map_err(Into::into))
+}
+
+/// A body without bytes.
+pub fn empty() -> LocalBody {
+    boxed(Empty::new())
+}
+
+/// A body of known bytes.
+pub fn full(bytes: impl Into<Bytes>) -> LocalBody {
+    boxed(Full::new(bytes.into()))
+}
+
+/// A body from a stream of chunks; an error cuts it.
+pub fn stream<S>(chunks: S) -> LocalBody
+where
+    S: futures_util::Stream<Item = Result<Bytes, BoxError>> + 'static,
+{
+    use futures_util::StreamExt;
+    Box::pin(StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data))))
+}
+
+/// A body that keeps a value alive, and drops it with the body or at its end.
+pub fn holding<T: Unpin + 'static>(body: LocalBody, value: T) -> LocalBody {
+    Box::pin(Holding { body, value: Some(value) })
+}
+
+struct Holding<T> {
+    body: LocalBody,
+    value: Option<T>,
+}
+
+impl<T: Unpin> Body for Holding<T> {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let polled = self.body.as_mut().poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) {
+            self.value = None;
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        // The value must be dropped by a poll or with the body, so hyper has
+        // to poll to the end while it is held.
+        self.value.is_none() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/elmstream_http/src/lib.rs
@@ -0,0 +1,13 @@
+//! HTTP by `hyper` on `compio`, for programs that run on one thread.
+
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
+
+pub mod body;
+pub mod client;
+pub mod executor;
+pub mod server;
+pub mod stop;
+
+pub use body::{BoxError, LocalBody};
+pub use executor::LocalExecutor;
+pub use stop::{Stop, Stopper};
--- /dev/null
+++ b/elmstream_standin/src/backend.rs
@@ -0,0 +1,239 @@
+//! Stand-in for a backend server.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use elmstream_http::{
+    BoxError, LocalBody, Stop, body,
+    server::{self, Cut},
+};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::reply;
+
+/// Header with the time after which nothing may begin, Unix milliseconds.
+const DEADLINE: &str = "elmstream-deadline";
+/// Header with the caller's id of the request.
+const REQUEST_ID: &str = "elmstream-request-id";
+/// Header that says that the request was not run.
+const SHED: &str = "elmstream-shed";
+/// Bytes in a chunk of a long answer.
+const CHUNK: usize = 64 << 10;
+
+/// Faults and speed of a backend server.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Behaviour {
+    /// Time to run a request, in milliseconds.
+    pub run_ms: u64,
+    /// Refuses every request as not run.
+    pub shed: bool,
+    /// Cuts answers in the middle.
+    pub truncate: bool,
+    /// Takes requests and never answers.
+    pub hung: bool,
+    /// Answers each request so much later, in milliseconds.
+    pub late_ms: u64,
+    /// Reports this load in place of the true one.
+    pub false_load: Option<u32>,
+}
+
+/// What a backend server has seen.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Seen {
+    /// Requests that it began to run.
+    pub runs: u64,
+    /// Most requests that ran at a time.
+    pub in_flight_max: u32,
+    /// Requests that run now.
+    pub in_flight: u32,
+    /// Requests refused because their deadline had passed.
+    pub after_deadline: u64,
+    /// Requests whose caller's id was run already, here.
+    pub repeated: u64,
+    /// Milliseconds since the Unix epoch when it last began a request.
+    pub last_begin_ms: u64,
+    /// Caller's ids of requests that may not be repeated and were run.
+    pub ids: HashMap<String, u32>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    behaviour: RefCell<Behaviour>,
+    seen: RefCell<Seen>,
+}
+
+/// Counts a request as in flight until it is dropped, also when it is cut.
+struct Running(Rc<State>);
+
+impl Running {
+    fn new(state: &Rc<State>) -> Running {
+        let mut seen = state.seen.borrow_mut();
+        seen.runs += 1;
+        seen.in_flight += 1;
+        seen.in_flight_max = seen.in_flight_max.max(seen.in_flight);
+        seen.last_begin_ms = unix_ms();
+        Running(state.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.seen.borrow_mut().in_flight -= 1;
+    }
+}
+
+/// Serves until the stop.
+pub async fn serve(
+    listener: TcpListener,
+    name: String,
+    behaviour: Behaviour,
+    stop: Stop,
+) -> io::Result<()> {
+    let state = Rc::new(State { behaviour: RefCell::new(behaviour), ..State::default() });
+    server::serve(listener, None, stop, move |_, request| {
+        let state = state.clone();
+        let name = name.clone();
+        async move { handle(&state, &name, request).await }
+    })
+    .await
+}
+
+async fn handle(
+    state: &Rc<State>,
+    name: &str,
+    request: Request<Incoming>,
+) -> Result<Response<LocalBody>, Cut> {
+    match request.uri().path() {
+        "/_standin/behaviour" => Ok(set_behaviour(state, request).await),
+        "/_standin/seen" => Ok(reply::json(StatusCode::OK, &*state.seen.borrow())),
+        "/health" => Ok(reply::status(StatusCode::OK)),
+        "/load" => Ok(load(state)),
+        _ => run(state, name, request).await,
+    }
+}
+
+async fn set_behaviour(state: &Rc<State>, request: Request<Incoming>) -> Response<LocalBody> {
+    match reply::read(request.into_body()).await {
+        Some(behaviour) => {
+            *state.behaviour.borrow_mut() = behaviour;
+            reply::status(StatusCode::NO_CONTENT)
+        }
+        None => reply::status(StatusCode::BAD_REQUEST),
+    }
+}
+
+fn load(state: &State) -> Response<LocalBody> {
+    let true_load = state.seen.borrow().in_flight;
+    let told = state.behaviour.borrow().false_load.unwrap_or(true_load);
+    reply::json(StatusCode::OK, &serde_json::json!({ "in_flight": told }))
+}
+
+async fn run(
+    state: &Rc<State>,
+    name: &str,
+    request: Request<Incoming>,
+) -> Result<Response<LocalBody>, Cut> {
+    let behaviour = state.behaviour.borrow().clone();
+    let (parts, incoming) = request.into_parts();
+    if behaviour.shed {
+        return Ok(refuse());
+    }
+    if deadline(&parts.headers).is_some_and(|deadline| deadline < unix_ms()) {
+        state.seen.borrow_mut().after_deadline += 1;
+        return Ok(refuse());
+    }
+    let running = Running::new(state);
+    let id = text(&parts.headers, REQUEST_ID);
+    if parts.method == http::Method::POST {
+        count(&mut state.seen.borrow_mut(), &id);
+    }
+    let Some((length, digest)) = digest(incoming).await else { return Err(Cut) };
+    if behaviour.hung {
+        std::future::pending::<()>().await;
+    }
+    compio::time::sleep(Duration::from_millis(behaviour.run_ms + behaviour.late_ms)).await;
+    let echo = format!(
+        "{{\"backend\":\"{name}\",\"id\":\"{id}\",\"length\":{length},\"digest\":\"{digest}\"}}"
+    );
+    let wanted = parts.uri.path().strip_prefix("/bytes/").and_then(|n| n.parse().ok());
+    let answer = match (behaviour.truncate, wanted) {
+        (true, _) => cut_short(echo),
+        (false, Some(bytes)) => long(bytes),
+        (false, None) => body::full(echo),
+    };
+    Ok(Response::new(body::holding(answer, running)))
+}
+
+/// The answer to a request that is not run.
+fn refuse() -> Response<LocalBody> {
+    let mut response = reply::status(StatusCode::SERVICE_UNAVAILABLE);
+    response.headers_mut().insert(SHED, http::HeaderValue::from_static("1"));
+    response
+}
+
+fn count(seen: &mut Seen, id: &str) {
+    if id.is_empty() {
+        return;
+    }
+    let runs = seen.ids.entry(id.into()).or_default();
+    *runs += 1;
+    if *runs > 1 {
+        seen.repeated += 1;
+    }
+}
+
+/// Length and SHA-256 of a body; `None` if it was cut.
+async fn digest(mut incoming: Incoming) -> Option<(u64, String)> {
+    let mut length = 0;
+    let mut hash = Sha256::new();
+    while let Some(frame) = incoming.frame().await {
+        if let Ok(data) = frame.ok()?.into_data() {
+            length += data.len() as u64;
+            hash.update(&data);
+        }
+    }
+    let digest = hash.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
+    Some((length, digest))
+}
+
+/// A body whose stream fails after half of the text.
+fn cut_short(text: String) -> LocalBody {
+    let half = Bytes::from(text.into_bytes()).slice(..8);
+    let chunks = [Ok(half), Err(BoxError::from("cut on purpose"))];
+    body::stream(futures_util::stream::iter(chunks))
+}
+
+/// A long body of zeros.
+fn long(bytes: usize) -> LocalBody {
+    let chunk = Bytes::from(vec![0; CHUNK]);
+    let whole = bytes / CHUNK;
+    let rest = chunk.slice(..bytes % CHUNK);
+    let chunks = std::iter::repeat_n(chunk, whole).chain([rest]).map(Ok);
+    body::stream(futures_util::stream::iter(chunks))
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default().into()
+}
+
+fn deadline(headers: &HeaderMap) -> Option<u64> {
+    headers.get(DEADLINE)?.to_str().ok()?.parse().ok()
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/elmstream_standin/src/caller.rs
@@ -0,0 +1,238 @@
+//! A caller that loads: open-loop, and checks every answer.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use elmstream_http::{LocalBody, body, client};
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+
+use crate::report::Report;
+
+/// Time to open a connection.
+const CONNECT: Duration = Duration::from_secs(2);
+/// Time after which a caller gives up on an answer.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Time that requests in flight get at the end of a load.
+const FINISH: Duration = Duration::from_secs(10);
+
+/// What to send.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Any entry host, asked for look-ups; `None` sends to `targets` as given.
+    pub ask: Vec<SocketAddr>,
+    /// Where to send without look-ups.
+    pub targets: Vec<SocketAddr>,
+    /// The service.
+    pub service: String,
+    /// Requests in a second.
+    pub per_second: u32,
+    /// How long.
+    pub duration: Duration,
+    /// `GET`, or `POST` for requests that may not be repeated.
+    pub method: http::Method,
+    /// Bytes of each request's body.
+    pub body_bytes: usize,
+    /// Prefix of the requests' ids.
+    pub prefix: String,
+}
+
+#[derive(Deserialize)]
+struct Lookup {
+    ttl_ms: u64,
+    entry_hosts: Vec<LookupHost>,
+}
+
+#[derive(Deserialize)]
+struct LookupHost {
+    callers: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Echo {
+    id: String,
+    length: u64,
+    digest: String,
+}
+
+/// State of one load.
+struct Caller {
+    load: Load,
+    report: RefCell<Report>,
+    idle: RefCell<HashMap<SocketAddr, Vec<SendRequest<LocalBody>>>>,
+    targets: RefCell<Vec<SocketAddr>>,
+    payload: Bytes,
+    digest: String,
+}
+
+/// Runs a load to its end and gives its report.
+pub async fn run(load: Load) -> Report {
+    let payload = Bytes::from(vec![b'x'; load.body_bytes]);
+    let digest = Sha256::digest(&payload).iter().map(|byte| format!("{byte:02x}")).collect();
+    let caller = Rc::new(Caller {
+        targets: RefCell::new(load.targets.clone()),
+        load,
+        report: RefCell::default(),
+        idle: RefCell::default(),
+        payload,
+        digest,
+    });
+    let looking = compio::runtime::spawn(keep_looking_up(caller.clone()));
+    if !caller.load.ask.is_empty() {
+        wait_for_targets(&caller).await;
+    }
+    send_all(&caller).await;
+    drop(looking);
+    let end = Instant::now() + FINISH;
+    while Rc::strong_count(&caller) > 1 && Instant::now() < end {
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    caller.report.take()
+}
+
+/// Sends each request at its planned time.
+async fn send_all(caller: &Rc<Caller>) {
+    let total = u64::from(caller.load.per_second) * caller.load.duration.as_millis() as u64 / 1_000;
+    let gap = Duration::from_secs(1) / caller.load.per_second.max(1);
+    let start = Instant::now();
+    for number in 0..total {
+        let due = start + gap * number as u32;
+        let now = Instant::now();
+        if due > now {
+            compio::time::sleep(due - now).await;
+        }
+        let caller = caller.clone();
+        compio::runtime::spawn(async move { caller.send(number, due).await }).detach();
+    }
+}
+
+async fn wait_for_targets(caller: &Rc<Caller>) {
+    let end = Instant::now() + CONNECT;
+    while caller.targets.borrow().is_empty() && Instant::now() < end {
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Asks anew each time that the last answer's time to live is over.
+async fn keep_looking_up(caller: Rc<Caller>) {
+    let mut turn = 0;
+    while !caller.load.ask.is_empty() {
+        let ask = caller.load.ask[turn % caller.load.ask.len()];
+        turn += 1;
+        let pause = match lookup(ask, &caller.load.service).await {
+            Some(answer) => {
+                let hosts = answer.entry_hosts.iter().map(|h| h.callers).collect();
+                *caller.targets.borrow_mut() = hosts;
+                answer.ttl_ms
+            }
+            None => 100,
+        };
+        compio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+async fn lookup(ask: SocketAddr, service: &str) -> Option<Lookup> {
+    let mut sender = client::connect(ask, CONNECT).await.ok()?;
+    let uri = format!("/v1/lookup?service={service}");
+    let request = Request::get(uri).header("host", ask.to_string()).body(body::empty()).ok()?;
+    let response = sender.send_request(request).await.ok()?;
+    let bytes = response.into_body().collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&bytes).ok()
+}
+
+/// How one try ended.
+enum Ended {
+    Whole,
+    Wrong,
+    Cut,
+    Refused(u16),
+    Failed,
+}
+
+impl Caller {
+    async fn send(&self, number: u64, due: Instant) {
+        self.report.borrow_mut().sent += 1;
+        let trying = compio::time::timeout(PATIENCE, self.attempt(number));
+        let ended = trying.await.unwrap_or(Ended::Failed);
+        let mut report = self.report.borrow_mut();
+        match ended {
+            Ended::Whole => {
+                report.whole += 1;
+                let _ = report.latency.record(due.elapsed().as_micros() as u64);
+            }
+            Ended::Wrong => report.wrong += 1,
+            Ended::Cut => report.cut += 1,
+            Ended::Refused(code) => *report.refused.entry(code).or_default() += 1,
+            Ended::Failed => report.failed += 1,
+        }
+    }
+
+    async fn attempt(&self, number: u64) -> Ended {
+        let targets = self.targets.borrow().clone();
+        if targets.is_empty() {
+            return Ended::Failed;
+        }
+        let target = targets[number as usize % targets.len()];
+        let id = format!("{}-{number}", self.load.prefix);
+        let Some(mut sender) = self.sender(target).await else { return Ended::Failed };
+        let request = self.request(target, &id);
+        let Ok(response) = sender.send_request(request).await else { return Ended::Failed };
+        let ended = self.check(response, &id).await;
+        self.idle.borrow_mut().entry(target).or_default().push(sender);
+        ended
+    }
+
+    /// An idle connection, or a new one.
+    async fn sender(&self, target: SocketAddr) -> Option<SendRequest<LocalBody>> {
+        loop {
+            let idle = self.idle.borrow_mut().get_mut(&target).and_then(Vec::pop);
+            match idle {
+                Some(sender) if sender.is_closed() => continue,
+                Some(mut sender) => {
+                    if sender.ready().await.is_ok() {
+                        return Some(sender);
+                    }
+                }
+                None => return client::connect(target, CONNECT).await.ok(),
+            }
+        }
+    }
+
+    fn request(&self, target: SocketAddr, id: &str) -> Request<LocalBody> {
+        let request = Request::builder()
+            .method(self.load.method.clone())
+            .uri("/")
+            .header("host", target.to_string())
+            .header("elmstream-service", &self.load.service)
+            .header("elmstream-request-id", id);
+        let body = match self.payload.is_empty() {
+            true => body::empty(),
+            false => body::full(self.payload.clone()),
+        };
+        request.body(body).expect("the headers are valid")
+    }
+
+    /// Checks that the answer is whole and the request's own.
+    async fn check(&self, response: Response<Incoming>, id: &str) -> Ended {
+        let header = response.headers().get("elmstream-code");
+        let code = header.and_then(|v| v.to_str().ok()?.parse().ok());
+        if let Some(code) = code {
+            return Ended::Refused(code);
+        }
+        let Ok(collected) = response.into_body().collect().await else { return Ended::Cut };
+        let Ok(echo) = serde_json::from_slice::<Echo>(&collected.to_bytes()) else {
+            return Ended::Wrong;
+        };
+        let whole = echo.length == self.payload.len() as u64 && echo.digest == self.digest;
+        if whole && echo.id == id { Ended::Whole } else { Ended::Wrong }
+    }
+}
--- /dev/null
+++ b/elmstream_standin/src/reply.rs
@@ -0,0 +1,27 @@
+//! Short ways to make answers.
+
+use elmstream_http::{LocalBody, body};
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::{Serialize, de::DeserializeOwned};
+
+/// An answer with a JSON body.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<LocalBody> {
+    let text = serde_json::to_vec(value).expect("the stand-in's answers are JSON");
+    let response = Response::builder().status(status).header("content-type", "application/json");
+    response.body(body::full(text)).expect("the headers are valid")
+}
+
+/// An answer without a body.
+pub fn status(status: StatusCode) -> Response<LocalBody> {
+    let mut response = Response::new(body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads a JSON body; `None` if it is cut or malformed.
+pub async fn read<T: DeserializeOwned>(body: Incoming) -> Option<T> {
+    let bytes = body.collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&bytes).ok()
+}
--- /dev/null
+++ b/elmstream_standin/src/report.rs
@@ -0,0 +1,85 @@
+//! What a loading caller saw.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Counts and latencies of one load.
+#[derive(Debug)]
+pub struct Report {
+    /// Requests sent.
+    pub sent: u64,
+    /// Answers that were whole and the request's own.
+    pub whole: u64,
+    /// Answers that elmstream made itself, by the number of their code.
+    pub refused: BTreeMap<u16, u64>,
+    /// Answers that were cut, visibly.
+    pub cut: u64,
+    /// Answers that were taken as whole and were not, or another request's.
+    pub wrong: u64,
+    /// Requests without any answer.
+    pub failed: u64,
+    /// Latency of whole answers, from the planned start, in microseconds.
+    pub latency: Histogram<u64>,
+}
+
+/// A report in numbers, for printing.
+#[derive(Debug, Serialize)]
+pub struct Summary {
+    /// See [`Report`].
+    pub sent: u64,
+    /// See [`Report`].
+    pub whole: u64,
+    /// See [`Report`].
+    pub refused: BTreeMap<u16, u64>,
+    /// See [`Report`].
+    pub cut: u64,
+    /// See [`Report`].
+    pub wrong: u64,
+    /// See [`Report`].
+    pub failed: u64,
+    /// Median latency in microseconds.
+    pub p50_us: u64,
+    /// 99th percentile of the latency in microseconds.
+    pub p99_us: u64,
+    /// 99.9th percentile of the latency in microseconds.
+    pub p999_us: u64,
+}
+
+/// Longest latency that the histogram tells apart, in microseconds.
+const LATENCY_MAX: u64 = 600_000_000;
+/// Digits of precision.
+const DIGITS: u8 = 3;
+
+impl Default for Report {
+    fn default() -> Report {
+        let latency = Histogram::new_with_max(LATENCY_MAX, DIGITS);
+        Report {
+            sent: 0,
+            whole: 0,
+            refused: BTreeMap::new(),
+            cut: 0,
+            wrong: 0,
+            failed: 0,
+            latency: latency.expect("the bounds of the histogram are valid"),
+        }
+    }
+}
+
+impl Report {
+    /// The report in numbers.
+    pub fn summary(&self) -> Summary {
+        Summary {
+            sent: self.sent,
+            whole: self.whole,
+            refused: self.refused.clone(),
+            cut: self.cut,
+            wrong: self.wrong,
+            failed: self.failed,
+            p50_us: self.latency.value_at_quantile(0.5),
+            p99_us: self.latency.value_at_quantile(0.99),
+            p999_us: self.latency.value_at_quantile(0.999),
+        }
+    }
+}
