--- a/elmstream/src/code.rs
+++ b/elmstream/src/code.rs
@@ -129,6 +129,7 @@
             | Code::BackendFailed
             | Code::PeerLost
             | Code::CallerAborted
+            | Code::TicketBad
             | Code::TicketRunning
             | Code::TicketHostGone
             | Code::TicketUsed
--- a/elmstream_http/src/body.rs
+++ b/elmstream_http/src/body.rs
@@ -44,6 +44,14 @@
     Box::pin(StreamBody::new(chunks.map(|chunk| chunk.map(Frame::data))))
 }
 
+/// A body from a stream of frames; an error cuts it.
+pub fn frames<S>(frames: S) -> LocalBody
+where
+    S: futures_util::Stream<Item = Result<Frame<Bytes>, BoxError>> + 'static,
+{
+    Box::pin(StreamBody::new(frames))
+}
+
 /// A body that keeps a value alive, and drops it with the body or at its end.
 pub fn holding<T: Unpin + 'static>(body: LocalBody, value: T) -> LocalBody {
     Box::pin(Holding { body, value: Some(value) })
--- a/elmstream_proto/src/peer.rs
+++ b/elmstream_proto/src/peer.rs
@@ -28,8 +28,8 @@
     Heartbeat(Heartbeat),
     /// A fence.
     Fence(Fence),
-    /// A configuration that is in force.
-    Push(Revision),
+    /// A revision that was accepted.
+    Push(Push),
     /// Asks for the configuration in force.
     Fetch,
     /// A request to be run by the asked host as owner.
@@ -58,14 +58,23 @@
     Refused(u16, u64),
 }
 
-/// A revision of the configuration.
+/// A revision of the configuration, whole.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Revision {
     /// Its number.
     pub revision: u64,
     /// The configuration as JSON.
     pub document: String,
-    /// Hosts that the receiver passes the revision on to.
+}
+
+/// A revision of the configuration, as its difference to the one before.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Push {
+    /// Its number.
+    pub revision: u64,
+    /// The edits that lead to it from the revision before, as JSON.
+    pub edits: String,
+    /// Hosts that the receiver passes it on to.
     pub pass_on: Vec<Name>,
 }
 
--- a/elmstreamd/src/lib.rs
+++ b/elmstreamd/src/lib.rs
@@ -1,1 +1,24 @@
-//! .
+//! The entry host's daemon, as a library, so that several can run in one
+//! process, each on a thread of its own.
+
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
+
+pub mod answer;
+pub mod audit;
+pub mod callers;
+pub mod cli;
+pub mod clock;
+pub mod configuration;
+pub mod daemon;
+pub mod forward;
+pub mod history;
+pub mod logging;
+pub mod operators;
+pub mod owner;
+pub mod peer_server;
+pub mod peers;
+pub mod platform;
+pub mod pool;
+pub mod telemetry;
+pub mod ticker;
+pub mod tickets;
--- a/elmstreamd/src/main.rs
+++ b/elmstreamd/src/main.rs
@@ -1,1 +1,32 @@
-fn main() {}
+//! Runs the daemon of one entry host.
+
+use std::process::ExitCode;
+
+use elmstream_config::Settings;
+use elmstreamd::{cli, daemon, logging};
+
+/// Exit status for settings that do not pass their checks.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let options = cli::options().run();
+    let settings = match Settings::load(&options.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("elmstreamd: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if options.check {
+        println!("elmstreamd: the settings are good");
+        return ExitCode::SUCCESS;
+    }
+    logging::start(&settings.logging.level);
+    match daemon::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("elmstreamd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/elmstreamd/src/operators.rs
@@ -0,0 +1,279 @@
+//! The operators' side: RPCs over HTTP/2 and TLS, a token per operator.
+
+use std::{net::IpAddr, rc::Rc};
+
+use elmstream::code::Code;
+use elmstream_config::{
+    Configuration,
+    difference::Edit,
+    document::{Drain, DrainKind},
+    settings::Role,
+};
+use elmstream_proto::operators::{
+    ApplyReply, ApplyRequest, AuditEntry, AuditReply, AuditRequest, ControlUse, DrainRequest,
+    ExplainReply, ExplainRequest, GetReply, GetRequest, HostStatus, Ownership, ServiceStatus,
+    StatusReply, StatusRequest, operators_server::Operators,
+};
+use send_wrapper::SendWrapper;
+use sha2::{Digest, Sha256};
+use tonic::{Request, Response, Status, metadata::MetadataMap};
+
+use crate::{audit, clock, configuration, configuration::Decision, daemon::Daemon, telemetry};
+
+/// Audit entries in one reply at most.
+const AUDIT_MAX: u32 = 200;
+
+/// The service. All of it runs on the daemon's thread, which the wrappers check.
+pub struct OperatorService(SendWrapper<Rc<Daemon>>);
+
+impl OperatorService {
+    /// A service of this daemon.
+    pub fn new(daemon: Rc<Daemon>) -> OperatorService {
+        OperatorService(SendWrapper::new(daemon))
+    }
+
+    /// The operator's name, if the token is known and the role suffices.
+    fn authorize(&self, metadata: &MetadataMap, needed: Role) -> Result<String, Status> {
+        let token = metadata.get("authorization").and_then(|value| value.to_str().ok());
+        let token = token.and_then(|text| text.strip_prefix("Bearer ")).unwrap_or_default();
+        let digest = Sha256::digest(token.as_bytes());
+        let hash: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
+        let operators = &self.0.settings.operators;
+        let known = operators.iter().find(|o| o.token_sha256.eq_ignore_ascii_case(&hash));
+        let operator = known.ok_or_else(|| status(Code::TokenBad, Status::unauthenticated))?;
+        if operator.role < needed {
+            return Err(status(Code::RoleDenied, Status::permission_denied));
+        }
+        Ok(operator.name.clone())
+    }
+}
+
+fn status(code: Code, make: fn(String) -> Status) -> Status {
+    make(format!("E{} {}", code.number(), code.text()))
+}
+
+fn apply_reply(decision: Decision) -> Response<ApplyReply> {
+    Response::new(ApplyReply {
+        code: u32::from(decision.code.number()),
+        revision: decision.revision,
+        message: decision.message,
+    })
+}
+
+#[tonic::async_trait]
+impl Operators for OperatorService {
+    async fn apply(&self, request: Request<ApplyRequest>) -> Result<Response<ApplyReply>, Status> {
+        let operator = self.authorize(request.metadata(), Role::Change)?;
+        let request = request.into_inner();
+        let next = match Configuration::parse(&request.document) {
+            Ok(next) => next,
+            Err(error) => {
+                let message = error.to_string();
+                return Ok(apply_reply(Decision { code: error.code(), revision: 0, message }));
+            }
+        };
+        let daemon = self.0.clone();
+        let applying = SendWrapper::new(async move {
+            configuration::apply(&daemon, &operator, request.expected_revision, next).await
+        });
+        Ok(apply_reply(applying.await))
+    }
+
+    async fn drain(&self, request: Request<DrainRequest>) -> Result<Response<ApplyReply>, Status> {
+        let operator = self.authorize(request.metadata(), Role::Change)?;
+        let request = request.into_inner();
+        let next = match drained(&self.0.current.borrow().configuration, &request) {
+            Ok(next) => next,
+            Err(decision) => return Ok(apply_reply(decision)),
+        };
+        let daemon = self.0.clone();
+        let applying = SendWrapper::new(async move {
+            configuration::apply(&daemon, &operator, request.expected_revision, next).await
+        });
+        Ok(apply_reply(applying.await))
+    }
+
+    async fn get(&self, request: Request<GetRequest>) -> Result<Response<GetReply>, Status> {
+        self.authorize(request.metadata(), Role::Read)?;
+        let current = self.0.current.borrow();
+        let document = current.configuration.to_text();
+        Ok(Response::new(GetReply { revision: current.revision, document }))
+    }
+
+    async fn status(
+        &self,
+        request: Request<StatusRequest>,
+    ) -> Result<Response<StatusReply>, Status> {
+        self.authorize(request.metadata(), Role::Read)?;
+        Ok(Response::new(status_of(&self.0)))
+    }
+
+    async fn explain(
+        &self,
+        request: Request<ExplainRequest>,
+    ) -> Result<Response<ExplainReply>, Status> {
+        self.authorize(request.metadata(), Role::Read)?;
+        Ok(Response::new(explain(&self.0, &request.into_inner())))
+    }
+
+    async fn audit(&self, request: Request<AuditRequest>) -> Result<Response<AuditReply>, Status> {
+        self.authorize(request.metadata(), Role::Read)?;
+        let limit = request.into_inner().limit.clamp(1, AUDIT_MAX) as usize;
+        let daemon = self.0.clone();
+        let reading = SendWrapper::new(async move { audit::read(&daemon, limit).await });
+        let reply = match reading.await {
+            Ok(entries) => AuditReply { code: 0, entries: entries.iter().map(entry).collect() },
+            Err(_) => {
+                let code = u32::from(Code::StoreUnavailable.number());
+                AuditReply { code, entries: Vec::new() }
+            }
+        };
+        Ok(Response::new(reply))
+    }
+}
+
+fn entry(entry: &audit::Entry) -> AuditEntry {
+    AuditEntry {
+        revision: entry.revision,
+        operator: entry.operator.clone(),
+        unix_ms: entry.unix_ms,
+        code: u32::from(entry.code),
+        difference: entry.edits.iter().map(Edit::to_string).collect(),
+    }
+}
+
+/// The configuration with one drain more or less.
+fn drained(old: &Configuration, request: &DrainRequest) -> Result<Configuration, Decision> {
+    let kind = match request.kind.as_str() {
+        "backend-server" => DrainKind::BackendServer,
+        "failure-domain" => DrainKind::FailureDomain,
+        "region" => DrainKind::Region,
+        "entry-host" => DrainKind::EntryHost,
+        _ => return Err(Decision::of(Code::ChangeInvalid, 0)),
+    };
+    let mut next = old.clone();
+    let drain = Drain { kind, name: request.name.clone() };
+    next.drains.retain(|d| *d != drain);
+    if !request.undrain {
+        next.drains.push(drain);
+    }
+    match elmstream_config::check::check(&next) {
+        Ok(()) => Ok(next),
+        Err(error) => Err(Decision { code: error.code(), revision: 0, message: error.to_string() }),
+    }
+}
+
+fn status_of(daemon: &Daemon) -> StatusReply {
+    let now = clock::now();
+    let node = daemon.node.borrow();
+    let catalog = node.catalog();
+    let region_of = |domain: &str| {
+        let region = catalog.region_of_domain(domain);
+        region.map(|id| catalog.regions[id.index()].name.to_string()).unwrap_or_default()
+    };
+    let host = |m: &elmstream::member::Member| HostStatus {
+        name: m.name.to_string(),
+        failure_domain: m.domain.to_string(),
+        region: region_of(&m.domain),
+        live: m.is_live(now),
+        leaving: !m.is_staying(),
+        revision: m.revision,
+        weight: m.weight,
+    };
+    let owned = |(name, grant): (&elmstream::id::Name, &elmstream::allotment::Grant)| Ownership {
+        backend_server: name.to_string(),
+        owner: grant.owner.as_ref().map(ToString::to_string).unwrap_or_default(),
+        draining: catalog
+            .backend(name)
+            .is_some_and(|id| catalog.is_draining(&catalog.backends[id.index()])),
+    };
+    let used = telemetry::process_use();
+    StatusReply {
+        host: daemon.settings.name.clone(),
+        revision: catalog.revision,
+        isolated: node.is_isolated(now),
+        hosts: node.members().iter().map(host).collect(),
+        services: services(&node, now, &region_of),
+        ownership: node.row().grants.iter().map(owned).collect(),
+        control: Some(ControlUse {
+            processor_us: used.processor_us,
+            uptime_us: clock::uptime_micros(),
+            resident_bytes: used.resident_bytes,
+            peer_bytes: daemon.peers.bytes(),
+        }),
+        epoch: node.row().epoch,
+        settled: node.row().settled,
+        lease_ms: node.lease().until().since(now) / elmstream::time::MILLI,
+    }
+}
+
+/// Load by service and region, from the hosts' reports.
+fn services(
+    node: &elmstream::node::Node,
+    now: elmstream::time::Time,
+    region_of: &dyn Fn(&str) -> String,
+) -> Vec<ServiceStatus> {
+    let mut services: Vec<ServiceStatus> = Vec::new();
+    for member in node.members().iter().filter(|m| m.is_live(now)) {
+        let region = region_of(&member.domain);
+        for load in &member.loads {
+            let same = |s: &&mut ServiceStatus| *s.service == *load.service && s.region == region;
+            if let Some(sum) = services.iter_mut().find(same) {
+                sum.slots += load.slots;
+                sum.in_flight += load.in_flight;
+                sum.queued += load.queued;
+                continue;
+            }
+            services.push(ServiceStatus {
+                service: load.service.to_string(),
+                region: region.clone(),
+                slots: load.slots,
+                in_flight: load.in_flight,
+                queued: load.queued,
+            });
+        }
+    }
+    services
+}
+
+fn explain(daemon: &Daemon, request: &ExplainRequest) -> ExplainReply {
+    let lines = match request.request.is_empty() {
+        false => explain_request(daemon, &request.request),
+        true => explain_lookup(daemon, request),
+    };
+    match lines {
+        Ok(lines) => ExplainReply { code: 0, lines },
+        Err(code) => ExplainReply { code: u32::from(code.number()), lines: Vec::new() },
+    }
+}
+
+fn explain_request(daemon: &Daemon, id: &str) -> Result<Vec<String>, Code> {
+    let id = u64::from_str_radix(id, 16).map_err(|_| Code::BadRequest)?;
+    let history = daemon.history.borrow();
+    history.find(id).map(crate::history::Story::lines).ok_or(Code::NotFound)
+}
+
+fn explain_lookup(daemon: &Daemon, request: &ExplainRequest) -> Result<Vec<String>, Code> {
+    let client: IpAddr = request.client.parse().map_err(|_| Code::BadRequest)?;
+    let now = clock::now();
+    let node = daemon.node.borrow();
+    let choices = node.lookup(now, client, &request.service).map_err(|r| r.code)?;
+    let catalog = node.catalog();
+    let site = catalog.blocks.site(client).map(|id| &catalog.sites[id.index()]);
+    let home = node.home_region(client).map(|id| &catalog.regions[id.index()].name);
+    let from = match (site, home) {
+        (Some(site), Some(home)) => {
+            format!("{client} is of site {}, home region {home}", site.name)
+        }
+        (None, Some(home)) => format!("{client} is of no site; this host's region {home} is home"),
+        _ => return Err(Code::NotReady),
+    };
+    let chosen =
+        choices.iter().map(|c| format!("{} at {}, weight {}", c.host, c.callers, c.weight));
+    let left_out = node.members().iter().filter(|m| !choices.iter().any(|c| c.host == m.name));
+    let left_out = left_out.map(|m| {
+        let why = if m.is_live(now) { "ranked lower, leaving or drained" } else { "silent" };
+        format!("{} is left out: {why}", m.name)
+    });
+    Ok(std::iter::once(from).chain(chosen).chain(left_out).collect())
+}
--- /dev/null
+++ b/elmstreamd/src/owner.rs
@@ -0,0 +1,214 @@
+//! A request at its owner: a slot, the dispatch, the backend server's answer.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use elmstream::{
+    admission::{RunResult, Slot},
+    code::Code,
+    serve::{OwnerAnswer, OwnerAsk, Refusal},
+    time::{MILLI, SECOND, Time},
+};
+use elmstream_http::{BoxError, LocalBody, body};
+use elmstream_proto::{header, peer::RequestHead};
+use futures_channel::oneshot;
+use http::{HeaderName, HeaderValue, Request, Response};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::{clock, daemon::Daemon, pool::Connection};
+
+/// How a request ended at its owner.
+pub enum Run {
+    /// The backend server answered; the body may still be on its way.
+    Answered(Response<LocalBody>, Slot),
+    /// No byte reached a backend server, or it said that it ran nothing.
+    NotRun(Refusal),
+    /// It may have run.
+    Failed(Code),
+}
+
+/// A slot that is given back when this is dropped.
+pub struct SlotGuard {
+    daemon: Rc<Daemon>,
+    slot: Slot,
+    began: Time,
+    /// How the run ended; told to the core with the slot.
+    result: RunResult,
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let now = clock::now();
+        let took = now.since(self.began);
+        let woken = self.daemon.node.borrow_mut().finish(now, &self.slot, self.result, took);
+        self.daemon.wake(&woken);
+    }
+}
+
+/// A place in the queue that is given up when this is dropped.
+struct Waiting {
+    daemon: Rc<Daemon>,
+    number: u64,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.daemon.wakers.borrow_mut().remove(&self.number);
+        let woken = self.daemon.node.borrow_mut().give_up(clock::now(), self.number);
+        self.daemon.wake(&woken);
+    }
+}
+
+/// Gets a slot for a request, or waits for one within its patience.
+pub async fn admit(daemon: &Rc<Daemon>, head: &RequestHead) -> Result<SlotGuard, Refusal> {
+    let ask = OwnerAsk {
+        service: &head.service,
+        home: &head.home,
+        deadline: head.deadline,
+        patience: head.patience,
+    };
+    let answer = daemon.node.borrow_mut().ask(clock::now(), &ask);
+    let slot = match answer {
+        OwnerAnswer::Run(slot) => slot,
+        OwnerAnswer::Wait(number) => wait(daemon, number, head).await?,
+        OwnerAnswer::Refuse(refusal) => return Err(refusal),
+    };
+    let began = clock::now();
+    Ok(SlotGuard { daemon: daemon.clone(), slot, began, result: RunResult::Cancelled })
+}
+
+async fn wait(daemon: &Rc<Daemon>, number: u64, head: &RequestHead) -> Result<Slot, Refusal> {
+    let (waker, woken) = oneshot::channel();
+    daemon.wakers.borrow_mut().insert(number, waker);
+    let waiting = Waiting { daemon: daemon.clone(), number };
+    let patience = Duration::from_micros(head.patience.min(head.deadline));
+    let _ = compio::time::timeout(patience, woken).await;
+    let granted = daemon.node.borrow_mut().granted(number);
+    drop(waiting);
+    granted.ok_or(Refusal { code: Code::NoCapacity, retry_after: head.patience })
+}
+
+/// Sends the request to the backend server of the slot.
+pub async fn dispatch(mut guard: SlotGuard, head: &RequestHead, body: LocalBody) -> Run {
+    let daemon = guard.daemon.clone();
+    let Some(address) = daemon.backend_address(&guard.slot) else {
+        return not_run(Code::NoOwner);
+    };
+    let Ok(mut connection) = daemon.pool.take(address).await else {
+        guard.result = RunResult::Bad;
+        return not_run(Code::BackendConnect);
+    };
+    // The wall's time is read first: a pause after it makes the deadline that
+    // the backend server gets earlier, never later.
+    let wall = clock::unix_ms();
+    let deadline = guard.began + head.deadline;
+    let left = match daemon.node.borrow().dispatch(clock::now(), &guard.slot, deadline) {
+        Ok(left) => left,
+        Err(refusal) => return Run::NotRun(refusal),
+    };
+    let until = Instant::now() + Duration::from_micros(left);
+    let Some(request) = request(head, body, wall + left / MILLI) else {
+        return not_run(Code::BadRequest);
+    };
+    let sending = connection.try_send_request(request);
+    match compio::time::timeout_at(until, sending).await {
+        Ok(Ok(response)) if response.headers().contains_key(header::SHED) => {
+            guard.result = RunResult::Bad;
+            not_run(Code::BackendShed)
+        }
+        Ok(Ok(response)) => answered(guard, connection, response, until),
+        Ok(Err(error)) => {
+            guard.result = RunResult::Bad;
+            // The request comes back if not a byte of it was written.
+            match error.message().is_some() {
+                true => not_run(Code::BackendConnect),
+                false => Run::Failed(Code::BackendFailed),
+            }
+        }
+        Err(_) => {
+            guard.result = RunResult::Bad;
+            Run::Failed(Code::DeadlinePassed)
+        }
+    }
+}
+
+fn not_run(code: Code) -> Run {
+    Run::NotRun(Refusal { code, retry_after: SECOND })
+}
+
+/// The request as the backend server gets it.
+fn request(head: &RequestHead, body: LocalBody, deadline_ms: u64) -> Option<Request<LocalBody>> {
+    let mut request = Request::builder().method(head.method.as_str()).uri(head.target.as_str());
+    let headers = request.headers_mut()?;
+    for field in &head.headers {
+        let name = HeaderName::try_from(field.name.as_str()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(&field.value).ok()?);
+    }
+    headers.insert(header::DEADLINE, HeaderValue::from(deadline_ms));
+    request.body(body).ok()
+}
+
+/// Hands the answer on; slot and connection are held to the end of its body.
+fn answered(
+    guard: SlotGuard,
+    connection: Connection,
+    response: Response<Incoming>,
+    until: Instant,
+) -> Run {
+    let slot = guard.slot.clone();
+    let (mut parts, incoming) = response.into_parts();
+    // Only the system itself speaks of outcomes and codes.
+    parts.headers.remove(header::OUTCOME);
+    parts.headers.remove(header::CODE);
+    let reading = Reading { guard, connection: Some(connection), incoming, until };
+    let frames = futures_util::stream::unfold(Some(reading), read_frame);
+    Run::Answered(Response::from_parts(parts, body::frames(frames)), slot)
+}
+
+/// An answer's body on its way from the backend server.
+struct Reading {
+    guard: SlotGuard,
+    connection: Option<Connection>,
+    incoming: Incoming,
+    until: Instant,
+}
+
+type Step = Option<(Result<Frame<Bytes>, BoxError>, Option<Reading>)>;
+
+/// Reads the next frame; a failure or the deadline cuts the body visibly.
+async fn read_frame(reading: Option<Reading>) -> Step {
+    let mut reading = reading?;
+    match compio::time::timeout_at(reading.until, reading.incoming.frame()).await {
+        Ok(Some(Ok(frame))) => Some((Ok(frame), Some(reading))),
+        Ok(None) => {
+            reading.finish();
+            None
+        }
+        Ok(Some(Err(error))) => {
+            reading.guard.result = RunResult::Bad;
+            Some((Err(error.into()), None))
+        }
+        Err(elapsed) => {
+            reading.guard.result = RunResult::Bad;
+            Some((Err(elapsed.into()), None))
+        }
+    }
+}
+
+impl Reading {
+    /// The body is whole: the connection may carry another request.
+    fn finish(&mut self) {
+        self.guard.result = RunResult::Good;
+        let daemon = &self.guard.daemon;
+        if let (Some(connection), Some(address)) =
+            (self.connection.take(), daemon.backend_address(&self.guard.slot))
+        {
+            daemon.pool.give(address, connection);
+        }
+    }
+}
--- /dev/null
+++ b/elmstreamd/src/ticker.rs
@@ -0,0 +1,171 @@
+//! Runs the core's systems and carries out their commands.
+
+use std::{rc::Rc, time::Duration};
+
+use elmstream::{
+    allotment::Row,
+    id::Name,
+    message::{Command, Event, Fence, Heartbeat},
+    steward::{Stored, WriteOutcome},
+};
+use elmstream_http::Stop;
+use elmstream_proto::peer::{Open, Reply};
+use futures_util::FutureExt;
+use serde_json::Value;
+
+use crate::{clock, configuration, daemon::Daemon};
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(50);
+/// Time for one exchange of control.
+const EXCHANGE: Duration = Duration::from_millis(1_000);
+/// Time between two reads of the host list.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two reads of the head row by a poller.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two reads of the head row by a host that heard nothing fresh.
+const POLL_STALE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Ticks until the stop.
+pub async fn run(daemon: Rc<Daemon>, stop: Stop) {
+    while stop.clone().now_or_never().is_none() {
+        let commands = daemon.node.borrow_mut().tick(clock::now());
+        carry_out(&daemon, commands);
+        compio::time::sleep(TICK).await;
+    }
+}
+
+/// Reads the host list until the stop.
+pub async fn watch_hosts(daemon: Rc<Daemon>, stop: Stop) {
+    while stop.clone().now_or_never().is_none() {
+        match daemon.hosts.hosts().await {
+            Ok(hosts) => {
+                let now = clock::now();
+                daemon.node.borrow_mut().take_list(now, hosts.entry_hosts, hosts.leaving);
+            }
+            Err(error) => log::warn!(error:% = error; "the host list was not read"),
+        }
+        compio::time::sleep(HOSTS_INTERVAL).await;
+    }
+}
+
+/// Follows the configuration until the stop: pollers ask the table, a host
+/// that is behind or stale asks its peers as well.
+pub async fn follow_configuration(daemon: Rc<Daemon>, stop: Stop) {
+    while stop.clone().now_or_never().is_none() {
+        let is_poller = daemon.is_poller();
+        let is_stale = daemon.node.borrow().is_isolated(clock::now());
+        let wants = daemon.wants_revision();
+        let heard =
+            if is_poller || is_stale || wants { configuration::poll(&daemon).await } else { true };
+        let behind = daemon.highest_seen() > daemon.current.borrow().revision;
+        if behind || !heard && daemon.current.borrow().revision == 0 {
+            let peers = daemon.newest_peers();
+            configuration::fetch(&daemon, &peers).await;
+        }
+        let pause = if is_poller { POLL_INTERVAL } else { POLL_STALE_INTERVAL };
+        daemon.wait_for_want(pause).await;
+    }
+}
+
+/// Carries out commands, each in a task of its own.
+pub fn carry_out(daemon: &Rc<Daemon>, commands: Vec<Command>) {
+    for command in commands {
+        match command {
+            Command::Heartbeat(to, beat) => spawn(heartbeat(daemon.clone(), to, beat)),
+            Command::Fence(to, fence) => spawn(send_fence(daemon.clone(), to, fence)),
+            Command::ReadRow(region) => spawn(read_row(daemon.clone(), region)),
+            Command::WriteRow { row, expect } => spawn(write_row(daemon.clone(), row, expect)),
+            Command::Wake(number) => daemon.wake(&[number]),
+            Command::Event(event) => report(daemon, event),
+        }
+    }
+}
+
+fn spawn(future: impl Future<Output = ()> + 'static) {
+    compio::runtime::spawn(future).detach();
+}
+
+async fn heartbeat(daemon: Rc<Daemon>, to: Name, beat: Heartbeat) {
+    let Some(address) = daemon.peer_address(&to) else { return };
+    let open = Open::Heartbeat(beat);
+    let reply = daemon.peers.exchange(&to, address, &open, EXCHANGE).await;
+    if let Ok(Reply::Heartbeat(reply)) = reply {
+        if reply.revision > daemon.current.borrow().revision {
+            daemon.want_revision();
+        }
+        let commands = daemon.node.borrow_mut().heartbeat_reply(clock::now(), &reply);
+        carry_out(&daemon, commands);
+    }
+}
+
+async fn send_fence(daemon: Rc<Daemon>, to: Name, fence: Fence) {
+    let Some(address) = daemon.peer_address(&to) else { return };
+    let reply = daemon.peers.exchange(&to, address, &Open::Fence(fence), EXCHANGE).await;
+    if let Ok(Reply::Fence(reply)) = reply {
+        daemon.node.borrow_mut().fence_reply(reply);
+    }
+}
+
+/// The key of a region's allotment row.
+fn row_key(region: &str) -> String {
+    format!("allotment/{region}")
+}
+
+async fn read_row(daemon: Rc<Daemon>, region: Name) {
+    let read = daemon.table.read(&row_key(&region)).await;
+    let now = clock::now();
+    let commands = match read {
+        Ok(None) => daemon.node.borrow_mut().row_read(now, None),
+        Ok(Some(stored)) => match serde_json::from_value::<Row>(stored.value) {
+            Ok(row) => {
+                let stored = Stored { row, version: stored.version };
+                daemon.node.borrow_mut().row_read(now, Some(stored))
+            }
+            Err(error) => {
+                log::error!(region:% = region, error:% = error; "an allotment row is malformed");
+                daemon.node.borrow_mut().row_read_failed();
+                return;
+            }
+        },
+        Err(error) => {
+            log::warn!(region:% = region, error:% = error; "the allotment row was not read");
+            daemon.node.borrow_mut().row_read_failed();
+            return;
+        }
+    };
+    carry_out(&daemon, commands);
+}
+
+async fn write_row(daemon: Rc<Daemon>, row: Row, expect: u64) {
+    let value = serde_json::to_value(&row).unwrap_or(Value::Null);
+    let outcome = daemon.table.write(&row_key(&row.region), &value, expect).await;
+    if !matches!(outcome, WriteOutcome::Written(_)) {
+        log::info!(region:% = row.region, epoch = row.epoch; "a write of the allotment row: {outcome:?}");
+    }
+    let commands = daemon.node.borrow_mut().row_written(clock::now(), outcome);
+    carry_out(&daemon, commands);
+}
+
+/// Logs and counts an event.
+fn report(daemon: &Daemon, event: Event) {
+    match event {
+        Event::RowTaken(region, epoch, settled, owned) => {
+            log::info!(region:% = region, epoch, settled, owned = owned as u64; "allotment row taken");
+        }
+        Event::LeaseLapsed => log::warn!("the lease lapsed"),
+        Event::LeaseHeld => log::info!("the lease is held"),
+        Event::HostSilent(host) => {
+            log::warn!(host:% = host; "an entry host fell silent");
+            daemon.peers.forget(&host.host);
+        }
+        Event::HostHeard(host) => log::info!(host:% = host; "an entry host is heard"),
+        Event::RowProposed(region, epoch, moves) => {
+            log::info!(region:% = region, epoch, moves = moves as u64; "allotment row proposed");
+        }
+        Event::BackendEjected(name) => {
+            log::warn!(backend_server:% = name; "a backend server is ejected");
+        }
+    }
+    metrics::counter!("elmstream_events_total").increment(1);
+}
