--- a/elmctl/src/cli.rs
+++ b/elmctl/src/cli.rs
@@ -8,8 +8,10 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 pub struct Options {
+    /// How an entry host is reached
     #[bpaf(external)]
     pub connection: Connection,
+    /// What to do
     #[bpaf(external)]
     pub command: Command,
 }
--- a/elmctl/src/error.rs
+++ b/elmctl/src/error.rs
@@ -1,5 +1,8 @@
 //! Errors of the tool, each with its number, and the exit statuses.
 
+// The variants' texts say what their fields are.
+#![allow(missing_docs)]
+
 use std::{io, path::PathBuf};
 
 use elmstream::code::Code;
--- a/elmctl/src/main.rs
+++ b/elmctl/src/main.rs
@@ -1,15 +1,9 @@
-//! The operators' command-line tool.
-
-#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
-
-mod cli;
-mod command;
-mod connection;
-mod error;
-mod output;
+//! Runs one command of the operators' tool.
 
 use std::process::ExitCode;
 
+use elmctl::{cli, command};
+
 #[compio::main]
 async fn main() -> ExitCode {
     let options = cli::options().run();
--- /dev/null
+++ b/elmstream_bench/src/lib.rs
@@ -0,0 +1,11 @@
+//! Measurements of elmstream: a fleet in one process, the guided trial, the
+//! capacity slopes, and the users' sizes.
+
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
+
+pub mod cli;
+pub mod fleet;
+pub mod operator;
+pub mod sizes;
+pub mod slope;
+pub mod trial;
--- /dev/null
+++ b/elmstream_bench/src/operator.rs
@@ -0,0 +1,119 @@
+//! An operator's calls, for measurements.
+
+use std::time::{Duration, Instant};
+
+use elmctl::{
+    cli::Connection,
+    connection::{self, Client},
+};
+use elmstream_config::Configuration;
+use elmstream_proto::operators::{
+    ApplyReply, ApplyRequest, DrainRequest, StatusReply, StatusRequest,
+};
+use tonic::{Request, metadata::AsciiMetadataValue};
+
+use crate::fleet::Fleet;
+
+/// Pause between two looks at a state that is waited for.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// A session with one entry host.
+pub struct Operator {
+    client: Client,
+    token: AsciiMetadataValue,
+}
+
+impl Operator {
+    /// Connects to a host of the fleet, again until it listens.
+    pub async fn connect(fleet: &Fleet, host: usize) -> Result<Operator, String> {
+        let options = Connection {
+            host: Some(fleet.hosts[host].settings.listen.operators),
+            authority: Some(fleet.authority.clone()),
+            token_file: Some(fleet.token_file.clone()),
+        };
+        let begin = Instant::now();
+        loop {
+            match connection::connect(&options).await {
+                Ok((client, token)) => return Ok(Operator { client, token }),
+                Err(error) if begin.elapsed() > Duration::from_secs(5) => {
+                    return Err(error.to_string());
+                }
+                Err(_) => compio::time::sleep(PAUSE).await,
+            }
+        }
+    }
+
+    fn request<T>(&self, message: T) -> Request<T> {
+        let mut request = Request::new(message);
+        request.metadata_mut().insert("authorization", self.token.clone());
+        request
+    }
+
+    /// Applies a configuration.
+    pub async fn apply(
+        &mut self,
+        expected_revision: u64,
+        configuration: &Configuration,
+    ) -> Result<ApplyReply, String> {
+        let document = configuration.to_text();
+        let request = self.request(ApplyRequest { expected_revision, document });
+        let reply = self.client.apply(request).await;
+        reply.map(tonic::Response::into_inner).map_err(|e| e.to_string())
+    }
+
+    /// Drains an entity.
+    pub async fn drain(
+        &mut self,
+        expected_revision: u64,
+        kind: &str,
+        name: &str,
+    ) -> Result<ApplyReply, String> {
+        let request = DrainRequest {
+            expected_revision,
+            kind: kind.into(),
+            name: name.into(),
+            undrain: false,
+        };
+        let request = self.request(request);
+        let reply = self.client.drain(request).await;
+        reply.map(tonic::Response::into_inner).map_err(|e| e.to_string())
+    }
+
+    /// Reads the state.
+    pub async fn status(&mut self) -> Result<StatusReply, String> {
+        let request = self.request(StatusRequest {});
+        let reply = self.client.status(request).await;
+        reply.map(tonic::Response::into_inner).map_err(|e| e.to_string())
+    }
+
+    /// Waits until the state is as wanted, and tells how long that took.
+    pub async fn wait(
+        &mut self,
+        at_most: Duration,
+        what: &str,
+        wanted: impl Fn(&StatusReply) -> bool,
+    ) -> Result<Duration, String> {
+        let begin = Instant::now();
+        loop {
+            let status = self.status().await?;
+            if wanted(&status) {
+                return Ok(begin.elapsed());
+            }
+            if begin.elapsed() > at_most {
+                return Err(format!("{what}: not after {at_most:?}; state: {status:?}"));
+            }
+            compio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Whether a revision is in force on so many live hosts.
+pub fn in_force(status: &StatusReply, revision: u64, hosts: usize) -> bool {
+    let done = status.hosts.iter().filter(|h| h.live && h.revision >= revision);
+    done.count() >= hosts
+}
+
+/// Slots that the live hosts report, over all services.
+pub fn slots(status: &StatusReply) -> u32 {
+    status.services.iter().map(|s| s.slots).sum()
+}
--- /dev/null
+++ b/elmstream_bench/src/trial.rs
@@ -0,0 +1,256 @@
+//! The guided trial: the whole path in one process, with a report.
+//!
+//! Three entry hosts in two regions serve reads, requests that may not be
+//! repeated and uploads, while a backend server is drained and an entry host
+//! stops. Every check must hold.
+
+use std::{
+    env, process, thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use compio::runtime::Runtime;
+use elmstream_config::{
+    Configuration,
+    document::{BackendServer, FailureDomain, Region, Service, ShiftCap},
+};
+use elmstream_standin::{
+    backend::Behaviour,
+    caller::{self, Load},
+    report::Summary,
+};
+use http::Method;
+
+use crate::{
+    fleet::Fleet,
+    operator::{Operator, in_force, slots},
+};
+
+/// How long each load runs.
+const LOAD: Duration = Duration::from_secs(12);
+/// When the drain begins, after the loads.
+const DRAIN_AT: Duration = Duration::from_secs(3);
+/// When an entry host stops, after the loads.
+const STOP_AT: Duration = Duration::from_secs(5);
+/// A drained backend server gets nothing new after this.
+const DRAIN_MAX: Duration = Duration::from_secs(2);
+/// Time for a state to come about.
+const WAIT: Duration = Duration::from_secs(15);
+/// Time that a stand-in runs a request, in milliseconds.
+const RUN_MS: u64 = 2;
+/// Slots of each backend server.
+const SLOTS: u32 = 4;
+/// The hosts and their failure domains.
+const HOSTS: [(&str, &str); 3] =
+    [("host-1", "north-a"), ("host-2", "north-b"), ("host-3", "south-a")];
+/// Backend servers: name, service, failure domain.
+const BACKENDS: [(&str, &str, &str); 6] = [
+    ("status-1", "status", "north-a"),
+    ("status-2", "status", "north-b"),
+    ("status-3", "status", "south-a"),
+    ("release-1", "release", "north-a"),
+    ("release-2", "release", "south-a"),
+    ("intake-1", "intake", "north-b"),
+];
+/// The backend server that is drained.
+const DRAINED: usize = 0;
+/// The entry host that is stopped.
+const STOPPED: usize = 1;
+
+/// One check of the report.
+struct Check {
+    what: String,
+    holds: bool,
+}
+
+/// Runs the trial; an error if a check does not hold.
+pub fn run() -> Result<(), String> {
+    let folder = env::temp_dir().join(format!("elmstream-trial-{}", process::id()));
+    let fleet = Fleet::new(&folder).map_err(|e| e.to_string())?;
+    let runtime = Runtime::new().map_err(|e| e.to_string())?;
+    let result = runtime.block_on(guided(fleet));
+    let _ = std::fs::remove_dir_all(&folder);
+    let checks = result?;
+    println!("\nchecks");
+    for check in &checks {
+        println!("  {} {}", if check.holds { "holds" } else { "FAILS" }, check.what);
+    }
+    match checks.iter().all(|c| c.holds) {
+        true => Ok(()),
+        false => Err("a check does not hold".into()),
+    }
+}
+
+async fn guided(mut fleet: Fleet) -> Result<Vec<Check>, String> {
+    let configuration = start(&mut fleet);
+    let list = fleet.host_list(&[]);
+    fleet.list(&list).await.map_err(|e| e.to_string())?;
+    let mut operator = Operator::connect(&fleet, 0).await?;
+    let begin = Instant::now();
+    let reply = operator.apply(0, &configuration).await?;
+    if reply.code != 0 {
+        return Err(format!("the configuration was not accepted: {}", reply.message));
+    }
+    let all = HOSTS.len();
+    operator.wait(WAIT, "revision 1 in force", |s| in_force(s, 1, all)).await?;
+    println!("revision 1 in force on {all} hosts after {:?}", begin.elapsed());
+    let wanted = BACKENDS.len() as u32 * SLOTS;
+    operator.wait(WAIT, "owners for all", |s| slots(s) == wanted).await?;
+    println!("every backend server has an owner after {:?}", begin.elapsed());
+    let loads = start_loads(&fleet);
+    let mut checks = Vec::new();
+    compio::time::sleep(DRAIN_AT).await;
+    checks.push(drain_backend(&mut operator).await?);
+    let drained_at = unix_ms();
+    compio::time::sleep(STOP_AT - DRAIN_AT).await;
+    checks.push(stop_host(&mut fleet).await);
+    check_loads(loads, &mut checks)?;
+    check_backends(&fleet, drained_at, &mut checks).await?;
+    fleet.stop()?;
+    Ok(checks)
+}
+
+/// Starts backend servers and hosts, and makes the configuration.
+fn start(fleet: &mut Fleet) -> Configuration {
+    let mut c = Configuration::default();
+    for name in ["north", "south"] {
+        c.regions.push(Region { name: name.into() });
+    }
+    for (name, region) in [("north-a", "north"), ("north-b", "north"), ("south-a", "south")] {
+        c.failure_domains.push(FailureDomain { name: name.into(), region: region.into() });
+    }
+    for name in ["status", "release", "intake"] {
+        let deadline_ms = if name == "intake" { 30_000 } else { 2_000 };
+        c.services.push(Service { name: name.into(), deadline_ms, ..Service::default() });
+        for (from, to) in [("north", "south"), ("south", "north")] {
+            let (service, from, to) = (name.into(), from.into(), to.into());
+            c.shift_caps.push(ShiftCap { service, from, to, per_second: 400, ramp_ms: 0 });
+        }
+    }
+    for (name, service, failure_domain) in BACKENDS {
+        let address = fleet.add_backend(name, Behaviour { run_ms: RUN_MS, ..Behaviour::default() });
+        let (name, service) = (name.into(), service.into());
+        let failure_domain = failure_domain.into();
+        c.backend_servers.push(BackendServer {
+            name,
+            service,
+            failure_domain,
+            address,
+            slots: SLOTS,
+        });
+    }
+    for (name, domain) in HOSTS {
+        fleet.add_host(name, domain);
+    }
+    c
+}
+
+type Loading = thread::JoinHandle<Result<Summary, String>>;
+
+/// Reads, requests that may not be repeated, and uploads, each on a thread.
+fn start_loads(fleet: &Fleet) -> Vec<(&'static str, Loading)> {
+    let load = |service: &str, per_second, method, body_bytes| Load {
+        ask: fleet.callers(),
+        targets: Vec::new(),
+        service: service.into(),
+        per_second,
+        duration: LOAD,
+        method,
+        body_bytes,
+        prefix: service.into(),
+    };
+    let plans = [
+        ("reads", load("status", 300, Method::GET, 0)),
+        ("releases", load("release", 100, Method::POST, 200)),
+        ("uploads", load("intake", 4, Method::POST, 2 << 20)),
+    ];
+    let start = |(what, load)| (what, thread::spawn(move || run_load(load)));
+    plans.into_iter().map(start).collect()
+}
+
+/// Runs a load on a runtime of its own.
+pub fn run_load(load: Load) -> Result<Summary, String> {
+    let runtime = Runtime::new().map_err(|e| e.to_string())?;
+    Ok(runtime.block_on(caller::run(load)).summary())
+}
+
+async fn drain_backend(operator: &mut Operator) -> Result<Check, String> {
+    let name = BACKENDS[DRAINED].0;
+    let reply = operator.drain(1, "backend-server", name).await?;
+    let what = format!("the drain of {name} is accepted as revision {}", reply.revision);
+    Ok(Check { what, holds: reply.code == 0 })
+}
+
+/// Stops a host as planned, and measures how long that takes.
+async fn stop_host(fleet: &mut Fleet) -> Check {
+    let name = HOSTS[STOPPED].0;
+    let begin = Instant::now();
+    let Some(mut running) = fleet.hosts[STOPPED].running.take() else {
+        return Check { what: format!("{name} runs"), holds: false };
+    };
+    running.ask_stop();
+    while !running.has_ended() && begin.elapsed() < WAIT {
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let ended = running.has_ended();
+    let holds = ended && running.stop().is_ok();
+    Check { what: format!("{name} stopped as planned after {:?}", begin.elapsed()), holds }
+}
+
+fn check_loads(loads: Vec<(&str, Loading)>, checks: &mut Vec<Check>) -> Result<(), String> {
+    for (what, loading) in loads {
+        let summary = loading.join().map_err(|_| "a load panicked")??;
+        println!(
+            "{what}: {} sent, p50 {} us, p99 {} us, p99.9 {} us",
+            summary.sent, summary.p50_us, summary.p99_us, summary.p999_us
+        );
+        let holds = summary.whole == summary.sent && summary.sent > 0;
+        let counts = format!(
+            "{} of {} whole, wrong {}, cut {}, refused {:?}, failed {}",
+            summary.whole,
+            summary.sent,
+            summary.wrong,
+            summary.cut,
+            summary.refused,
+            summary.failed
+        );
+        checks.push(Check {
+            what: format!("{what}: every answer is whole and its own ({counts})"),
+            holds,
+        });
+    }
+    Ok(())
+}
+
+async fn check_backends(
+    fleet: &Fleet,
+    drained_at: u64,
+    checks: &mut Vec<Check>,
+) -> Result<(), String> {
+    let (mut repeated, mut most) = (0, 0);
+    let mut ids = std::collections::HashMap::new();
+    for index in 0..BACKENDS.len() {
+        let seen = fleet.seen(index).await.map_err(|e| e.to_string())?;
+        repeated += seen.repeated;
+        most = most.max(seen.in_flight_max);
+        for (id, runs) in seen.ids {
+            *ids.entry(id).or_insert(0) += runs;
+        }
+        if index == DRAINED {
+            let late = seen.last_begin_ms.saturating_sub(drained_at);
+            let what =
+                format!("{} got its last request {late} ms after the drain", BACKENDS[index].0);
+            checks.push(Check { what, holds: u128::from(late) <= DRAIN_MAX.as_millis() });
+        }
+    }
+    let twice = ids.values().filter(|runs| **runs > 1).count() as u64 + repeated;
+    checks.push(Check { what: format!("requests run twice: {twice}"), holds: twice == 0 });
+    let what = format!("most requests at one backend server at a time: {most} of {SLOTS} slots");
+    checks.push(Check { what, holds: most <= SLOTS });
+    Ok(())
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
