Close the hand-over gap, renew by the table, and add the specifications

Ruled out: the drain itself; nothing came to status-1 after it.

Change: last heartbeats before the exit; a heartbeat at once after an epoch is taken or seen; a host that cannot be reached is left alone for 0.5 s; a request waits up to ten rounds of 50 ms while ownership moves; what a refused caller still sends is read and dropped within bounds.

--- a/elmstream/src/allotment.rs
+++ b/elmstream/src/allotment.rs
@@ -33,6 +33,15 @@
     pub part_from: u32,
 }
 
+/// A lease renewal that the table took.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Renewal {
+    /// The owner.
+    pub owner: HostRef,
+    /// The round of heartbeats in which it asked.
+    pub sequence: u64,
+}
+
 /// The allotment row of a region.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
@@ -48,6 +57,9 @@
     pub witnesses: Vec<HostRef>,
     /// The witnesses of the epoch before, to be fenced.
     pub witnesses_from: Vec<HostRef>,
+    /// Renewals through the table, while witnesses are missing.
+    #[serde(default)]
+    pub renewals: Vec<Renewal>,
     /// Grants by backend server.
     pub grants: BTreeMap<Name, Grant>,
 }
@@ -131,6 +143,7 @@
         nonce: 0,
         witnesses,
         witnesses_from: row.witnesses.clone(),
+        renewals: Vec::new(),
         grants,
     })
 }
--- a/elmstream/src/lease.rs
+++ b/elmstream/src/lease.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     id::{HostRef, Name},
+    message::TableRenewal,
     time::{MILLI, Time},
 };
 
@@ -67,11 +68,12 @@
     }
 
     /// The table took a renewal of what was asked in round `sequence`.
-    pub fn renewed_by_table(&mut self, epoch: u64, sequence: u64) {
-        if epoch != self.epoch {
+    pub fn renewed_by_table(&mut self, renewal: TableRenewal) {
+        if renewal.epoch != self.epoch {
             return;
         }
-        if let Some(round) = self.rounds.iter().find(|r| r.sequence == sequence) {
+        let round = self.rounds.iter().find(|r| r.sequence == renewal.sequence);
+        if let Some(round) = round {
             self.until = self.until.max(round.asked + LENGTH);
         }
     }
--- a/elmstream/src/member.rs
+++ b/elmstream/src/member.rs
@@ -12,6 +12,8 @@
 pub const HEARTBEAT_INTERVAL: u64 = 500 * MILLI;
 /// Silence after which a host counts as dead, in microseconds.
 pub const SILENCE: u64 = 1_500 * MILLI;
+/// Time for which a host that could not be reached gets no requests.
+pub const AVOID: u64 = 500 * MILLI;
 /// Hosts that a host sends heartbeats to, besides its region's witnesses.
 pub const HEARTBEAT_FANOUT: usize = 16;
 
@@ -65,6 +67,8 @@
     pub leaving: bool,
     /// The epoch that it has taken.
     pub epoch: u64,
+    /// The round of its last heartbeat.
+    pub sequence: u64,
     /// The revision in force there.
     pub revision: u64,
     /// What it owns, as last reported.
@@ -73,6 +77,8 @@
     pub sent: BTreeMap<Name, u32>,
     /// Weight in look-ups, in thousandths.
     pub weight: u32,
+    /// No request is sent there until then, since it could not be reached.
+    pub avoid_until: Time,
 }
 
 impl Member {
@@ -139,6 +145,7 @@
         member.heard = Some(now);
         member.leaving = beat.leaving;
         member.epoch = beat.epoch;
+        member.sequence = beat.sequence;
         member.revision = member.revision.max(beat.revision);
         member.loads.clone_from(&beat.loads);
         member.sent.clear();
@@ -177,9 +184,11 @@
         was_live: false,
         leaving: false,
         epoch: 0,
+        sequence: 0,
         revision: 0,
         loads: Vec::new(),
         sent: BTreeMap::new(),
         weight: 0,
+        avoid_until: Time::default(),
     }
 }
--- a/elmstream/src/message.rs
+++ b/elmstream/src/message.rs
@@ -44,6 +44,15 @@
     pub loads: Vec<ServiceLoad>,
 }
 
+/// A renewal that took effect in the table.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TableRenewal {
+    /// The row's epoch.
+    pub epoch: u64,
+    /// The round in which the owner asked.
+    pub sequence: u64,
+}
+
 /// The answer to a heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HeartbeatReply {
@@ -53,6 +62,8 @@
     pub sequence: u64,
     /// The epoch at which a witness promises the renewal.
     pub promised: Option<u64>,
+    /// The last round of the asker that the table renewed.
+    pub renewed: Option<TableRenewal>,
     /// The revision in force at the sender of the answer.
     pub revision: u64,
     /// The region's row, where the asker's is older.
--- a/elmstream/src/node.rs
+++ b/elmstream/src/node.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     admission::Admissions,
-    allotment::{Candidate, Row},
+    allotment::{Candidate, Renewal, Row},
     cap::Bucket,
     catalog::Catalog,
     id::{HostRef, Name, RegionId, ServiceId},
@@ -169,6 +169,11 @@
         self.stopping && !holds && self.admissions.total_in_flight() == 0
     }
 
+    /// Has the next tick send heartbeats, because the others should know soon.
+    pub fn beat_soon(&mut self) {
+        self.beat_at = None;
+    }
+
     /// Runs every system once.
     pub fn tick(&mut self, now: Time) -> Vec<Command> {
         let mut commands = Vec::new();
@@ -177,9 +182,9 @@
         self.watch_lease(now, &mut commands);
         if self.is_beat_due(now) {
             self.beat_at = Some(now);
+            self.send_heartbeats(now, &mut commands);
             self.hear_self(now);
             lookup::step_weights(&mut self.members, now);
-            self.send_heartbeats(now, &mut commands);
         }
         self.run_steward(now, &mut commands);
         self.wake_all(now, &mut commands);
@@ -191,12 +196,18 @@
         self.members.heard(now, beat);
         self.note_revision(now, beat.revision);
         let same_region = self.region_name().is_some_and(|name| name == beat.region);
-        let knows_newer = (self.row.epoch, self.row.settled) > (beat.epoch, beat.settled);
+        let ours = (self.row.epoch, self.row.settled);
+        let knows_newer = ours > (beat.epoch, beat.settled);
+        if same_region && ours < (beat.epoch, beat.settled) {
+            // The sender's answer to our next heartbeat brings its row.
+            self.beat_soon();
+        }
         let promises = same_region && self.witness.promises(&beat.region, beat.epoch);
         HeartbeatReply {
             from: self.settings.me.clone(),
             sequence: beat.sequence,
             promised: promises.then_some(beat.epoch),
+            renewed: self.steward.renewed(&beat.from).filter(|_| same_region),
             revision: self.catalog.revision,
             row: (same_region && knows_newer).then(|| self.row.clone()),
         }
@@ -210,6 +221,9 @@
             let witnesses = &self.row.witnesses;
             self.lease.promised(witnesses, &reply.from, epoch, reply.sequence);
         }
+        if let Some(renewal) = reply.renewed {
+            self.lease.renewed_by_table(renewal);
+        }
         if let Some(row) = &reply.row {
             self.take_row(now, row.clone(), &mut commands);
         }
@@ -249,6 +263,9 @@
         let mut commands = Vec::new();
         self.steward.row_written(outcome);
         self.adopt_stored(now, &mut commands);
+        if let Some(renewal) = self.steward.renewed(&self.settings.me) {
+            self.lease.renewed_by_table(renewal);
+        }
         commands
     }
 
@@ -406,6 +423,7 @@
         let name = catalog.regions[region.index()].name.clone();
         let taken = self.taken();
         let gone = self.gone();
+        let asked = self.asked();
         let view = View {
             catalog: &catalog,
             region,
@@ -413,6 +431,7 @@
             hosts: &hosts,
             taken: &taken,
             gone: &gone,
+            asked: &asked,
         };
         let steps = self.steward.tick(now, &view);
         for step in steps {
@@ -420,6 +439,13 @@
         }
     }
 
+    /// The last round in which each host of the row's epoch asked.
+    fn asked(&self) -> Vec<Renewal> {
+        let epoch = self.steward.stored().map_or(0, |s| s.row.epoch);
+        let at_epoch = self.members.iter().filter(|m| m.epoch == epoch && m.heard.is_some());
+        at_epoch.map(|m| Renewal { owner: m.host_ref(), sequence: m.sequence }).collect()
+    }
+
     /// Hosts that have taken the epoch that the steward works on.
     fn taken(&self) -> HashSet<HostRef> {
         let epoch = self.steward.stored().map_or(0, |s| s.row.epoch);
@@ -483,6 +509,7 @@
         }
         self.row = row;
         self.reown(now);
+        self.beat_soon();
         let owned = self.row.owned_by(&self.settings.me).count();
         let Row { region, epoch, settled, .. } = &self.row;
         commands.push(Command::Event(Event::RowTaken(region.clone(), *epoch, *settled, owned)));
--- a/elmstream/src/route.rs
+++ b/elmstream/src/route.rs
@@ -137,6 +137,6 @@
 ) -> Vec<&'a Member> {
     let has_slots = |m: &&Member| m.load(service).is_some_and(|load| load.slots > 0);
     let in_region = |m: &&Member| catalog.region_of_domain(&m.domain) == Some(region);
-    let live = members.iter().filter(|m| m.is_live(now));
+    let live = members.iter().filter(|m| m.is_live(now) && m.avoid_until <= now);
     live.filter(in_region).filter(has_slots).collect()
 }
--- a/elmstream/src/serve.rs
+++ b/elmstream/src/serve.rs
@@ -9,6 +9,7 @@
     code::Code,
     id::{Name, RegionId, ServiceId},
     lookup::{self, Choice},
+    member::AVOID,
     node::Node,
     once::{Decision, Ticket, TicketId},
     route::{self, Attempt},
@@ -135,6 +136,13 @@
         }
     }
 
+    /// Notes that a host could not be reached.
+    pub fn unreachable(&mut self, now: Time, host: &str) {
+        if let Some(member) = self.members.get_mut(host) {
+            member.avoid_until = now + AVOID;
+        }
+    }
+
     /// Notes that an owner answered.
     pub fn answered(&mut self, owner: &str, service: &Name) {
         let member = self.members.get_mut(owner);
--- a/elmstream/src/steward.rs
+++ b/elmstream/src/steward.rs
@@ -9,10 +9,11 @@
 use std::collections::HashSet;
 
 use crate::{
-    allotment::{Candidate, Row, plan},
+    allotment::{Candidate, Renewal, Row, plan},
     catalog::Catalog,
     id::{HostRef, Name, RegionId},
     lease::{self, is_majority},
+    message::TableRenewal,
     time::{MILLI, SECOND, Time},
 };
 
@@ -22,6 +23,8 @@
 pub const IDLE_READ_INTERVAL: u64 = 10 * SECOND;
 /// Time after which a table call without an answer is given up.
 const CALL_TIMEOUT: u64 = 5 * SECOND;
+/// Time between two writes of renewals, in microseconds.
+const RENEW_INTERVAL: u64 = 700 * MILLI;
 /// Time between two writes of changes.
 const CHANGE_INTERVAL: u64 = 500 * MILLI;
 
@@ -76,6 +79,7 @@
     /// The row whose write is under way.
     writing: Option<Row>,
     changed_at: Time,
+    renewed_at: Time,
     /// Witnesses of the epoch before that are fenced.
     fenced: HashSet<HostRef>,
     /// When a majority was heard to be fenced.
@@ -98,6 +102,8 @@
     pub taken: &'a HashSet<HostRef>,
     /// Witnesses that cannot promise any more: replaced, or gone from the list.
     pub gone: &'a HashSet<HostRef>,
+    /// The last round in which each owner asked at the row's epoch.
+    pub asked: &'a [Renewal],
 }
 
 impl Steward {
@@ -123,9 +129,13 @@
             return Vec::new();
         };
         if !stored.row.settled && stored.version != 0 {
-            return self.settle(now, view).into_iter().collect();
+            let step = self.settle(now, view);
+            let may_renew = matches!(step, Some(Step::Fence(..)));
+            let renewal = may_renew.then(|| self.renew(now, view, &stored)).flatten();
+            return step.into_iter().chain(renewal).collect();
         }
-        self.change(now, view, &stored).into_iter().collect()
+        let step = self.change(now, view, &stored);
+        step.or_else(|| self.renew(now, view, &stored)).into_iter().collect()
     }
 
     /// One tick of a host that is not the steward.
@@ -220,6 +230,30 @@
         Some(self.write(now, next, stored.version))
     }
 
+    /// Renews the owners' leases through the table, while a witness is missing.
+    ///
+    /// The write is conditional on the row's version, so that none at an old
+    /// epoch can succeed after the swap to a new one.
+    fn renew(&mut self, now: Time, view: &View<'_>, stored: &Stored) -> Option<Step> {
+        let is_live = |w: &HostRef| view.hosts.iter().any(|c| c.host == *w);
+        let complete = stored.row.witnesses.iter().all(is_live);
+        let due = now.since(self.renewed_at) >= RENEW_INTERVAL;
+        if complete || !due || stored.version == 0 || view.asked.is_empty() {
+            return None;
+        }
+        self.renewed_at = now;
+        let renewals = view.asked.to_vec();
+        let row = Row { renewals, nonce: self.next_nonce(), ..stored.row.clone() };
+        Some(self.write(now, row, stored.version))
+    }
+
+    /// The last round of an owner that the table renewed.
+    pub fn renewed(&self, owner: &HostRef) -> Option<TableRenewal> {
+        let row = &self.stored.as_ref()?.row;
+        let renewal = row.renewals.iter().find(|r| r.owner == *owner)?;
+        Some(TableRenewal { epoch: row.epoch, sequence: renewal.sequence })
+    }
+
     fn read(&mut self, now: Time) -> Step {
         self.read_at = Some(now);
         self.calling = Some(now);
--- a/elmstreamd/src/daemon.rs
+++ b/elmstreamd/src/daemon.rs
@@ -46,6 +46,8 @@
 const STOP_MAX: Duration = Duration::from_secs(60);
 /// Pause between two looks at whether the host may exit.
 const STOP_PAUSE: Duration = Duration::from_millis(50);
+/// Time in which the last heartbeats of a stopping host arrive.
+const STOP_LINGER: Duration = Duration::from_millis(300);
 /// Pollers of the head row in each region.
 const POLLERS: usize = 2;
 /// Priorities that a service may have.
@@ -325,6 +327,9 @@
     if compio::time::timeout(STOP_MAX, finishing).await.is_err() {
         log::warn!("the stop did not finish in {STOP_MAX:?}");
     }
+    // The others learn that nothing is owned here before the host is gone.
+    daemon.node.borrow_mut().beat_soon();
+    compio::time::sleep(STOP_LINGER).await;
 }
 
 async fn build(
--- a/elmstreamd/src/forward.rs
+++ b/elmstreamd/src/forward.rs
@@ -1,13 +1,15 @@
 //! A request at the entry host that took it: owners are asked in turn.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
+use compio::quic::{RecvStream, SendStream};
 use elmstream::{
     code::{Code, Outcome},
     id::{Name, ServiceId},
     route::Attempt,
     serve::Refusal,
-    time::{SECOND, Time},
+    time::{MILLI, SECOND, Time},
 };
 use elmstream_http::{LocalBody, body};
 use elmstream_proto::{
@@ -15,6 +17,7 @@
     peer::{AnswerHead, Header, Open, Reply, RequestHead},
 };
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
+use http_body_util::BodyExt;
 
 use crate::{
     answer, clock,
@@ -37,6 +40,18 @@
     "upgrade",
 ];
 
+/// Rounds that a request waits through while ownership moves.
+const MOVING_ROUNDS: u32 = 10;
+/// Pause between two of them.
+const MOVING_PAUSE: Duration = Duration::from_millis(50);
+/// Time that a request must have left to wait, in microseconds.
+const MOVING_DEADLINE_MIN: u64 = 200 * MILLI;
+
+/// Bytes of a refused request that are read and dropped at most.
+const DISCARD_MAX: usize = 64 << 20;
+/// Time that this may take.
+const DISCARD_TIME: Duration = Duration::from_secs(5);
+
 /// A request on its way through this entry host.
 pub struct Job {
     /// The request without its body.
@@ -66,6 +81,13 @@
     pub outcome: Outcome,
 }
 
+/// How one round over the owners ended.
+enum Round {
+    Ended(Ended),
+    /// Nothing was run, and ownership is passing to another host.
+    Moving,
+}
+
 /// How one owner's try ended.
 enum Tried {
     Answered(Response<LocalBody>, Name),
@@ -83,14 +105,32 @@
         tries: Vec::new(),
     };
     let ended = try_owners(daemon, &mut job, &mut story).await;
+    if let Some(body) = job.body.take() {
+        // A caller that is still sending must be able to read its answer.
+        compio::runtime::spawn(discard(body)).detach();
+    }
     daemon.history.borrow_mut().keep(story);
     ended
 }
 
 async fn try_owners(daemon: &Rc<Daemon>, job: &mut Job, story: &mut Story) -> Ended {
+    for _ in 0..MOVING_ROUNDS {
+        match try_round(daemon, job, story).await {
+            Round::Ended(ended) => return ended,
+            Round::Moving => compio::time::sleep(MOVING_PAUSE).await,
+        }
+    }
+    match try_round(daemon, job, story).await {
+        Round::Ended(ended) => ended,
+        Round::Moving => refused(Refusal { code: Code::NoOwner, retry_after: SECOND }),
+    }
+}
+
+/// Asks each owner of one route.
+async fn try_round(daemon: &Rc<Daemon>, job: &mut Job, story: &mut Story) -> Round {
     let attempts = match route(daemon, job) {
         Ok(attempts) => attempts,
-        Err(refusal) => return refused(refusal),
+        Err(refusal) => return conclude(job, refusal, None),
     };
     let mut last = Refusal { code: Code::NoOwner, retry_after: SECOND };
     // Once a try may have run, no later refusal makes it "not run".
@@ -110,7 +150,9 @@
             code: tried.code(),
         });
         match tried {
-            Tried::Answered(response, backend) => return answered(daemon, job, response, &backend),
+            Tried::Answered(response, backend) => {
+                return Round::Ended(answered(daemon, job, response, &backend));
+            }
             Tried::NotRun(refusal) => last = refusal,
             Tried::Failed(code) => {
                 may_have_run = Some(code);
@@ -123,7 +165,24 @@
             break;
         }
     }
-    may_have_run.map_or_else(|| refused(last), failed)
+    conclude(job, last, may_have_run)
+}
+
+/// The end of a round in which no owner answered.
+fn conclude(job: &Job, last: Refusal, may_have_run: Option<Code>) -> Round {
+    if let Some(code) = may_have_run {
+        return Round::Ended(failed(code));
+    }
+    let has_time = job.deadline.since(clock::now()) > MOVING_DEADLINE_MIN;
+    match is_moving(last.code) && has_time && !job.is_spent() {
+        true => Round::Moving,
+        false => Round::Ended(refused(last)),
+    }
+}
+
+/// Whether a refusal means that ownership is passing to another host.
+fn is_moving(code: Code) -> bool {
+    matches!(code, Code::NoOwner | Code::LeaseLapsed | Code::PeerUnreachable | Code::Stopping)
 }
 
 fn route(daemon: &Daemon, job: &Job) -> Result<Vec<Attempt>, Refusal> {
@@ -185,16 +244,27 @@
 }
 
 async fn exchange(daemon: &Rc<Daemon>, job: &mut Job, host: &Name, open: &Open) -> Tried {
-    let within = std::time::Duration::from_micros(job.deadline.since(clock::now()));
-    let exchanging = exchange_in_time(daemon, job, host, open);
+    let streams = match daemon.peer_address(host) {
+        Some(address) => daemon.peers.open(host, address).await,
+        None => Err(Code::PeerUnreachable),
+    };
+    let Ok((send, recv)) = streams else {
+        daemon.node.borrow_mut().unreachable(clock::now(), host);
+        return Tried::NotRun(Refusal { code: Code::PeerUnreachable, retry_after: SECOND });
+    };
+    let within = Duration::from_micros(job.deadline.since(clock::now()));
+    let exchanging = exchange_on(daemon, job, send, recv, open);
     let timed = compio::time::timeout(within, exchanging).await;
     timed.unwrap_or(Tried::Failed(Code::DeadlinePassed))
 }
 
-async fn exchange_in_time(daemon: &Rc<Daemon>, job: &mut Job, host: &Name, open: &Open) -> Tried {
-    let unreachable = Tried::NotRun(Refusal { code: Code::PeerUnreachable, retry_after: SECOND });
-    let Some(address) = daemon.peer_address(host) else { return unreachable };
-    let Ok((send, mut recv)) = daemon.peers.open(host, address).await else { return unreachable };
+async fn exchange_on(
+    daemon: &Rc<Daemon>,
+    job: &mut Job,
+    send: SendStream,
+    mut recv: RecvStream,
+    open: &Open,
+) -> Tried {
     let mut send = BodySender::new(send);
     if daemon.peers.write(send.stream(), open).await.is_err() {
         return Tried::Failed(Code::PeerLost);
@@ -293,6 +363,20 @@
     }
 }
 
+/// Reads what a refused caller still sends, within bounds.
+async fn discard(mut body: LocalBody) {
+    let reading = async {
+        let mut left = DISCARD_MAX;
+        while let Some(Ok(frame)) = body.frame().await {
+            left = left.saturating_sub(frame.data_ref().map_or(0, Bytes::len));
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    let _ = compio::time::timeout(DISCARD_TIME, reading).await;
+}
+
 /// Headers to be passed on.
 pub fn pass_on(headers: &HeaderMap) -> Vec<Header> {
     let kept = headers.iter().filter(|(name, _)| !HOP_BY_HOP.contains(&name.as_str()));
--- a/elmstreamd/src/peer_server.rs
+++ b/elmstreamd/src/peer_server.rs
@@ -18,6 +18,7 @@
     forward,
     owner::{self, Run},
     peers::{self, BodySender},
+    ticker,
 };
 
 /// Time in which a stream must have brought its first message.
@@ -63,7 +64,10 @@
             if beat.revision > daemon.current.borrow().revision {
                 daemon.want_revision();
             }
-            Reply::Heartbeat(daemon.node.borrow_mut().heartbeat(clock::now(), &beat))
+            let reply = daemon.node.borrow_mut().heartbeat(clock::now(), &beat);
+            // An epoch that was just taken or settled there moves ours forward.
+            ticker::tick(daemon);
+            Reply::Heartbeat(reply)
         }
         Open::Fence(fence) => Reply::Fence(daemon.node.borrow_mut().fence(&fence)),
         Open::Push(push) => Reply::Pushed(configuration::pushed(daemon, push)),
--- a/elmstreamd/src/peers.rs
+++ b/elmstreamd/src/peers.rs
@@ -29,8 +29,10 @@
 
 /// Silence after which a connection counts as lost.
 const IDLE: Duration = Duration::from_secs(10);
-/// Time in which a connection must stand.
-const CONNECT: Duration = Duration::from_secs(1);
+/// Time in which a connection must stand; a few round trips between regions.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Time in which the other sides learn that this one closes.
+const CLOSE: Duration = Duration::from_secs(1);
 /// Streams that a host may have open at another at a time.
 const STREAMS_MAX: u32 = 16_384;
 /// Bytes that are read from a stream at a time at most.
@@ -153,7 +155,7 @@
     /// Closes all connections and waits until the other sides know.
     pub async fn close(&self) {
         self.endpoint.close(VarInt::from_u32(0), b"stopped");
-        let _ = compio::time::timeout(CONNECT, self.endpoint.clone().shutdown()).await;
+        let _ = compio::time::timeout(CLOSE, self.endpoint.clone().shutdown()).await;
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, Code> {
--- a/elmstreamd/src/ticker.rs
+++ b/elmstreamd/src/ticker.rs
@@ -29,12 +29,17 @@
 /// Ticks until the stop.
 pub async fn run(daemon: Rc<Daemon>, stop: Stop) {
     while stop.clone().now_or_never().is_none() {
-        let commands = daemon.node.borrow_mut().tick(clock::now());
-        carry_out(&daemon, commands);
+        tick(&daemon);
         compio::time::sleep(TICK).await;
     }
 }
 
+/// Runs the systems once.
+pub fn tick(daemon: &Rc<Daemon>) {
+    let commands = daemon.node.borrow_mut().tick(clock::now());
+    carry_out(daemon, commands);
+}
+
 /// Reads the host list until the stop.
 pub async fn watch_hosts(daemon: Rc<Daemon>, stop: Stop) {
     while stop.clone().now_or_never().is_none() {
@@ -94,8 +99,12 @@
         if reply.revision > daemon.current.borrow().revision {
             daemon.want_revision();
         }
+        let brings_row = reply.row.is_some();
         let commands = daemon.node.borrow_mut().heartbeat_reply(clock::now(), &reply);
         carry_out(&daemon, commands);
+        if brings_row {
+            tick(&daemon);
+        }
     }
 }
 
--- /dev/null
+++ b/spec/ownership.pml
@@ -0,0 +1,119 @@
+/* Ownership of one backend server through two successive moves.
+ *
+ * Epoch 0: host 0 owns, witnesses {0,1,2}. Epoch 1: host 1 owns, witnesses
+ * {1,2,3}. Epoch 2: host 0 owns again.
+ *
+ * Clocks are countdowns, so time has no end; LEN is the lease's length. A host
+ * that has taken the newest epoch, and knows it as settled, is let act at any
+ * time where the row gives it the server (that is more than the code allows).
+ * A host that is behind acts while its lease runs.
+ *
+ * Property `one_owner`: never do both hosts act.
+ *
+ * What may happen at any time: a message is late or lost (a promise or an
+ * answer is heard at any later time, or never), a table write takes effect and
+ * its answer is lost, a witness restarts (another incarnation, which answers
+ * no more under its name), the steward dies and another one starts from the
+ * row alone (two stewards come to the same, as the table takes one write at a
+ * time), a host hears of an epoch late or never, time passes.
+ */
+#define LEN 2
+#define W 4
+#define LAST 2
+
+/* The table: epoch, and whether nobody acts by an older one. */
+byte epoch = 0;
+bool settled = true;
+
+/* Hosts 0 and 1. */
+byte hep[2];            /* epoch that the host has taken */
+bool hset[2];           /* it knows that epoch as settled */
+byte lease[2];          /* time that its lease still runs */
+byte left[2];           /* 1 + what a lease of its round would have left; 0 is no round */
+byte promised[2];       /* bits: witnesses that promised in the round */
+bool tabled[2];         /* the table took a renewal of the round */
+
+/* Witnesses. */
+byte fenced[W];         /* 1 + the highest epoch fenced; 0 is none */
+byte gone = 0;          /* bits: restarted */
+
+/* The steward, for the move from epoch-1 to epoch. */
+byte wait = 0;          /* 0 not begun, else 1 + time left */
+
+#define OWNER(e)    ((e) % 2)
+#define NAMED(e, i) ((i) >= (e) && (i) <= (e) + 2)
+#define BIT(m, i)   (((m) >> (i)) & 1)
+#define COUNT(m, e) (BIT(m, (e)) + BIT(m, (e) + 1) + BIT(m, (e) + 2))
+/* Witness i promises no more at an epoch below e: fenced, or restarted. */
+#define SHUT(i, e)  (BIT(gone, i) || fenced[i] >= (e))
+/* The steward hears of each at any later time, so this is the earliest. */
+#define MAJORITY    (SHUT(epoch - 1, epoch) + SHUT(epoch, epoch) + SHUT(epoch + 1, epoch) >= 2)
+#define OWNS(h)     (OWNER(hep[h]) == (h))
+#define ACTS(h)     (OWNS(h) && hset[h] && (hep[h] == epoch || lease[h] > 0))
+#define one_owner   !(ACTS(0) && ACTS(1))
+#define CHECK       assert(one_owner)
+#define DEC(x, min) if :: x > min -> x-- :: else fi
+
+#define END(h)      left[h] = 0; promised[h] = 0; tabled[h] = false
+/* A round whose lease would be over is given up. */
+#define AGE(h)      if :: left[h] > 2 -> left[h]-- :: left[h] == 2 -> END(h) :: else fi
+#ifdef BUG_FROM_ANSWER
+#define LEFT(h) LEN
+#else
+#define LEFT(h) (left[h] - 1)
+#endif
+#ifdef BUG_RENEW_OLD_EPOCH
+#define SAME_EPOCH(h) true
+#else
+/* The write is conditional on the row's version, so on the epoch. */
+#define SAME_EPOCH(h) (hep[h] == epoch)
+#endif
+#ifdef BUG_MEMORY
+#define RESTART(i)  d_step { fenced[i] > 0 -> fenced[i] = 0 }
+#else
+#define RESTART(i)  d_step { !BIT(gone, i) -> gone = gone | (1 << i) }
+#endif
+#define PROMISE(h, i) d_step { left[h] > 0 && NAMED(hep[h], i) && !BIT(gone, i) && fenced[i] <= hep[h] && !BIT(promised[h], i) -> promised[h] = promised[h] | (1 << i) }
+#define FENCE(i)    d_step { !settled && NAMED(epoch - 1, i) && !SHUT(i, epoch) -> fenced[i] = epoch }
+/* A host takes the row: the rounds of the older epoch end with it. */
+#define TAKE(h)     d_step { hep[h] != epoch || hset[h] != settled -> if :: hep[h] != epoch -> END(h); lease[h] = 0 :: else fi; hep[h] = epoch; hset[h] = settled; CHECK }
+#define HOST(h) \
+  :: d_step { OWNS(h) && left[h] == 0 -> left[h] = 1 + LEN } \
+  :: d_step { left[h] > 0 -> END(h) } \
+  :: PROMISE(h, 0) :: PROMISE(h, 1) :: PROMISE(h, 2) :: PROMISE(h, 3) \
+  :: d_step { left[h] > 0 && COUNT(promised[h], hep[h]) >= 2 && LEFT(h) > lease[h] -> lease[h] = LEFT(h); CHECK } \
+  :: d_step { left[h] > 0 && !tabled[h] && SAME_EPOCH(h) -> tabled[h] = true } \
+  :: d_step { tabled[h] && LEFT(h) > lease[h] -> lease[h] = LEFT(h); CHECK } \
+  :: TAKE(h)
+#ifdef BUG_NO_WAIT
+#define WAITED      MAJORITY
+#else
+#define WAITED      (wait == 1)
+#endif
+#ifdef BUG_UNSETTLED
+/* The next move does not wait until this one is settled. */
+#define MAY_SWAP    true
+#else
+#define MAY_SWAP    settled
+#endif
+#ifdef BUG_RELEASE_UNHEARD
+#define RELEASED    true
+#else
+/* The former owner has taken the new epoch. */
+#define RELEASED    (hep[OWNER(epoch - 1)] == epoch)
+#endif
+
+active proctype world() {
+  hset[0] = true; hset[1] = true; lease[0] = LEN;
+  do
+  :: d_step { DEC(lease[0], 0); DEC(lease[1], 0); AGE(0); AGE(1); DEC(wait, 1) }
+  HOST(0)
+  HOST(1)
+  :: RESTART(0) :: RESTART(1) :: RESTART(2) :: RESTART(3)
+  :: FENCE(0) :: FENCE(1) :: FENCE(2) :: FENCE(3)
+  :: d_step { epoch < LAST && MAY_SWAP -> epoch++; settled = false; wait = 0; CHECK }
+  :: d_step { !settled && wait != 0 -> wait = 0 }
+  :: d_step { !settled && wait == 0 && MAJORITY -> wait = 1 + LEN }
+  :: d_step { !settled && (WAITED || RELEASED) -> settled = true; wait = 0 }
+  od
+}
