Search histories of the core, and close what they found

elmstream/tests/histories.rs runs six nodes over a fake network and table with random faults and checks one owner, slots, parts and caps after each 10 ms.

Found and mended, each with its history kept by the seed or by a named test: - an isolated host that reached the table proposed itself as owner of all; now a steward proposes only while it hears a majority of the row's witnesses; - a released server could still run its former owner's requests (3 at a time on 2 slots); heartbeats now tell what lingers, and the new owner keeps that many slots free, for a lease after the last word; - a bucket that began full let 41 shifts pass where the cap was 40 after a part moved; buckets now begin empty and outlive a change of configuration; - a server removed from the configuration vanished from the row before its former owner had released it; it now stays one epoch without an owner.

--- a/elmstream/src/admission.rs
+++ b/elmstream/src/admission.rs
@@ -1,11 +1,12 @@
 //! Admission at the owner: slots, the bounded queue, slow start, ejection.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use crate::{
     catalog::{Catalog, Service},
     code::Code,
     id::{Name, ServiceId},
+    message::Lingering,
     time::{MILLI, SECOND, Time},
 };
 
@@ -28,7 +29,6 @@
     in_flight: u32,
     /// Slots that its former owner may still have in use.
     reserved: u32,
-    reserved_until: Time,
     /// When it began to take work, for slow start.
     since: Time,
     draining: bool,
@@ -40,8 +40,7 @@
 impl Server {
     /// Slots that may be in use now: all, or fewer in slow start.
     fn limit(&self, now: Time, slow_start: u64) -> u32 {
-        let reserved = if now < self.reserved_until { self.reserved } else { 0 };
-        let usable = self.slots.saturating_sub(reserved);
+        let usable = self.slots.saturating_sub(self.reserved);
         let age = now.since(self.since);
         if age >= slow_start {
             return usable;
@@ -112,13 +111,14 @@
 }
 
 impl Admissions {
-    /// Takes over what this host owns now. `fresh` servers start slowly, and
-    /// a server whose former owner did not release it has `reserved_until`.
-    pub fn own(&mut self, now: Time, catalog: &Catalog, owned: &BTreeMap<Name, Time>) {
+    /// Takes over what this host owns now. A server that is new here has all
+    /// its slots reserved until [`Admissions::reserve`] tells otherwise.
+    pub fn own(&mut self, now: Time, catalog: &Catalog, owned: &BTreeSet<Name>) {
+        let was_owned = self.owned();
         for server in self.servers.values_mut() {
             server.owned = false;
         }
-        for (name, &reserved_until) in owned {
+        for name in owned {
             let Some(id) = catalog.backend(name) else {
                 continue;
             };
@@ -128,7 +128,6 @@
                 slots: backend.slots,
                 in_flight: 0,
                 reserved: backend.slots,
-                reserved_until,
                 since: now,
                 draining: false,
                 owned: true,
@@ -138,11 +137,46 @@
             server.service = backend.service;
             server.slots = backend.slots;
             server.draining = catalog.is_draining(backend);
+            if !server.owned && !was_owned.contains(name) {
+                server.reserved = backend.slots;
+            }
             server.owned = true;
         }
         self.servers.retain(|_, s| s.owned || s.in_flight > 0);
     }
 
+    /// Carries everything over to the services' new indexes. What belonged to a
+    /// service that is gone waits until its callers give up.
+    pub fn renumber(&mut self, new_id: impl Fn(ServiceId) -> Option<ServiceId>) {
+        let queues = std::mem::take(&mut self.queues);
+        let moved = queues.into_iter().filter_map(|(id, queue)| Some((new_id(id)?, queue)));
+        self.queues = moved.collect();
+        for server in self.servers.values_mut() {
+            server.service = new_id(server.service).unwrap_or(server.service);
+        }
+    }
+
+    /// The servers that this host owns.
+    pub fn owned(&self) -> BTreeSet<Name> {
+        let owned = self.servers.iter().filter(|(_, s)| s.owned);
+        owned.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Sets how many slots the former owner of a server may still use.
+    pub fn reserve(&mut self, name: &str, count: u32) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.reserved = count.min(server.slots);
+        }
+    }
+
+    /// Requests in flight at servers that this host has released.
+    pub fn lingering(&self) -> Vec<Lingering> {
+        let released = self.servers.iter().filter(|(_, s)| !s.owned && s.in_flight > 0);
+        let lingering =
+            |(name, s): (&Name, &Server)| Lingering { backend: name.clone(), count: s.in_flight };
+        released.map(lingering).collect()
+    }
+
     /// Marks backend servers that the host list calls leaving.
     pub fn drain(&mut self, leaving: &[Name]) {
         for name in leaving {
--- a/elmstream/src/allotment.rs
+++ b/elmstream/src/allotment.rs
@@ -4,7 +4,7 @@
 //! cap of the region its owner holds. As a part goes with its backend server,
 //! parts never sum above the whole while servers move.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -51,6 +51,10 @@
     pub epoch: u64,
     /// Whether nobody acts by an older epoch any more.
     pub settled: bool,
+    /// Whether it was settled because the former owners released what moved,
+    /// rather than by waiting until their leases were over.
+    #[serde(default)]
+    pub released: bool,
     /// Names the write, so that a lost answer can be resolved.
     pub nonce: u64,
     /// Who may promise renewals at this epoch.
@@ -93,6 +97,11 @@
         (self.epoch, self.settled) > (other.epoch, other.settled)
     }
 
+    /// The owners.
+    pub fn owners(&self) -> BTreeSet<HostRef> {
+        self.grants.values().filter_map(|g| g.owner.clone()).collect()
+    }
+
     /// Owners at the epoch before, each once.
     pub fn former_owners(&self) -> Vec<&HostRef> {
         let mut owners: Vec<_> = self.grants.values().filter_map(|g| g.from.as_ref()).collect();
@@ -140,6 +149,7 @@
         region: row.region.clone(),
         epoch: row.epoch + 1,
         settled: false,
+        released: false,
         nonce: 0,
         witnesses,
         witnesses_from: row.witnesses.clone(),
@@ -218,7 +228,22 @@
             let grant = Grant { owner, from: old.owner, part, part_from: old.part };
             (backend.name.clone(), grant)
         });
-        entries.collect()
+        let mut grants: BTreeMap<Name, Grant> = entries.collect();
+        self.release_removed(row, &mut grants);
+        grants
+    }
+
+    /// Keeps a server that is no longer configured for one epoch without an
+    /// owner, so that its former owner counts among those who must release.
+    fn release_removed(&self, row: &Row, grants: &mut BTreeMap<Name, Grant>) {
+        for (name, old) in &row.grants {
+            if old.owner.is_none() || grants.contains_key(name) {
+                continue;
+            }
+            let from = old.owner.clone();
+            let grant = Grant { owner: None, from, part: 0, part_from: old.part };
+            grants.insert(name.clone(), grant);
+        }
     }
 
     /// The present owner, if it is still a good one.
--- a/elmstream/src/cap.rs
+++ b/elmstream/src/cap.rs
@@ -18,7 +18,7 @@
 const MICRO: u64 = 1_000_000;
 
 /// A token bucket whose rate is given anew with each use.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Bucket {
     /// Tokens, in millionths.
     level: u64,
@@ -29,6 +29,14 @@
 }
 
 impl Bucket {
+    /// An empty bucket.
+    ///
+    /// It starts empty because its part of the cap may have come from another
+    /// owner, which may have spent it in the same second.
+    pub fn new(now: Time) -> Bucket {
+        Bucket { level: 0, updated: now, started: None }
+    }
+
     /// Takes `units` if the part of the cap allows it.
     ///
     /// `per_second` is the whole cap, `part` this owner's part of it in
--- a/elmstream/src/member.rs
+++ b/elmstream/src/member.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     id::{HostRef, Incarnation, Name},
-    message::{Heartbeat, ServiceLoad},
+    message::{Heartbeat, Lingering, ServiceLoad},
     time::{MILLI, Time},
 };
 
@@ -73,6 +73,8 @@
     pub revision: u64,
     /// What it owns, as last reported.
     pub loads: Vec<ServiceLoad>,
+    /// What it has released and still has in flight.
+    pub lingering: Vec<Lingering>,
     /// Requests sent there since that report and not yet answered.
     pub sent: BTreeMap<Name, u32>,
     /// Weight in look-ups, in thousandths.
@@ -102,6 +104,12 @@
         self.loads.iter().find(|load| &*load.service == service)
     }
 
+    /// Requests that it still has in flight at a server that it has released.
+    pub fn lingering_at(&self, backend: &str) -> u32 {
+        let found = self.lingering.iter().find(|l| &*l.backend == backend);
+        found.map_or(0, |l| l.count)
+    }
+
     /// Slots believed free: those reported, less what was sent since.
     pub fn free(&self, service: &str) -> i64 {
         let Some(load) = self.load(service) else {
@@ -148,6 +156,7 @@
         member.sequence = beat.sequence;
         member.revision = member.revision.max(beat.revision);
         member.loads.clone_from(&beat.loads);
+        member.lingering.clone_from(&beat.lingering);
         member.sent.clear();
     }
 
@@ -187,6 +196,7 @@
         sequence: 0,
         revision: 0,
         loads: Vec::new(),
+        lingering: Vec::new(),
         sent: BTreeMap::new(),
         weight: 0,
         avoid_until: Time::default(),
--- a/elmstream/src/message.rs
+++ b/elmstream/src/message.rs
@@ -20,6 +20,15 @@
     pub queued: u32,
 }
 
+/// Requests still in flight at a backend server that their sender has released.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Lingering {
+    /// The backend server.
+    pub backend: Name,
+    /// How many.
+    pub count: u32,
+}
+
 /// A heartbeat: it tells that the host is alive and what it owns, and asks a
 /// witness of the same region to renew the sender's lease.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -42,6 +51,8 @@
     pub leaving: bool,
     /// What the sender owns, by service.
     pub loads: Vec<ServiceLoad>,
+    /// What the sender has released and still has in flight.
+    pub lingering: Vec<Lingering>,
 }
 
 /// A renewal that took effect in the table.
@@ -108,6 +119,9 @@
     },
     /// A queued request may go on.
     Wake(u64),
+    /// Ask a backend server how many requests it runs; the answer goes to
+    /// [`crate::node::Node::probed`].
+    Probe(Name),
     /// Something an operator may ask about later.
     Event(Event),
 }
--- a/elmstream/src/node.rs
+++ b/elmstream/src/node.rs
@@ -1,7 +1,7 @@
 //! One entry host's decisions: its tables, and the systems that run each tick.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -13,7 +13,7 @@
     cap::Bucket,
     catalog::Catalog,
     id::{HostRef, Name, RegionId, ServiceId},
-    lease::{Lease, Witness},
+    lease::{LENGTH, Lease, Witness},
     lookup,
     member::{HEARTBEAT_FANOUT, HEARTBEAT_INTERVAL, Listed, ListedHost, Member, Members},
     message::{Command, Event, Fence, FenceReply, Heartbeat, HeartbeatReply, ServiceLoad},
@@ -38,6 +38,30 @@
     pub seed: u64,
 }
 
+/// A server that came from another owner.
+#[derive(Debug)]
+struct Inherited {
+    /// The former owner.
+    from: Option<HostRef>,
+    /// The epoch at which it changed hands.
+    epoch: u64,
+    /// When it was taken here.
+    since: Time,
+    /// Whether the former owner released it while it may have had requests.
+    released: bool,
+    /// The former owner's last word of its requests there, and when it came.
+    told: Option<(u32, Time)>,
+    /// What the server said last of how many requests it runs.
+    probed: Option<u32>,
+}
+
+/// Whether requests of a service end with their owner's lease.
+///
+/// Longer ones begin under the lease and may outlast it.
+pub fn is_bounded_by_lease(deadline: u64) -> bool {
+    deadline <= LENGTH
+}
+
 /// All that one entry host knows and decides by.
 #[derive(Debug)]
 pub struct Node {
@@ -47,8 +71,8 @@
     pub(crate) admissions: Admissions,
     pub(crate) lease: Lease,
     pub(crate) row: Row,
-    pub(crate) shift_buckets: HashMap<(ServiceId, RegionId), Bucket>,
-    pub(crate) link_buckets: HashMap<RegionId, Bucket>,
+    pub(crate) shift_buckets: HashMap<(Name, Name), Bucket>,
+    pub(crate) link_buckets: HashMap<Name, Bucket>,
     pub(crate) retries: HashMap<ServiceId, RetryBudget>,
     pub(crate) tickets: TicketTable,
     pub(crate) rng: StdRng,
@@ -60,7 +84,7 @@
     sequence: u64,
     beat_at: Option<Time>,
     was_held: bool,
-    owned: BTreeMap<Name, Time>,
+    inherited: BTreeMap<Name, Inherited>,
 }
 
 impl Node {
@@ -88,7 +112,7 @@
             sequence: 0,
             beat_at: None,
             was_held: false,
-            owned: BTreeMap::new(),
+            inherited: BTreeMap::new(),
         }
     }
 
@@ -132,14 +156,22 @@
         if catalog.revision <= self.catalog.revision {
             return false;
         }
-        self.catalog = catalog;
+        let old = std::mem::replace(&mut self.catalog, catalog);
+        self.renumber(&old);
         self.fresh_at = Some(now);
-        self.shift_buckets.clear();
-        self.link_buckets.clear();
         self.reown(now);
         true
     }
 
+    /// Carries what is kept by a service's index over to the new indexes.
+    fn renumber(&mut self, old: &Catalog) {
+        let new_id = |id: ServiceId| self.catalog.service(&old.services[id.index()].name);
+        self.admissions.renumber(new_id);
+        let retries = std::mem::take(&mut self.retries);
+        let moved = retries.into_iter().filter_map(|(id, budget)| Some((new_id(id)?, budget)));
+        self.retries = moved.collect();
+    }
+
     /// The newest revision was seen at the table.
     pub fn seen_fresh(&mut self, now: Time) {
         self.fresh_at = Some(now);
@@ -184,9 +216,11 @@
             self.beat_at = Some(now);
             self.send_heartbeats(now, &mut commands);
             self.hear_self(now);
+            self.probe(&mut commands);
             lookup::step_weights(&mut self.members, now);
         }
         self.run_steward(now, &mut commands);
+        self.reserve(now);
         self.wake_all(now, &mut commands);
         commands
     }
@@ -360,6 +394,7 @@
             revision: self.catalog.revision,
             leaving: self.stopping,
             loads: self.loads(now),
+            lingering: self.admissions.lingering(),
         })
     }
 
@@ -439,11 +474,13 @@
         }
     }
 
-    /// The last round in which each host of the row's epoch asked.
+    /// The last round in which each owner of the row's epoch asked.
     fn asked(&self) -> Vec<Renewal> {
         let epoch = self.steward.stored().map_or(0, |s| s.row.epoch);
+        let owners = self.steward.stored().map(|s| s.row.owners()).unwrap_or_default();
         let at_epoch = self.members.iter().filter(|m| m.epoch == epoch && m.heard.is_some());
-        at_epoch.map(|m| Renewal { owner: m.host_ref(), sequence: m.sequence }).collect()
+        let owners = at_epoch.filter(|m| owners.contains(&m.host_ref()));
+        owners.map(|m| Renewal { owner: m.host_ref(), sequence: m.sequence }).collect()
     }
 
     /// Hosts that have taken the epoch that the steward works on.
@@ -517,28 +554,86 @@
 
     /// Brings the admission table in line with row, configuration and list.
     fn reown(&mut self, now: Time) {
-        let owned: BTreeMap<Name, Time> = self
-            .row
-            .owned_by(&self.settings.me)
-            .map(|(name, grant)| {
-                let since = self.owned.get(name).copied();
-                let until =
-                    since.unwrap_or_else(|| self.reserved_until(now, grant.from.is_some(), name));
-                (name.clone(), until)
-            })
-            .collect();
+        let owned = self.row.owned_by(&self.settings.me);
+        let owned: BTreeSet<Name> = owned.map(|(name, _)| name.clone()).collect();
+        let before = self.admissions.owned();
         self.admissions.own(now, &self.catalog, &owned);
         self.admissions.drain(&self.leaving_backends);
-        self.owned = owned;
+        self.inherited.retain(|name, _| owned.contains(name));
+        for name in owned.difference(&before) {
+            let from = self.row.grants.get(name).and_then(|grant| grant.from.clone());
+            let inherited = Inherited {
+                from,
+                epoch: self.row.epoch,
+                since: now,
+                released: self.row.released,
+                told: None,
+                probed: None,
+            };
+            self.inherited.insert(name.clone(), inherited);
+        }
+        self.reserve(now);
+    }
+
+    /// Keeps slots free that former owners' requests may still use.
+    fn reserve(&mut self, now: Time) {
+        let mut inherited = std::mem::take(&mut self.inherited);
+        inherited.retain(|name, inherited| {
+            self.listen(now, name, inherited);
+            let count = self.reserved(now, name, inherited);
+            self.admissions.reserve(name, count);
+            count > 0
+        });
+        self.inherited = inherited;
+    }
+
+    /// Notes what the former owner of a server says of its requests there.
+    fn listen(&self, now: Time, name: &str, inherited: &mut Inherited) {
+        let Some(from) = &inherited.from else { return };
+        let member = self.members.get(&from.host);
+        let same = member.filter(|m| m.incarnation == from.incarnation && m.is_live(now));
+        if let Some(member) = same.filter(|m| m.epoch >= inherited.epoch) {
+            let heard = member.heard.unwrap_or(now);
+            inherited.told = Some((member.lingering_at(name), heard));
+        }
     }
 
-    /// To when a server's former owner may still have requests there.
+    /// Slots that a server's former owner may still use.
     ///
-    /// Requests carry a deadline no later than their owner's lease, which is
-    /// over when the epoch is settled; only a released server can still run
-    /// some, up to the service's deadline.
-    fn reserved_until(&self, _now: Time, _had_owner: bool, _name: &str) -> Time {
-        Time::default()
+    /// A former owner that is heard tells them itself; its last word holds for
+    /// a lease, or for the service's deadline if that is longer. Of one that
+    /// was never heard, requests are over with its lease, unless it released
+    /// the server or the deadline is longer: then all slots may be in use, and
+    /// for the longer deadline the server itself is asked.
+    fn reserved(&self, now: Time, name: &str, inherited: &Inherited) -> u32 {
+        let is_other = inherited.from.as_ref().is_some_and(|from| *from != self.settings.me);
+        let id = self.catalog.backend(name).filter(|_| is_other);
+        let Some(backend) = id.map(|id| &self.catalog.backends[id.index()]) else { return 0 };
+        let deadline = self.catalog.services[backend.service.index()].deadline;
+        let bounded = is_bounded_by_lease(deadline);
+        let (count, since) = match inherited.told {
+            Some(told) => told,
+            None if bounded && !inherited.released => return 0,
+            None => (backend.slots, inherited.since),
+        };
+        if now.since(since) >= deadline.max(LENGTH) {
+            return 0;
+        }
+        let running = inherited.probed.filter(|_| !bounded);
+        let others = running.map(|n| n.saturating_sub(self.admissions.in_flight(name)));
+        others.map_or(count, |others| others.min(count))
+    }
+
+    /// Takes a backend server's own word of how many requests it runs.
+    pub fn probed(&mut self, backend: &str, running: u32) {
+        if let Some(inherited) = self.inherited.get_mut(backend) {
+            inherited.probed = Some(running);
+        }
+    }
+
+    /// Asks the servers whose former owners are silent.
+    fn probe(&self, commands: &mut Vec<Command>) {
+        commands.extend(self.inherited.keys().cloned().map(Command::Probe));
     }
 
     fn wake_all(&mut self, now: Time, commands: &mut Vec<Command>) {
--- a/elmstream/src/serve.rs
+++ b/elmstream/src/serve.rs
@@ -4,13 +4,13 @@
 
 use crate::{
     admission::{Admission, Ask, RunResult, Slot},
-    cap::WHOLE,
+    cap::{Bucket, WHOLE},
     catalog::{Isolation, Service, ShiftCap},
     code::Code,
-    id::{Name, RegionId, ServiceId},
+    id::{BackendId, Name, RegionId, ServiceId},
     lookup::{self, Choice},
     member::AVOID,
-    node::Node,
+    node::{Node, is_bounded_by_lease},
     once::{Decision, Ticket, TicketId},
     route::{self, Attempt},
     time::{MILLI, SECOND, Time},
@@ -36,6 +36,16 @@
     }
 }
 
+/// What a backend server is given for a request, from the dispatch on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Span {
+    /// Microseconds after which it must not begin; the lease does not reach
+    /// further.
+    pub begin: u64,
+    /// Microseconds after which it must have ended.
+    pub end: u64,
+}
+
 /// A request as its owner sees it.
 #[derive(Clone, Debug)]
 pub struct OwnerAsk<'a> {
@@ -174,20 +184,25 @@
         }
     }
 
-    /// Checks the lease at the moment of dispatch, and gives the time that
-    /// the backend server may spend: to the request's deadline, and not beyond
-    /// the lease.
-    pub fn dispatch(&self, now: Time, slot: &Slot, deadline: Time) -> Result<u64, Refusal> {
+    /// Checks the lease at the moment of dispatch.
+    pub fn dispatch(&self, now: Time, slot: &Slot, deadline: Time) -> Result<Span, Refusal> {
         let owns = self.row.may_act(&self.settings.me, &slot.backend);
         let lease_end = self.lease.until() - LEASE_MARGIN;
-        let left = deadline.min(lease_end).since(now);
-        if !owns || lease_end <= now {
+        let service = self.catalog.backend(&slot.backend).map(|id| self.service_at(id));
+        let (Some(service), true, true) = (service, owns, now < lease_end) else {
             return Err(Refusal::new(Code::LeaseLapsed, SECOND));
-        }
-        if left < DEADLINE_MIN {
+        };
+        let bounded = is_bounded_by_lease(service.deadline);
+        let end = if bounded { deadline.min(lease_end) } else { deadline };
+        if end.since(now) < DEADLINE_MIN {
             return Err(Refusal::new(Code::DeadlineTooShort, 0));
         }
-        Ok(left)
+        Ok(Span { begin: lease_end.min(end).since(now), end: end.since(now) })
+    }
+
+    /// The service of a backend server.
+    fn service_at(&self, id: BackendId) -> &Service {
+        self.service(self.catalog.backends[id.index()].service)
     }
 
     /// A run has ended. Returns the waiting requests to wake.
@@ -275,7 +290,9 @@
         let cap = self.catalog.shift_caps.get(&(id, home, here)).copied().unwrap_or_default();
         let part = self.part_of(Some(id));
         let ShiftCap { per_second, ramp } = cap;
-        let bucket = self.shift_buckets.entry((id, home)).or_default();
+        let from = self.catalog.regions[home.index()].name.clone();
+        let key = (self.service(id).name.clone(), from.clone());
+        let bucket = self.shift_buckets.entry(key).or_insert_with(|| Bucket::new(now));
         if !bucket.take(now, 1, u64::from(per_second), part, ramp) {
             let wait = bucket.wait(u64::from(per_second), part);
             return Err(Refusal::new(Code::ShiftCapped, wait));
@@ -284,7 +301,7 @@
             return Ok(());
         };
         let part = self.part_of(None);
-        let bucket = self.link_buckets.entry(home).or_default();
+        let bucket = self.link_buckets.entry(from).or_insert_with(|| Bucket::new(now));
         let rate = u64::from(link.requests_per_second);
         if !bucket.take(now, 1, rate, part, 0) {
             return Err(Refusal::new(Code::LinkLimited, bucket.wait(rate, part)));
--- a/elmstream/src/steward.rs
+++ b/elmstream/src/steward.rs
@@ -197,11 +197,13 @@
         let row = &stored.row;
         let gone = row.witnesses_from.iter().filter(|w| view.gone.contains(*w));
         self.fenced.extend(gone.cloned());
-        if !self.has_waited(now, row) && !is_released(row, view) {
+        let waited = self.has_waited(now, row);
+        if !waited && !is_released(row, view) {
             let left = row.witnesses_from.iter().filter(|w| !self.fenced.contains(*w));
             return Some(Step::Fence(left.cloned().collect(), row.epoch - 1));
         }
-        let settled = Row { settled: true, nonce: self.next_nonce(), ..row.clone() };
+        let nonce = self.next_nonce();
+        let settled = Row { settled: true, released: !waited, nonce, ..row.clone() };
         if self.is_calling(now) {
             return Some(Step::Settled(settled));
         }
@@ -220,7 +222,8 @@
 
     /// Proposes the next epoch if the plan differs from the row.
     fn change(&mut self, now: Time, view: &View<'_>, stored: &Stored) -> Option<Step> {
-        if now.since(self.changed_at) < CHANGE_INTERVAL {
+        let hears = hears_majority(&stored.row, view);
+        if !hears || now.since(self.changed_at) < CHANGE_INTERVAL {
             return None;
         }
         let present = Row { region: view.name.clone(), ..stored.row.clone() };
@@ -283,6 +286,14 @@
     }
 }
 
+/// Whether the steward hears a majority of the witnesses, or knows them to be
+/// gone. A host that is cut off from the others must not take what is theirs.
+fn hears_majority(row: &Row, view: &View<'_>) -> bool {
+    let is_live = |w: &HostRef| view.hosts.iter().any(|c| c.host == *w);
+    let known = row.witnesses.iter().filter(|w| is_live(w) || view.gone.contains(*w));
+    row.witnesses.is_empty() || is_majority(known.count(), row.witnesses.len())
+}
+
 /// Whether each owner of the epoch before has taken this one.
 ///
 /// An owner that has taken an epoch keeps nothing of the one before but what
--- /dev/null
+++ b/elmstream/tests/histories.rs
@@ -0,0 +1,212 @@
+//! Random histories of several nodes: faults, load and time. After each step
+//! the invariants hold: one owner per backend server (`one_owner` of
+//! `spec/ownership.pml`), slots, caps and the sum of parts.
+
+mod support;
+
+use elmstream::time::{MILLI, SECOND};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use support::{CAP, HOSTS, World, catalog};
+
+/// Histories that are tried.
+const HISTORIES: u64 = 150;
+/// Seed of their generation, printed on a failure by the panic's arguments.
+const SEED: u64 = 20_261_202;
+/// Largest number of events in a history.
+const EVENTS_MAX: usize = 24;
+
+/// Something that happens, and the time that passes after it.
+#[derive(Clone, Debug)]
+enum Event {
+    Pass(u64),
+    Pause(usize, u64),
+    Restart(usize),
+    Cut(usize, usize, u64),
+    TableDown(u64),
+    TableSlow(u64),
+    LoseAnswers(u32),
+    FreezeList(u64),
+    Stop(usize),
+    Remove(usize),
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Event {
+        let host = usize::arbitrary(g) % HOSTS.len();
+        let other = (host + 1 + usize::arbitrary(g) % (HOSTS.len() - 1)) % HOSTS.len();
+        let millis = u64::arbitrary(g) % 6_000 * MILLI;
+        match u8::arbitrary(g) % 12 {
+            0 | 1 => Event::Pause(host, millis),
+            2 | 3 => Event::Restart(host),
+            4 => Event::Cut(host, other, millis),
+            5 => Event::TableDown(millis),
+            6 => Event::TableSlow(millis / 5),
+            7 => Event::LoseAnswers(1 + millis as u32 % 3),
+            8 => Event::FreezeList(millis),
+            9 => Event::Stop(host),
+            10 => Event::Remove(host),
+            _ => Event::Pass(millis),
+        }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Event>> {
+        match self {
+            Event::Pass(_) => quickcheck::empty_shrinker(),
+            _ => quickcheck::single_shrinker(Event::Pass(100 * MILLI)),
+        }
+    }
+}
+
+fn happen(world: &mut World, event: &Event, revision: &mut u64) {
+    match *event {
+        Event::Pass(_) => {}
+        Event::Pause(host, micros) => world.pause(host, micros),
+        Event::Restart(host) => world.restart(host),
+        Event::Cut(a, b, micros) => world.cut(a, b, micros),
+        Event::TableDown(micros) => world.table_down(micros),
+        Event::TableSlow(micros) => world.table_slow(micros),
+        Event::LoseAnswers(count) => world.lose_answers(count),
+        Event::FreezeList(micros) => world.freeze_list(micros),
+        Event::Stop(host) => world.stop(host),
+        Event::Remove(number) => {
+            *revision += 1;
+            let removed = ["na-0", "na-1", "nb-2", "sa-0", "sa-1", "none"][number];
+            world.configure(catalog(*revision, &[removed]));
+        }
+    }
+}
+
+fn history_is_safe(seed: u64, events: &[Event]) -> Result<(), String> {
+    let mut world = World::new(seed);
+    let mut revision = 1;
+    world.run(3 * SECOND)?;
+    for event in events {
+        happen(&mut world, event, &mut revision);
+        let micros = match event {
+            Event::Pass(micros) => *micros,
+            _ => 300 * MILLI,
+        };
+        world.run(micros)?;
+    }
+    world.run(2 * SECOND)
+}
+
+#[test]
+fn random_histories_are_safe() {
+    fn property(seed: u64, events: Vec<Event>) -> TestResult {
+        match history_is_safe(seed, &events) {
+            Ok(()) => TestResult::passed(),
+            Err(error) => TestResult::error(error),
+        }
+    }
+    println!("seed {SEED}");
+    let source = Gen::from_size_and_seed(EVENTS_MAX, SEED);
+    let property = property as fn(u64, Vec<Event>) -> TestResult;
+    QuickCheck::new().rng(source).tests(HISTORIES).quickcheck(property);
+}
+
+/// The whole region is owned soon after the start, with few writes.
+#[test]
+fn a_fresh_fleet_owns_everything() {
+    let mut world = World::new(1);
+    world.run(3 * SECOND).unwrap();
+    assert_eq!(world.acting().len(), 9, "each backend server has an owner");
+    assert!(world.writes <= 12, "{} writes", world.writes);
+    let before = world.writes;
+    world.run(30 * SECOND).unwrap();
+    assert_eq!(world.writes, before, "a fleet at rest writes nothing");
+}
+
+/// Owners by host.
+fn owners(world: &World) -> Vec<usize> {
+    world.acting().values().map(|hosts| hosts[0]).collect()
+}
+
+#[test]
+fn a_killed_host_is_taken_over_in_seconds() {
+    let mut world = World::new(2);
+    world.run(3 * SECOND).unwrap();
+    world.kill(1);
+    world.run(6 * SECOND).unwrap();
+    assert_eq!(world.acting().len(), 9);
+    assert!(!owners(&world).contains(&1));
+}
+
+#[test]
+fn two_witnesses_lost_at_once_are_survived() {
+    let mut world = World::new(3);
+    world.run(3 * SECOND).unwrap();
+    world.freeze_list(60 * SECOND);
+    world.kill(0);
+    world.kill(1);
+    world.run(2 * SECOND).unwrap();
+    // Through the table the others keep what they had, although a majority of
+    // the witnesses is gone and the host list still names them.
+    for _ in 0..20 {
+        world.run(SECOND).unwrap();
+        let acting = world.acting();
+        let kept = acting.values().filter(|hosts| hosts[0] == 2 || hosts[0] == 3).count();
+        assert!(kept >= 3, "{acting:?}");
+    }
+}
+
+#[test]
+fn the_table_down_for_ten_minutes_changes_nothing() {
+    let mut world = World::new(4);
+    world.run(3 * SECOND).unwrap();
+    let before = owners(&world);
+    world.table_down(600 * SECOND);
+    for _ in 0..60 {
+        world.run(10 * SECOND).unwrap();
+        assert_eq!(owners(&world), before);
+    }
+}
+
+#[test]
+fn a_planned_stop_hands_over_without_a_lease_of_waiting() {
+    let mut world = World::new(5);
+    world.run(3 * SECOND).unwrap();
+    world.stop(2);
+    world.run(1500 * MILLI).unwrap();
+    assert_eq!(world.acting().len(), 9);
+    assert!(!owners(&world).contains(&2));
+}
+
+#[test]
+fn a_paused_host_that_wakes_does_not_act() {
+    let mut world = World::new(6);
+    world.run(3 * SECOND).unwrap();
+    let owned = owners(&world).iter().filter(|&&h| h == 3).count();
+    assert!(owned > 0);
+    world.pause(3, 8 * SECOND);
+    world.run(7 * SECOND).unwrap();
+    assert!(!owners(&world).contains(&3), "others own it by now");
+    world.run(1100 * MILLI).unwrap();
+    assert!(!owners(&world).contains(&3), "it woke and acts on nothing old");
+}
+
+#[test]
+fn an_isolated_host_stops_itself() {
+    let mut world = World::new(7);
+    world.run(3 * SECOND).unwrap();
+    for other in 0..HOSTS.len() {
+        if other != 2 {
+            world.cut(2, other, 60 * SECOND);
+        }
+    }
+    world.run(8 * SECOND).unwrap();
+    assert!(!owners(&world).contains(&2), "it owns nothing");
+    assert_eq!(world.acting().len(), 9, "and has taken nothing from the others");
+}
+
+#[test]
+fn a_region_that_fails_shifts_within_the_cap() {
+    let mut world = World::new(8);
+    world.run(3 * SECOND).unwrap();
+    world.kill(4);
+    world.kill(5);
+    // `run` fails if more than CAP requests shift in any second.
+    assert!(CAP > 0);
+    world.run(10 * SECOND).unwrap();
+    assert_eq!(world.acting().len(), 6, "the other region goes on");
+}
--- a/elmstream_proto/src/header.rs
+++ b/elmstream_proto/src/header.rs
@@ -10,8 +10,11 @@
 pub const REQUEST: &str = "elmstream-request";
 /// Time that the caller gives, in milliseconds.
 pub const TIMEOUT: &str = "elmstream-timeout-ms";
-/// Towards backend servers: the time after which the answer is of no use, in
-/// milliseconds since the Unix epoch. A backend server begins nothing after it.
+/// Towards backend servers: the time after which the request must not begin, in
+/// milliseconds since the Unix epoch.
+pub const BEGIN_BY: &str = "elmstream-begin-by";
+/// Towards backend servers: the time after which the answer is of no use and
+/// the request must end, in milliseconds since the Unix epoch.
 pub const DEADLINE: &str = "elmstream-deadline";
 /// The caller's ticket.
 pub const TICKET: &str = "elmstream-ticket";
--- a/elmstream_standin/src/backend.rs
+++ b/elmstream_standin/src/backend.rs
@@ -22,12 +22,16 @@
 
 use crate::reply;
 
-/// Header with the time after which nothing may begin, Unix milliseconds.
+/// Header with the time after which a request must not begin, Unix milliseconds.
+const BEGIN_BY: &str = "elmstream-begin-by";
+/// Header with the time after which it must end, Unix milliseconds.
 const DEADLINE: &str = "elmstream-deadline";
 /// Header with the caller's id of the request.
 const REQUEST_ID: &str = "elmstream-request-id";
 /// Header that says that the request was not run.
 const SHED: &str = "elmstream-shed";
+/// Longest time that a request runs, in milliseconds.
+const WORK_MAX_MS: u64 = 3_600_000;
 /// Bytes in a chunk of a long answer.
 const CHUNK: usize = 64 << 10;
 
@@ -150,7 +154,8 @@
     if behaviour.shed {
         return Ok(refuse());
     }
-    if deadline(&parts.headers).is_some_and(|deadline| deadline < unix_ms()) {
+    let begin_by = [BEGIN_BY, DEADLINE].map(|name| moment(&parts.headers, name));
+    if begin_by.into_iter().flatten().any(|moment| moment < unix_ms()) {
         state.seen.borrow_mut().after_deadline += 1;
         return Ok(refuse());
     }
@@ -160,10 +165,9 @@
         count(&mut state.seen.borrow_mut(), &id);
     }
     let Some((length, digest)) = digest(incoming).await else { return Err(Cut) };
-    if behaviour.hung {
-        std::future::pending::<()>().await;
+    if !work(&behaviour, moment(&parts.headers, DEADLINE)).await {
+        return Err(Cut);
     }
-    compio::time::sleep(Duration::from_millis(behaviour.run_ms + behaviour.late_ms)).await;
     let echo = format!(
         "{{\"backend\":\"{name}\",\"id\":\"{id}\",\"length\":{length},\"digest\":\"{digest}\"}}"
     );
@@ -176,6 +180,17 @@
     Ok(Response::new(body::holding(answer, running)))
 }
 
+/// Runs for the behaviour's time; false if the deadline came first.
+async fn work(behaviour: &Behaviour, deadline: Option<u64>) -> bool {
+    let left = deadline.map_or(u64::MAX / 2, |deadline| deadline.saturating_sub(unix_ms()));
+    let run = match behaviour.hung {
+        true => u64::MAX / 2,
+        false => behaviour.run_ms + behaviour.late_ms,
+    };
+    compio::time::sleep(Duration::from_millis(run.min(left).min(WORK_MAX_MS))).await;
+    run <= left
+}
+
 /// The answer to a request that is not run.
 fn refuse() -> Response<LocalBody> {
     let mut response = reply::status(StatusCode::SERVICE_UNAVAILABLE);
@@ -229,8 +244,9 @@
     value.unwrap_or_default().into()
 }
 
-fn deadline(headers: &HeaderMap) -> Option<u64> {
-    headers.get(DEADLINE)?.to_str().ok()?.parse().ok()
+/// A header's moment, in milliseconds since the Unix epoch.
+fn moment(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
 fn unix_ms() -> u64 {
--- a/elmstreamd/src/owner.rs
+++ b/elmstreamd/src/owner.rs
@@ -9,7 +9,7 @@
 use elmstream::{
     admission::{RunResult, Slot},
     code::Code,
-    serve::{OwnerAnswer, OwnerAsk, Refusal},
+    serve::{OwnerAnswer, OwnerAsk, Refusal, Span},
     time::{MILLI, SECOND, Time},
 };
 use elmstream_http::{BoxError, LocalBody, body};
@@ -107,12 +107,12 @@
     // the backend server gets earlier, never later.
     let wall = clock::unix_ms();
     let deadline = guard.began + head.deadline;
-    let left = match daemon.node.borrow().dispatch(clock::now(), &guard.slot, deadline) {
-        Ok(left) => left,
+    let span = match daemon.node.borrow().dispatch(clock::now(), &guard.slot, deadline) {
+        Ok(span) => span,
         Err(refusal) => return Run::NotRun(refusal),
     };
-    let until = Instant::now() + Duration::from_micros(left);
-    let Some(request) = request(head, body, wall + left / MILLI) else {
+    let until = Instant::now() + Duration::from_micros(span.end);
+    let Some(request) = request(head, body, wall, span) else {
         return not_run(Code::BadRequest);
     };
     let sending = connection.try_send_request(request);
@@ -141,15 +141,21 @@
     Run::NotRun(Refusal { code, retry_after: SECOND })
 }
 
-/// The request as the backend server gets it.
-fn request(head: &RequestHead, body: LocalBody, deadline_ms: u64) -> Option<Request<LocalBody>> {
+/// The request as the backend server gets it; `wall` is Unix milliseconds.
+fn request(
+    head: &RequestHead,
+    body: LocalBody,
+    wall: u64,
+    span: Span,
+) -> Option<Request<LocalBody>> {
     let mut request = Request::builder().method(head.method.as_str()).uri(head.target.as_str());
     let headers = request.headers_mut()?;
     for field in &head.headers {
         let name = HeaderName::try_from(field.name.as_str()).ok()?;
         headers.append(name, HeaderValue::from_bytes(&field.value).ok()?);
     }
-    headers.insert(header::DEADLINE, HeaderValue::from(deadline_ms));
+    headers.insert(header::BEGIN_BY, HeaderValue::from(wall + span.begin / MILLI));
+    headers.insert(header::DEADLINE, HeaderValue::from(wall + span.end / MILLI));
     request.body(body).ok()
 }
 
--- a/elmstreamd/src/ticker.rs
+++ b/elmstreamd/src/ticker.rs
@@ -3,14 +3,18 @@
 use std::{rc::Rc, time::Duration};
 
 use elmstream::{
+    admission::Slot,
     allotment::Row,
     id::Name,
     message::{Command, Event, Fence, Heartbeat},
     steward::{Stored, WriteOutcome},
 };
-use elmstream_http::Stop;
+use elmstream_http::{Stop, body};
 use elmstream_proto::peer::{Open, Reply};
 use futures_util::FutureExt;
+use http::{Request, header::HOST};
+use http_body_util::BodyExt;
+use serde::Deserialize;
 use serde_json::Value;
 
 use crate::{clock, configuration, daemon::Daemon};
@@ -81,6 +85,7 @@
             Command::Fence(to, fence) => spawn(send_fence(daemon.clone(), to, fence)),
             Command::ReadRow(region) => spawn(read_row(daemon.clone(), region)),
             Command::WriteRow { row, expect } => spawn(write_row(daemon.clone(), row, expect)),
+            Command::Probe(backend) => spawn(probe(daemon.clone(), backend)),
             Command::Wake(number) => daemon.wake(&[number]),
             Command::Event(event) => report(daemon, event),
         }
@@ -116,6 +121,29 @@
     }
 }
 
+/// What a backend server says of its load.
+#[derive(Deserialize)]
+struct Load {
+    in_flight: u32,
+}
+
+/// Asks a backend server how many requests it runs.
+async fn probe(daemon: Rc<Daemon>, backend: Name) {
+    let slot = Slot { backend };
+    let Some(address) = daemon.backend_address(&slot) else { return };
+    let asking = async {
+        let mut connection = daemon.pool.take(address).await.ok()?;
+        let request = Request::get("/load").header(HOST, address.to_string());
+        let request = request.body(body::empty()).ok()?;
+        let response = connection.send_request(request).await.ok()?;
+        let bytes = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice::<Load>(&bytes).ok()
+    };
+    if let Ok(Some(load)) = compio::time::timeout(EXCHANGE, asking).await {
+        daemon.node.borrow_mut().probed(&slot.backend, load.in_flight);
+    }
+}
+
 /// The key of a region's allotment row.
 fn row_key(region: &str) -> String {
     format!("allotment/{region}")
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -1,14 +1,14 @@
 /* Ownership of one backend server through two successive moves.
  *
  * Epoch 0: host 0 owns, witnesses {0,1,2}. Epoch 1: host 1 owns, witnesses
- * {1,2,3}. Epoch 2: host 0 owns again.
+ * {1,2,3}. Epoch 2: host 2 owns.
  *
  * Clocks are countdowns, so time has no end; LEN is the lease's length. A host
  * that has taken the newest epoch, and knows it as settled, is let act at any
  * time where the row gives it the server (that is more than the code allows).
  * A host that is behind acts while its lease runs.
  *
- * Property `one_owner`: never do both hosts act.
+ * Property `one_owner`: never do two hosts act.
  *
  * What may happen at any time: a message is late or lost (a promise or an
  * answer is heard at any later time, or never), a table write takes effect and
@@ -25,9 +25,9 @@
 byte epoch = 0;
 bool settled = true;
 
-/* Hosts 0 and 1. */
-byte hep[2];            /* epoch that the host has taken */
-bool hset[2];           /* it knows that epoch as settled */
+/* Hosts. */
+byte hep[3];            /* epoch that the host has taken */
+bool hset[3];           /* it knows that epoch as settled */
 byte lease[2];          /* time that its lease still runs */
 byte left[2];           /* 1 + what a lease of its round would have left; 0 is no round */
 byte promised[2];       /* bits: witnesses that promised in the round */
@@ -40,7 +40,6 @@
 /* The steward, for the move from epoch-1 to epoch. */
 byte wait = 0;          /* 0 not begun, else 1 + time left */
 
-#define OWNER(e)    ((e) % 2)
 #define NAMED(e, i) ((i) >= (e) && (i) <= (e) + 2)
 #define BIT(m, i)   (((m) >> (i)) & 1)
 #define COUNT(m, e) (BIT(m, (e)) + BIT(m, (e) + 1) + BIT(m, (e) + 2))
@@ -48,9 +47,11 @@
 #define SHUT(i, e)  (BIT(gone, i) || fenced[i] >= (e))
 /* The steward hears of each at any later time, so this is the earliest. */
 #define MAJORITY    (SHUT(epoch - 1, epoch) + SHUT(epoch, epoch) + SHUT(epoch + 1, epoch) >= 2)
-#define OWNS(h)     (OWNER(hep[h]) == (h))
-#define ACTS(h)     (OWNS(h) && hset[h] && (hep[h] == epoch || lease[h] > 0))
-#define one_owner   !(ACTS(0) && ACTS(1))
+#define OWNS(h)     (hep[h] == (h))
+#define ACTS(h)     (OWNS(h) && hset[h] && (epoch == h || lease[h] > 0))
+/* Host 2 owns at the last epoch only, so its lease need not be followed. */
+#define NEWEST      (hep[2] == 2 && hset[2])
+#define one_owner   (ACTS(0) + ACTS(1) + NEWEST <= 1)
 #define CHECK       assert(one_owner)
 #define DEC(x, min) if :: x > min -> x-- :: else fi
 
@@ -77,6 +78,7 @@
 #define FENCE(i)    d_step { !settled && NAMED(epoch - 1, i) && !SHUT(i, epoch) -> fenced[i] = epoch }
 /* A host takes the row: the rounds of the older epoch end with it. */
 #define TAKE(h)     d_step { hep[h] != epoch || hset[h] != settled -> if :: hep[h] != epoch -> END(h); lease[h] = 0 :: else fi; hep[h] = epoch; hset[h] = settled; CHECK }
+#define TAKE2       d_step { epoch == 2 && NEWEST != settled -> hep[2] = 2; hset[2] = settled; CHECK }
 #define HOST(h) \
   :: d_step { OWNS(h) && left[h] == 0 -> left[h] = 1 + LEN } \
   :: d_step { left[h] > 0 -> END(h) } \
@@ -100,15 +102,16 @@
 #define RELEASED    true
 #else
 /* The former owner has taken the new epoch. */
-#define RELEASED    (hep[OWNER(epoch - 1)] == epoch)
+#define RELEASED    (hep[epoch - 1] == epoch)
 #endif
 
 active proctype world() {
-  hset[0] = true; hset[1] = true; lease[0] = LEN;
+  hset[0] = true; lease[0] = LEN;
   do
   :: d_step { DEC(lease[0], 0); DEC(lease[1], 0); AGE(0); AGE(1); DEC(wait, 1) }
   HOST(0)
   HOST(1)
+  :: TAKE2
   :: RESTART(0) :: RESTART(1) :: RESTART(2) :: RESTART(3)
   :: FENCE(0) :: FENCE(1) :: FENCE(2) :: FENCE(3)
   :: d_step { epoch < LAST && MAY_SWAP -> epoch++; settled = false; wait = 0; CHECK }
