Wait out a cap that is empty for a moment after a hand-over

Cause: a bucket begins empty when its part comes from another owner, so the first shifts after a planned stop were refused (1103) although the cap was not in use. Ruled out: to count the time since the epoch was first seen as refill; the former owner may still spend in that time, so the sum over a second could pass the cap.

Change: the entry host waits once, at most 30 ms and out of the retry budget, for an owner that says its cap opens that soon.

--- a/elmstream/src/cap.rs
+++ b/elmstream/src/cap.rs
@@ -29,12 +29,12 @@
 }
 
 impl Bucket {
-    /// An empty bucket.
+    /// A bucket that was empty at `since`.
     ///
-    /// It starts empty because its part of the cap may have come from another
-    /// owner, which may have spent it in the same second.
-    pub fn new(now: Time) -> Bucket {
-        Bucket { level: 0, updated: now, started: None }
+    /// Its part of the cap may have come from another owner, which may have
+    /// spent it up to then.
+    pub fn new(since: Time) -> Bucket {
+        Bucket { level: 0, updated: since, started: None }
     }
 
     /// Takes `units` if the part of the cap allows it.
@@ -59,8 +59,10 @@
 
     /// Microseconds until one unit may be there, for "retry after".
     pub fn wait(&self, per_second: u64, part: u64) -> u64 {
-        let cap = micro_units(per_second, part).max(1);
-        MICRO.saturating_sub(self.level).saturating_mul(SECOND) / cap
+        let cap = micro_units(per_second, part);
+        let rate = cap - (cap / DEPTH_DIVISOR).max(MICRO).min(cap);
+        let missing = MICRO.saturating_sub(self.level);
+        missing.saturating_mul(SECOND).checked_div(rate).unwrap_or(SECOND)
     }
 
     /// Brings the level up to date.
--- a/elmstream/src/node.rs
+++ b/elmstream/src/node.rs
@@ -79,6 +79,9 @@
     pub(crate) leaving_backends: Vec<Name>,
     pub(crate) stopping: bool,
     pub(crate) fresh_at: Option<Time>,
+    /// When the row's epoch was learned to be settled; since then nobody else
+    /// uses what this host owns at it.
+    pub(crate) settled_at: Time,
     witness: Witness,
     steward: Steward,
     sequence: u64,
@@ -107,6 +110,7 @@
             leaving_backends: Vec::new(),
             stopping: false,
             fresh_at: None,
+            settled_at: Time::default(),
             witness: Witness::default(),
             steward,
             sequence: 0,
@@ -545,6 +549,9 @@
             return;
         }
         self.row = row;
+        if self.row.settled {
+            self.settled_at = now;
+        }
         self.reown(now);
         self.beat_soon();
         let owned = self.row.owned_by(&self.settings.me).count();
--- a/elmstream/src/serve.rs
+++ b/elmstream/src/serve.rs
@@ -289,10 +289,11 @@
     ) -> Result<(), Refusal> {
         let cap = self.catalog.shift_caps.get(&(id, home, here)).copied().unwrap_or_default();
         let part = self.part_of(Some(id));
+        let settled_at = self.settled_at;
         let ShiftCap { per_second, ramp } = cap;
         let from = self.catalog.regions[home.index()].name.clone();
         let key = (self.service(id).name.clone(), from.clone());
-        let bucket = self.shift_buckets.entry(key).or_insert_with(|| Bucket::new(now));
+        let bucket = self.shift_buckets.entry(key).or_insert_with(|| Bucket::new(settled_at));
         if !bucket.take(now, 1, u64::from(per_second), part, ramp) {
             let wait = bucket.wait(u64::from(per_second), part);
             return Err(Refusal::new(Code::ShiftCapped, wait));
@@ -301,7 +302,7 @@
             return Ok(());
         };
         let part = self.part_of(None);
-        let bucket = self.link_buckets.entry(from).or_insert_with(|| Bucket::new(now));
+        let bucket = self.link_buckets.entry(from).or_insert_with(|| Bucket::new(settled_at));
         let rate = u64::from(link.requests_per_second);
         if !bucket.take(now, 1, rate, part, 0) {
             return Err(Refusal::new(Code::LinkLimited, bucket.wait(rate, part)));
--- a/elmstreamd/src/forward.rs
+++ b/elmstreamd/src/forward.rs
@@ -47,6 +47,8 @@
 /// Time that a request must have left to wait, in microseconds.
 const MOVING_DEADLINE_MIN: u64 = 200 * MILLI;
 
+/// Longest pause that a request makes before a cap, in microseconds.
+const CAP_PAUSE_MAX: u64 = 30 * MILLI;
 /// Bytes of a refused request that are read and dropped at most.
 const DISCARD_MAX: usize = 64 << 20;
 /// Time that this may take.
@@ -143,7 +145,11 @@
         }
         job.head.deadline = left;
         job.head.patience = attempt.patience;
-        let tried = try_one(daemon, job, &attempt).await;
+        let mut tried = try_one(daemon, job, &attempt).await;
+        if let Some(pause) = short_wait(daemon, job, &tried) {
+            compio::time::sleep(pause).await;
+            tried = try_one(daemon, job, &attempt).await;
+        }
         story.tries.push(Try {
             owner: attempt.owner.host.clone(),
             shifted: attempt.shifted,
@@ -168,6 +174,16 @@
     conclude(job, last, may_have_run)
 }
 
+/// The pause after which an owner that is at a cap will let the request pass,
+/// if that is soon and the retry budget has it.
+fn short_wait(daemon: &Daemon, job: &Job, tried: &Tried) -> Option<Duration> {
+    let Tried::NotRun(refusal) = tried else { return None };
+    let is_cap = matches!(refusal.code, Code::ShiftCapped | Code::LinkLimited);
+    let is_soon = refusal.retry_after <= CAP_PAUSE_MAX;
+    let may = is_cap && is_soon && daemon.node.borrow_mut().may_retry(job.service);
+    may.then(|| Duration::from_micros(refusal.retry_after))
+}
+
 /// The end of a round in which no owner answered.
 fn conclude(job: &Job, last: Refusal, may_have_run: Option<Code>) -> Round {
     if let Some(code) = may_have_run {
