--- a/elmstream/src/admission.rs
+++ b/elmstream/src/admission.rs
@@ -194,10 +194,9 @@
         }
         let limit = limit(service, slots, ask.shifted);
         let must_queue = self.queued(ask.service) > 0;
-        if in_use < limit && !must_queue {
-            if let Some(slot) = self.pick(now, ask.service, service.slow_start) {
-                return Admission::Run(slot);
-            }
+        let may_run = in_use < limit && !must_queue;
+        if may_run && let Some(slot) = self.pick(now, ask.service, service.slow_start) {
+            return Admission::Run(slot);
         }
         self.enqueue(service, ask, slots)
     }
--- a/elmstream/src/node.rs
+++ b/elmstream/src/node.rs
@@ -198,11 +198,22 @@
         self.stopping = true;
     }
 
-    /// Whether the host may exit: nothing in flight, nothing owned.
-    pub fn is_stopped(&self, now: Time) -> bool {
-        let holds =
-            self.lease.is_held(now) && self.row.owned_by(&self.settings.me).next().is_some();
-        self.stopping && !holds && self.admissions.total_in_flight() == 0
+    /// Whether this host owns a backend server under its lease.
+    pub fn is_owner(&self, now: Time) -> bool {
+        let owns = self.row.owned_by(&self.settings.me).next().is_some();
+        owns && self.lease.is_held(now)
+    }
+
+    /// Whether nothing is in flight here.
+    pub fn is_idle(&self) -> bool {
+        self.admissions.total_in_flight() == 0
+    }
+
+    /// Gives up what this host owns, although nobody has taken it over.
+    pub fn abandon(&mut self) {
+        let Row { epoch, region, .. } = std::mem::take(&mut self.row);
+        self.row = Row { epoch, region, settled: true, ..Row::default() };
+        self.admissions.own(Time::default(), &self.catalog, &BTreeSet::new());
     }
 
     /// Has the next tick send heartbeats, because the others should know soon.
--- a/elmstream_bench/src/fleet.rs
+++ b/elmstream_bench/src/fleet.rs
@@ -277,6 +277,41 @@
     })
 }
 
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The body; `None` if it was cut.
+    pub body: Option<Vec<u8>>,
+}
+
+impl Answer {
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The number of the code, if the system answered itself.
+    pub fn code(&self) -> Option<u16> {
+        self.header("elmstream-code")?.parse().ok()
+    }
+}
+
+/// Sends one request over a connection of its own.
+pub async fn send(
+    address: SocketAddr,
+    request: http::Request<elmstream_http::LocalBody>,
+) -> io::Result<Answer> {
+    let mut sender = client::connect(address, REACH).await?;
+    let response = sender.send_request(request).await.map_err(io::Error::other)?;
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.ok().map(|body| body.to_bytes().to_vec());
+    Ok(Answer { status: parts.status.as_u16(), headers: parts.headers, body })
+}
+
 /// Calls a stand-in, again until it listens.
 async fn call(
     address: SocketAddr,
--- a/elmstream_bench/src/lib.rs
+++ b/elmstream_bench/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod operator;
 pub mod sizes;
 pub mod slope;
+pub mod small;
 pub mod trial;
--- a/elmstreamd/src/daemon.rs
+++ b/elmstreamd/src/daemon.rs
@@ -43,9 +43,11 @@
 };
 
 /// Time that a stopping host waits at most for its work to end.
-const STOP_MAX: Duration = Duration::from_secs(60);
+const STOP_MAX: Duration = Duration::from_secs(3_600);
 /// Pause between two looks at whether the host may exit.
 const STOP_PAUSE: Duration = Duration::from_millis(50);
+/// Time that a stopping host waits for others to take over what it owns.
+const HAND_OVER_MAX: Duration = Duration::from_secs(10);
 /// Time in which the last heartbeats of a stopping host arrive.
 const STOP_LINGER: Duration = Duration::from_millis(300);
 /// Pollers of the head row in each region.
@@ -320,7 +322,12 @@
     callers.stop();
     let finishing = async {
         let _ = serving.await;
-        while !daemon.node.borrow().is_stopped(clock::now()) {
+        if compio::time::timeout(HAND_OVER_MAX, handed_over(daemon)).await.is_err() {
+            // The table is out, so nobody can take over yet.
+            log::warn!("ownership was not handed over in {HAND_OVER_MAX:?}");
+            daemon.node.borrow_mut().abandon();
+        }
+        while !daemon.node.borrow().is_idle() {
             compio::time::sleep(STOP_PAUSE).await;
         }
     };
@@ -332,6 +339,13 @@
     compio::time::sleep(STOP_LINGER).await;
 }
 
+/// Waits until this host owns nothing.
+async fn handed_over(daemon: &Daemon) {
+    while daemon.node.borrow().is_owner(clock::now()) {
+        compio::time::sleep(STOP_PAUSE).await;
+    }
+}
+
 async fn build(
     settings: Settings,
     identity: &Identity,
--- /dev/null
+++ b/elmstreamd/tests/support/mod.rs
@@ -0,0 +1,85 @@
+//! A small fleet for tests, and requests to it.
+
+use std::{
+    env, process,
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+use compio::runtime::Runtime;
+use elmstream_bench::{
+    fleet::{Answer, Fleet, send},
+    operator::Operator,
+    small,
+};
+use elmstream_http::body;
+use elmstream_standin::platform::Faults;
+use http::{Method, Request};
+
+/// A running fleet and its operator.
+pub struct Running {
+    pub fleet: Fleet,
+    pub operator: Operator,
+    pub configuration: elmstream_config::Configuration,
+}
+
+/// Runs a test against a fleet of its own, and stops the fleet.
+pub fn with_fleet(
+    change: impl FnOnce(&mut elmstream_config::Configuration),
+    test: impl AsyncFnOnce(&mut Running),
+) {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    let folder = env::temp_dir().join(format!("elmstream-test-{}-{number}", process::id()));
+    let mut fleet = Fleet::new(&folder).unwrap();
+    Runtime::new().unwrap().block_on(async {
+        let mut configuration = small::start(&mut fleet);
+        change(&mut configuration);
+        let operator = small::make_ready(&fleet, &configuration).await.unwrap();
+        let mut running = Running { fleet, operator, configuration };
+        test(&mut running).await;
+        for part in ["rows", "objects", "hosts"] {
+            running.fleet.fault(part, &Faults::default()).await.unwrap();
+        }
+        running.fleet.stop().unwrap();
+    });
+    std::fs::remove_dir_all(folder).unwrap();
+}
+
+impl Running {
+    /// Sends a request to an entry host.
+    pub async fn ask(&self, host: usize, request: Request<elmstream_http::LocalBody>) -> Answer {
+        let address = self.fleet.hosts[host].settings.listen.callers;
+        send(address, request).await.unwrap()
+    }
+
+    /// Runs of a backend server so far.
+    pub async fn runs(&self, backend: usize) -> u64 {
+        self.fleet.seen(backend).await.unwrap().runs
+    }
+}
+
+/// A request for a service.
+pub fn request(method: Method, service: &str, id: &str) -> Request<elmstream_http::LocalBody> {
+    with_headers(method, service, &[("elmstream-request-id", id)])
+}
+
+/// A request for a service with more headers.
+pub fn with_headers(
+    method: Method,
+    service: &str,
+    headers: &[(&str, &str)],
+) -> Request<elmstream_http::LocalBody> {
+    let body = match method {
+        Method::POST => body::full("order"),
+        _ => body::empty(),
+    };
+    let mut request = Request::builder()
+        .method(method)
+        .uri("/")
+        .header("host", "test")
+        .header("elmstream-service", service);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(body).unwrap()
+}
