Measure capacity slopes, cache look-ups, take changes without a round trip through JSON

Change: answers to look-ups are kept by site and service until a host's part in them changes; edits are applied to the typed tables, and equal blocks are found by sorting.

--- a/elmstream/src/lookup.rs
+++ b/elmstream/src/lookup.rs
@@ -7,6 +7,8 @@
 
 use std::net::SocketAddr;
 
+use xxhash_rust::xxh3::Xxh3Default;
+
 use crate::{
     allotment::rendezvous,
     catalog::Catalog,
@@ -75,6 +77,18 @@
     }
 }
 
+/// A digest of all that decides how hosts are ranked, besides the catalog.
+pub fn state(catalog: &Catalog, members: &Members, now: Time) -> u64 {
+    let mut digest = Xxh3Default::new();
+    for member in members.iter().filter(|m| is_usable(catalog, m, now)) {
+        digest.update(member.name.as_bytes());
+        digest.update(member.domain.as_bytes());
+        digest.update(&member.weight.to_le_bytes());
+        digest.update(member.callers.to_string().as_bytes());
+    }
+    digest.digest()
+}
+
 /// Whether a host may be named in an answer at all.
 fn is_usable(catalog: &Catalog, member: &Member, now: Time) -> bool {
     let drained = catalog.draining_hosts.contains(&member.name);
--- a/elmstream/src/node.rs
+++ b/elmstream/src/node.rs
@@ -12,9 +12,9 @@
     allotment::{Candidate, Renewal, Row},
     cap::Bucket,
     catalog::Catalog,
-    id::{HostRef, Name, RegionId, ServiceId},
+    id::{HostRef, Name, RegionId, ServiceId, SiteId},
     lease::{LENGTH, Lease, Witness},
-    lookup,
+    lookup::{self, Choice},
     member::{HEARTBEAT_FANOUT, HEARTBEAT_INTERVAL, Listed, ListedHost, Member, Members},
     message::{Command, Event, Fence, FenceReply, Heartbeat, HeartbeatReply, ServiceLoad},
     once::TicketTable,
@@ -78,6 +78,9 @@
     pub(crate) rng: StdRng,
     pub(crate) leaving_backends: Vec<Name>,
     pub(crate) stopping: bool,
+    /// Answers to look-ups by site and service, until a host's state changes.
+    pub(crate) lookups: HashMap<(Option<SiteId>, ServiceId), Arc<[Choice]>>,
+    lookups_of: u64,
     pub(crate) fresh_at: Option<Time>,
     /// When the row's epoch was learned to be settled; since then nobody else
     /// uses what this host owns at it.
@@ -109,6 +112,8 @@
             rng,
             leaving_backends: Vec::new(),
             stopping: false,
+            lookups: HashMap::new(),
+            lookups_of: 0,
             fresh_at: None,
             settled_at: Time::default(),
             witness: Witness::default(),
@@ -162,11 +167,21 @@
         }
         let old = std::mem::replace(&mut self.catalog, catalog);
         self.renumber(&old);
+        self.lookups.clear();
         self.fresh_at = Some(now);
         self.reown(now);
         true
     }
 
+    /// Forgets answers to look-ups if a host's part in them has changed.
+    fn forget_lookups(&mut self, now: Time) {
+        let state = lookup::state(&self.catalog, &self.members, now);
+        if state != self.lookups_of {
+            self.lookups_of = state;
+            self.lookups.clear();
+        }
+    }
+
     /// Carries what is kept by a service's index over to the new indexes.
     fn renumber(&mut self, old: &Catalog) {
         let new_id = |id: ServiceId| self.catalog.service(&old.services[id.index()].name);
@@ -233,6 +248,7 @@
             self.hear_self(now);
             self.probe(&mut commands);
             lookup::step_weights(&mut self.members, now);
+            self.forget_lookups(now);
         }
         self.run_steward(now, &mut commands);
         self.reserve(now);
--- a/elmstream/src/serve.rs
+++ b/elmstream/src/serve.rs
@@ -1,6 +1,6 @@
 //! Decisions on the path of a request: look-up, route, admission, limits.
 
-use std::net::IpAddr;
+use std::{net::IpAddr, sync::Arc};
 
 use crate::{
     admission::{Admission, Ask, RunResult, Slot},
@@ -78,17 +78,28 @@
     }
 
     /// Ranks the entry hosts for a client and a service.
-    pub fn lookup(&self, now: Time, client: IpAddr, service: &str) -> Result<Vec<Choice>, Refusal> {
+    pub fn lookup(
+        &mut self,
+        now: Time,
+        client: IpAddr,
+        service: &str,
+    ) -> Result<Arc<[Choice]>, Refusal> {
         if self.catalog.revision == 0 {
             return Err(Refusal::new(Code::NotReady, SECOND));
         }
-        if self.catalog.service(service).is_none() {
-            return Err(Refusal::new(Code::UnknownService, 0));
+        let unknown = Refusal::new(Code::UnknownService, 0);
+        let id = self.catalog.service(service).ok_or(unknown)?;
+        let site = self.catalog.blocks.site(client);
+        if let Some(known) = self.lookups.get(&(site, id)) {
+            return Ok(known.clone());
         }
         let home = self.home_region(client).ok_or(Refusal::new(Code::NotReady, SECOND))?;
-        let site = self.catalog.blocks.site(client);
-        let site = site.map_or("", |id| &self.catalog.sites[id.index()].name);
-        Ok(lookup::rank(&self.catalog, &self.members, now, home, &[site, service].join("/")))
+        let name = site.map_or("", |id| &self.catalog.sites[id.index()].name);
+        let key = [name, service].join("/");
+        let choices = lookup::rank(&self.catalog, &self.members, now, home, &key);
+        let choices: Arc<[Choice]> = choices.into();
+        self.lookups.insert((site, id), choices.clone());
+        Ok(choices)
     }
 
     /// The service that a request names.
--- /dev/null
+++ b/elmstream/tests/parts.rs
@@ -0,0 +1,129 @@
+//! Properties of single tables: caps, blocks, tickets, codes.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use elmstream::{
+    block::{Block, BlockTable},
+    cap::{Bucket, WHOLE},
+    code::{Code, Outcome},
+    id::{HostRef, Incarnation, SiteId},
+    once::{Decision, TicketTable},
+    time::{MILLI, SECOND, Time},
+};
+use quickcheck::{Gen, QuickCheck, Testable};
+
+/// Seed of the generated cases.
+const SEED: u64 = 20_261_202;
+/// Cases of each property.
+const CASES: u64 = 300;
+
+fn check(property: impl Testable) {
+    println!("seed {SEED}");
+    QuickCheck::new().rng(Gen::from_size_and_seed(40, SEED)).tests(CASES).quickcheck(property);
+}
+
+/// Owners with any parts, asked at any times: in no second do more pass than
+/// the cap.
+#[test]
+fn parts_of_a_cap_never_pass_the_whole_in_any_second() {
+    fn property(cap: u16, shares: Vec<u8>, gaps: Vec<u16>) -> bool {
+        let total: u64 = shares.iter().map(|&s| u64::from(s)).sum::<u64>().max(1);
+        let mut buckets = vec![Bucket::new(Time(0)); shares.len()];
+        let mut now = Time(10 * SECOND);
+        let mut passed = Vec::new();
+        for gap in gaps {
+            now = now + u64::from(gap) % (200 * MILLI);
+            for (bucket, &share) in buckets.iter_mut().zip(&shares) {
+                let part = WHOLE * u64::from(share) / total;
+                while bucket.take(now, 1, u64::from(cap), part, 0) {
+                    passed.push(now);
+                }
+            }
+        }
+        let over = |pair: &[Time]| pair[usize::from(cap)].since(pair[0]) < SECOND;
+        !passed.windows(usize::from(cap) + 1).any(over)
+    }
+    check(property as fn(u16, Vec<u8>, Vec<u16>) -> bool);
+}
+
+#[test]
+fn a_new_shift_ramps_up() {
+    let mut bucket = Bucket::new(Time(0));
+    let mut count = |from: u64, to: u64| {
+        let times = (from..to).step_by(MILLI as usize).map(Time);
+        times.filter(|&now| bucket.take(now, 1, 1_000, WHOLE, 10 * SECOND)).count()
+    };
+    let first = count(SECOND, 2 * SECOND);
+    let later = count(11 * SECOND, 12 * SECOND);
+    assert!(first < 400 && later > 700, "{first} then {later}");
+}
+
+/// The flattened table agrees with a search over all blocks.
+#[test]
+fn the_longest_prefix_wins() {
+    fn property(blocks: Vec<(u32, u8)>, probes: Vec<u32>) -> bool {
+        let block = |(site, &(address, bits)): (usize, &(u32, u8))| {
+            let address = IpAddr::V4(Ipv4Addr::from(address & 0xff00_00ff));
+            Block::new(address, bits % 33, SiteId(site as u32))
+        };
+        let mut blocks: Vec<Block> = blocks.iter().enumerate().map(block).collect();
+        blocks.sort_by_key(|b| (b.first, b.bits));
+        blocks.dedup_by_key(|b| (b.first, b.bits));
+        let table = BlockTable::new(blocks.clone());
+        probes.iter().all(|&probe| {
+            let address = Ipv4Addr::from(probe & 0xff00_00ff);
+            let key = address.to_ipv6_mapped().to_bits();
+            let covering = blocks.iter().filter(|b| b.first <= key && key <= b.last());
+            let best = covering.max_by_key(|b| b.bits).map(|b| b.site);
+            table.site(IpAddr::V4(address)) == best
+        })
+    }
+    check(property as fn(Vec<(u32, u8)>, Vec<u32>) -> bool);
+}
+
+/// `run_once` and `not_run_is_true` of `spec/once.pml`.
+#[test]
+fn a_ticket_runs_once_unless_it_was_not_run() {
+    let issuer = HostRef { host: "h".into(), incarnation: Incarnation(1) };
+    let mut table = TicketTable::default();
+    let ticket = table.issue(issuer, "release".into(), Time(10 * SECOND));
+    let now = Time(SECOND);
+    let begin = |table: &mut TicketTable, now| table.begin(now, &ticket, "release");
+    assert_eq!(table.begin(now, &ticket, "other"), Decision::Answer(Code::TicketBad));
+    assert_eq!(begin(&mut table, now), Decision::Run);
+    assert_eq!(begin(&mut table, now), Decision::Answer(Code::TicketRunning));
+    table.end(ticket.id, true);
+    assert_eq!(begin(&mut table, now), Decision::Run, "it was not run");
+    table.end(ticket.id, false);
+    assert_eq!(begin(&mut table, now), Decision::Answer(Code::TicketUsed));
+    let late = Time(11 * SECOND);
+    table.expire(late);
+    assert!(table.is_empty());
+    assert_eq!(begin(&mut table, late), Decision::Answer(Code::TicketBad), "and never again");
+}
+
+#[test]
+fn no_code_of_a_possible_run_says_not_run() {
+    for code in Code::ALL {
+        assert_eq!(Code::from_number(code.number()), Some(*code));
+        if (1201..1300).contains(&code.number()) || (1304..1310).contains(&code.number()) {
+            assert_eq!(code.outcome(), Outcome::Unknown, "{code:?}");
+        }
+    }
+}
+
+/// `docs/ERRORS.md` has a row for each code, with its status and text.
+#[test]
+fn the_page_of_codes_is_current() {
+    let page = include_str!("../../docs/ERRORS.md");
+    for code in Code::ALL {
+        let status = if code.number() < 2000 { code.http_status().to_string() } else { "-".into() };
+        let row = format!(
+            "| {} | {code:?} | {status} | {} | {} |",
+            code.number(),
+            code.outcome().as_str(),
+            code.text()
+        );
+        assert!(page.contains(&row), "docs/ERRORS.md lacks: {row}");
+    }
+}
--- a/elmstream_bench/src/main.rs
+++ b/elmstream_bench/src/main.rs
@@ -5,13 +5,16 @@
 use elmstream_bench::{
     cli::{self, Command},
     sizes::{KLOOFSIG, LEOBENTAL},
-    trial,
+    slope, trial,
 };
 
 fn main() -> ExitCode {
     let result = match cli::command().run() {
         Command::Trial => trial::run(),
-        Command::Slope => Ok(()),
+        Command::Slope => {
+            slope::run();
+            Ok(())
+        }
         Command::Sample { user } => sample(&user),
     };
     match result {
--- a/elmstream_config/src/check.rs
+++ b/elmstream_config/src/check.rs
@@ -1,11 +1,11 @@
 //! Checks of a configuration beyond its form.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::HashSet;
 
 use ipnet::IpNet;
 
 use crate::{
-    document::{Configuration, Drain, DrainKind, Service},
+    document::{Configuration, Drain, DrainKind, Service, Site},
     error::Error,
 };
 
@@ -92,15 +92,19 @@
 
 /// Equal blocks of two sites contradict; a block inside another does not.
 fn check_blocks(c: &Configuration) -> Result<(), Error> {
-    let mut owners: BTreeMap<IpNet, &str> = BTreeMap::new();
-    for (i, site) in c.sites.iter().enumerate() {
-        for (j, block) in site.blocks.iter().enumerate() {
-            let Some(other) = owners.insert(block.trunc(), &site.name) else { continue };
-            let path = format!("sites[{i}].blocks[{j}]");
-            return Err(Error::Overlap { path, block: block.to_string(), other: other.into() });
-        }
-    }
-    Ok(())
+    let of_site = |(i, site): (usize, &'_ Site)| {
+        let blocks: Vec<_> =
+            site.blocks.iter().enumerate().map(|(j, b)| (b.trunc(), i, j)).collect();
+        blocks
+    };
+    let mut blocks: Vec<(IpNet, usize, usize)> =
+        c.sites.iter().enumerate().flat_map(of_site).collect();
+    blocks.sort_unstable();
+    let Some(pair) = blocks.windows(2).find(|pair| pair[0].0 == pair[1].0) else { return Ok(()) };
+    let (block, i, j) = pair[1];
+    let path = format!("sites[{i}].blocks[{j}]");
+    let other = c.sites[pair[0].1].name.clone();
+    Err(Error::Overlap { path, block: block.to_string(), other })
 }
 
 fn check_service(i: usize, s: &Service) -> Result<(), Error> {
--- a/elmstream_config/src/difference.rs
+++ b/elmstream_config/src/difference.rs
@@ -2,10 +2,16 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 
-use crate::{document::Configuration, error::Error};
+use crate::{
+    check::check,
+    document::{
+        BackendServer, Configuration, Drain, FailureDomain, Link, Region, Service, ShiftCap, Site,
+    },
+    error::Error,
+};
 
 /// An entity that was added, changed or removed.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -54,27 +60,83 @@
 
 /// Applies edits. Entities keep their order; new ones go to the end.
 pub fn apply(old: &Configuration, edits: &[Edit]) -> Result<Configuration, Error> {
-    let mut value = serde_json::to_value(old).expect("a configuration is JSON");
+    let mut next = old.clone();
     for edit in edits {
-        apply_one(&mut value, edit)?;
+        apply_one(&mut next, edit)?;
     }
-    Configuration::parse(&value.to_string())
+    check(&next)?;
+    Ok(next)
 }
 
-fn apply_one(value: &mut Value, edit: &Edit) -> Result<(), Error> {
-    let syntax = |reason: &str| Error::Syntax { path: edit.table.clone(), reason: reason.into() };
-    let table = value.get_mut(&edit.table).and_then(Value::as_array_mut);
-    let table = table.ok_or_else(|| syntax("no such table"))?;
-    let at = table.iter().position(|entity| key_of(entity) == edit.key);
+fn apply_one(c: &mut Configuration, edit: &Edit) -> Result<(), Error> {
+    match edit.table.as_str() {
+        "regions" => apply_to(&mut c.regions, edit),
+        "failure_domains" => apply_to(&mut c.failure_domains, edit),
+        "sites" => apply_to(&mut c.sites, edit),
+        "services" => apply_to(&mut c.services, edit),
+        "backend_servers" => apply_to(&mut c.backend_servers, edit),
+        "shift_caps" => apply_to(&mut c.shift_caps, edit),
+        "links" => apply_to(&mut c.links, edit),
+        "drains" => apply_to(&mut c.drains, edit),
+        _ => Err(syntax(edit, "there is no such table".into())),
+    }
+}
+
+fn apply_to<T: Entity>(table: &mut Vec<T>, edit: &Edit) -> Result<(), Error> {
+    let at = table.iter().position(|entity| entity.is(&edit.key));
+    let parse = |new: &Value| T::deserialize(new).map_err(|e| syntax(edit, e.to_string()));
     match (at, &edit.new) {
-        (Some(at), Some(new)) => table[at] = new.clone(),
+        (Some(at), Some(new)) => table[at] = parse(new)?,
         (Some(at), None) => drop(table.remove(at)),
-        (None, Some(new)) => table.push(new.clone()),
-        (None, None) => return Err(syntax("the entity to remove does not exist")),
+        (None, Some(new)) => table.push(parse(new)?),
+        (None, None) => return Err(syntax(edit, "the entity to remove does not exist".into())),
     }
     Ok(())
 }
 
+fn syntax(edit: &Edit, reason: String) -> Error {
+    Error::Syntax { path: format!("{}/{}", edit.table, edit.key), reason }
+}
+
+/// An entity of one of the tables, found by its key.
+trait Entity: DeserializeOwned {
+    /// Whether this is its key, as [`key_of`] makes it.
+    fn is(&self, key: &str) -> bool;
+}
+
+/// Implements [`Entity`] for types whose key is their name.
+macro_rules! named {
+    ($($entity:ty),*) => {
+        $(impl Entity for $entity {
+            fn is(&self, key: &str) -> bool {
+                self.name == key
+            }
+        })*
+    };
+}
+
+named!(Region, FailureDomain, Site, Service, BackendServer);
+
+impl Entity for ShiftCap {
+    fn is(&self, key: &str) -> bool {
+        key == [&*self.service, &*self.from, &*self.to].join("/")
+    }
+}
+
+impl Entity for Link {
+    fn is(&self, key: &str) -> bool {
+        key == [&*self.from, &*self.to].join("/")
+    }
+}
+
+impl Entity for Drain {
+    fn is(&self, key: &str) -> bool {
+        let kind = serde_json::to_value(self.kind).ok();
+        let kind = kind.as_ref().and_then(Value::as_str).unwrap_or_default();
+        key == [kind, &*self.name].join("/")
+    }
+}
+
 type Entities = BTreeMap<(String, String), Value>;
 
 fn edit(key: &(String, String), old: Option<&Value>, new: Option<&Value>) -> Edit {
--- a/elmstreamd/src/callers.rs
+++ b/elmstreamd/src/callers.rs
@@ -85,7 +85,7 @@
     let choices = node.lookup(now, client.ip(), service)?;
     let name = service.into();
     let tickets = node.issue_tickets(now, &name, wanted.min(TICKETS_MAX), TICKET_LIFE);
-    let host = |c: elmstream::lookup::Choice| LookupHost {
+    let host = |c: &elmstream::lookup::Choice| LookupHost {
         name: c.host.to_string(),
         callers: c.callers,
         weight: c.weight,
@@ -95,7 +95,7 @@
         service: service.into(),
         revision: node.catalog().revision,
         ttl_ms: daemon.settings.callers.lookup_ttl_ms,
-        entry_hosts: choices.into_iter().map(host).collect(),
+        entry_hosts: choices.iter().map(host).collect(),
         tickets: tickets.iter().filter_map(|t| daemon.ticket_key.sign(t)).collect(),
     }))
 }
--- a/elmstreamd/src/operators.rs
+++ b/elmstreamd/src/operators.rs
@@ -256,7 +256,7 @@
 fn explain_lookup(daemon: &Daemon, request: &ExplainRequest) -> Result<Vec<String>, Code> {
     let client: IpAddr = request.client.parse().map_err(|_| Code::BadRequest)?;
     let now = clock::now();
-    let node = daemon.node.borrow();
+    let mut node = daemon.node.borrow_mut();
     let choices = node.lookup(now, client, &request.service).map_err(|r| r.code)?;
     let catalog = node.catalog();
     let site = catalog.blocks.site(client).map(|id| &catalog.sites[id.index()]);
