--- a/elmstream_bench/src/cli.rs
+++ b/elmstream_bench/src/cli.rs
@@ -12,6 +12,16 @@
     /// Print the capacity slopes
     #[bpaf(command)]
     Slope,
+    /// Measure added latency and throughput of one entry host
+    #[bpaf(command)]
+    Latency,
+    /// Measure control at rest and the spread of changes
+    #[bpaf(command)]
+    Spread {
+        /// Daemons
+        #[bpaf(positional("HOSTS"))]
+        hosts: usize,
+    },
     /// Print a user's configuration: leobental or kloofsig
     #[bpaf(command)]
     Sample {
--- a/elmstream_bench/src/lib.rs
+++ b/elmstream_bench/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
 
 pub mod cli;
+pub mod experiment;
 pub mod fleet;
 pub mod operator;
 pub mod sizes;
--- a/elmstream_bench/src/main.rs
+++ b/elmstream_bench/src/main.rs
@@ -4,6 +4,7 @@
 
 use elmstream_bench::{
     cli::{self, Command},
+    experiment,
     sizes::{KLOOFSIG, LEOBENTAL},
     slope, trial,
 };
@@ -15,6 +16,8 @@
             slope::run();
             Ok(())
         }
+        Command::Latency => experiment::latency(),
+        Command::Spread { hosts } => experiment::spread(hosts),
         Command::Sample { user } => sample(&user),
     };
     match result {
