--- a/elmctl/src/command.rs
+++ b/elmctl/src/command.rs
@@ -120,7 +120,8 @@
                 println!("in force on {done} of {total} hosts after {:?}", begin.elapsed());
                 told = Some((done, total));
             }
-            if done == total {
+            // A host that has just started may not know any host yet.
+            if done == total && total > 0 {
                 return Ok(());
             }
             compio::time::sleep(WAIT_PAUSE).await;
--- a/elmctl/src/connection.rs
+++ b/elmctl/src/connection.rs
@@ -56,6 +56,7 @@
     config.alpn_protocols = vec![b"h2".to_vec()];
     let connecting = compio::time::timeout(CONNECT, TcpStream::connect(address));
     let stream = connecting.await.map_err(unreachable)?.map_err(unreachable)?;
+    stream.set_nodelay(true).map_err(unreachable)?;
     let connector = TlsConnector::from(Arc::new(config));
     let stream = connector.connect(SERVER_NAME, stream).await.map_err(unreachable)?;
     let handshake =
--- a/elmstream_bench/src/trial.rs
+++ b/elmstream_bench/src/trial.rs
@@ -161,7 +161,7 @@
 ) -> Result<(), String> {
     let (mut repeated, mut most) = (0, 0);
     let mut ids = std::collections::HashMap::new();
-    for index in 0..BACKENDS.len() {
+    for (index, (name, ..)) in BACKENDS.iter().enumerate() {
         let seen = fleet.seen(index).await.map_err(|e| e.to_string())?;
         repeated += seen.repeated;
         most = most.max(seen.in_flight_max);
@@ -170,8 +170,7 @@
         }
         if index == DRAINED {
             let late = seen.last_begin_ms.saturating_sub(drained_at);
-            let what =
-                format!("{} got its last request {late} ms after the drain", BACKENDS[index].0);
+            let what = format!("{name} got its last request {late} ms after the drain");
             checks.push(Check { what, holds: u128::from(late) <= DRAIN_MAX.as_millis() });
         }
     }
--- a/elmstreamd/src/owner.rs
+++ b/elmstreamd/src/owner.rs
@@ -16,7 +16,7 @@
 use elmstream_proto::{header, peer::RequestHead};
 use futures_channel::oneshot;
 use http::{HeaderName, HeaderValue, Request, Response};
-use http_body::Frame;
+use http_body::{Body, Frame};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -173,7 +173,11 @@
     // Only the system itself speaks of outcomes and codes.
     parts.headers.remove(header::OUTCOME);
     parts.headers.remove(header::CODE);
-    let reading = Reading { guard, connection: Some(connection), incoming, until };
+    let mut reading = Reading { guard, connection: Some(connection), incoming, until };
+    if reading.incoming.is_end_stream() {
+        reading.finish();
+        return Run::Answered(Response::from_parts(parts, body::empty()), slot);
+    }
     let frames = futures_util::stream::unfold(Some(reading), read_frame);
     Run::Answered(Response::from_parts(parts, body::frames(frames)), slot)
 }
@@ -192,6 +196,11 @@
 async fn read_frame(reading: Option<Reading>) -> Step {
     let mut reading = reading?;
     match compio::time::timeout_at(reading.until, reading.incoming.frame()).await {
+        // The receiver may not ask again once it has all bytes of the length.
+        Ok(Some(Ok(frame))) if reading.incoming.is_end_stream() => {
+            reading.finish();
+            Some((Ok(frame), None))
+        }
         Ok(Some(Ok(frame))) => Some((Ok(frame), Some(reading))),
         Ok(None) => {
             reading.finish();
