Shift a failed region's demand up to its cap, and leave a silent owner sooner

A region of two is killed at 70% load, 280 requests a second home there, cap 150 to the other region. Cause of what was missing: a bucket of depth c/4 leaves three quarters of a cap in steady use; only one owner of the other region was asked, although each holds a part of the cap; and requests went to dead owners until they counted as silent (1.5 s). Change: depth c/20; two owners of each other region; no new request to a host that was not heard for 0.9 s.

--- a/elmstream/src/cap.rs
+++ b/elmstream/src/cap.rs
@@ -1,7 +1,7 @@
 //! Token buckets for shift caps and links.
 //!
 //! A cap holds for *any* second. A bucket of rate `r` and depth `b` lets at
-//! most `r + b` through in a second, so a cap `c` is split into `b = c / 4`
+//! most `r + b` through in a second, so a cap `c` is split into `b = c / 20`
 //! (at least one unit) and `r = c - b`. Each owner holds a part of the cap;
 //! the parts of a region's owners sum to at most the whole, so the bound holds
 //! for the sum as well.
@@ -11,7 +11,7 @@
 /// Parts in a whole; a part of a cap is counted in these.
 pub const WHOLE: u64 = 1_000_000;
 /// Depth of a bucket as a divisor of the cap.
-const DEPTH_DIVISOR: u64 = 4;
+const DEPTH_DIVISOR: u64 = 20;
 /// Share of a cap that a new shift starts with, in parts.
 const RAMP_START: u64 = WHOLE / 5;
 /// Units are counted in millionths, so that small parts still add up.
--- a/elmstream/src/member.rs
+++ b/elmstream/src/member.rs
@@ -12,6 +12,9 @@
 pub const HEARTBEAT_INTERVAL: u64 = 500 * MILLI;
 /// Silence after which a host counts as dead, in microseconds.
 pub const SILENCE: u64 = 1_500 * MILLI;
+/// Silence after which a host gets no new requests, in microseconds: one
+/// heartbeat is missing.
+pub const FRESH: u64 = 900 * MILLI;
 /// Time for which a host that could not be reached gets no requests.
 pub const AVOID: u64 = 500 * MILLI;
 /// Hosts that a host sends heartbeats to, besides its region's witnesses.
@@ -89,6 +92,11 @@
         self.heard.is_some_and(|heard| now.since(heard) < SILENCE)
     }
 
+    /// Whether it was heard within [`FRESH`].
+    pub fn is_fresh(&self, now: Time) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) < FRESH)
+    }
+
     /// Whether new work may go there.
     pub fn is_staying(&self) -> bool {
         !self.leaving && self.listed != Listed::Leaving
--- a/elmstream/src/route.rs
+++ b/elmstream/src/route.rs
@@ -5,6 +5,8 @@
 //! by delay, only where a shift cap exists and their reports are fresh. Last
 //! comes the home region again, with the patience to queue there.
 
+use std::cmp::Reverse;
+
 use rand::{Rng, rngs::StdRng};
 
 use crate::{
@@ -15,7 +17,9 @@
 };
 
 /// Owners of other regions that are asked at most.
-const SHIFT_TRIES: usize = 2;
+const SHIFT_TRIES: usize = 4;
+/// Owners of one other region that are asked, as each holds a part of the cap.
+const SHIFT_TRIES_EACH: usize = 2;
 
 /// One owner to ask.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -119,15 +123,19 @@
         .collect();
     regions.sort_by_key(|&to| catalog.delay(request.home, to));
     let best = |to: RegionId| {
-        let owners = owners(catalog, members, now, to, service);
-        let best = owners.into_iter().max_by_key(|m| m.free(service))?;
-        let owner = best.host_ref();
-        Some(Attempt { owner, region: to, shifted: true, patience: 0 })
+        let mut owners = owners(catalog, members, now, to, service);
+        owners.sort_by_key(|m| Reverse(m.free(service)));
+        owners.into_iter().take(SHIFT_TRIES_EACH).map(move |m| Attempt {
+            owner: m.host_ref(),
+            region: to,
+            shifted: true,
+            patience: 0,
+        })
     };
-    regions.into_iter().filter_map(best).take(SHIFT_TRIES).collect()
+    regions.into_iter().flat_map(best).take(SHIFT_TRIES).collect()
 }
 
-/// Live hosts of a region that report slots of the service.
+/// Hosts of a region, heard just now, that report slots of the service.
 fn owners<'a>(
     catalog: &Catalog,
     members: &'a Members,
@@ -137,6 +145,6 @@
 ) -> Vec<&'a Member> {
     let has_slots = |m: &&Member| m.load(service).is_some_and(|load| load.slots > 0);
     let in_region = |m: &&Member| catalog.region_of_domain(&m.domain) == Some(region);
-    let live = members.iter().filter(|m| m.is_live(now) && m.avoid_until <= now);
+    let live = members.iter().filter(|m| m.is_fresh(now) && m.avoid_until <= now);
     live.filter(in_region).filter(has_slots).collect()
 }
--- a/elmstreamd/tests/faults.rs
+++ b/elmstreamd/tests/faults.rs
@@ -6,12 +6,17 @@
 use std::time::{Duration, Instant};
 
 use elmstream_bench::{
-    fleet::{get, send},
+    fleet::{free_address, get, send},
     operator::{Operator, in_force},
 };
 use elmstream_config::document::Once;
 use elmstream_http::{BoxError, body};
+use elmstream_proto::{
+    identity::{self, Identity},
+    peer::{Open, Reply},
+};
 use elmstream_standin::{backend::Behaviour, platform::Faults};
+use elmstreamd::peers::Peers;
 use futures_util::future::join;
 use http::{Method, Request};
 use support::{request, with_fleet, with_headers};
@@ -260,3 +265,40 @@
         },
     );
 }
+
+#[test]
+fn a_host_without_the_cluster_key_gets_nothing() {
+    with_fleet(
+        |_| {},
+        async |running| {
+            let address = running.fleet.hosts[0].settings.listen.peers;
+            let within = Duration::from_secs(2);
+            let stranger = Identity::new(&identity::new_key().unwrap()).unwrap();
+            let peers = Peers::bind(free_address(), &stranger).await.unwrap();
+            let refused = peers.exchange(&"host-1".into(), address, &Open::Fetch, within).await;
+            assert!(refused.is_err(), "{refused:?}");
+
+            let key =
+                std::fs::read_to_string(&running.fleet.hosts[0].settings.cluster.key).unwrap();
+            let known = Peers::bind(free_address(), &Identity::new(&key).unwrap()).await.unwrap();
+            let reply = known.exchange(&"host-1".into(), address, &Open::Fetch, within).await;
+            assert!(matches!(reply, Ok(Reply::Configuration(Some(_)))), "{reply:?}");
+        },
+    );
+}
+
+#[test]
+fn a_tool_with_another_authority_trusts_no_host() {
+    with_fleet(
+        |_| {},
+        async |running| {
+            let other = running.fleet.authority.with_extension("other");
+            let pem = identity::authority_pem(&identity::new_key().unwrap()).unwrap();
+            std::fs::write(&other, pem).unwrap();
+            let right = std::mem::replace(&mut running.fleet.authority, other);
+            let refused = Operator::connect(&running.fleet, 0).await;
+            running.fleet.authority = right;
+            assert!(refused.err().is_some_and(|e| e.contains("E4001")));
+        },
+    );
+}
--- a/elmstreamd/tests/processes.rs
+++ b/elmstreamd/tests/processes.rs
@@ -14,6 +14,7 @@
     operator::Operator,
     small,
 };
+use elmstream_config::Configuration;
 use elmstream_http::body;
 use elmstream_proto::operators::StatusReply;
 use elmstream_standin::{
@@ -50,14 +51,31 @@
 }
 
 impl Processes {
+    /// Four hosts of one region, each of which owns a server.
     async fn start() -> Processes {
+        let one_region = |c: &mut Configuration| {
+            c.backend_servers.retain(|b| b.failure_domain != "south-a");
+        };
+        let mut processes = Processes::start_with(&HOSTS, one_region).await;
+        let each_owns = |s: &StatusReply| {
+            let owns = |host: &str| s.ownership.iter().any(|o| o.owner.starts_with(host));
+            s.settled && HOSTS.iter().all(|(host, _)| owns(&format!("{host}#")))
+        };
+        processes.operator.wait(TAKEOVER_MAX, "each host owns one", each_owns).await.unwrap();
+        processes
+    }
+
+    async fn start_with(
+        hosts: &[(&str, &str)],
+        change: impl FnOnce(&mut Configuration),
+    ) -> Processes {
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let folder =
             env::temp_dir().join(format!("elmstream-processes-{}-{number}", process::id()));
         let mut fleet = Fleet::new(&folder).unwrap();
         let mut configuration = small::configuration(&mut fleet);
-        configuration.backend_servers.retain(|b| b.failure_domain != "south-a");
+        change(&mut configuration);
         let spawn = |file: &std::path::Path| -> io::Result<Child> {
             let log = fs::File::create(file.with_extension("log"))?;
             let daemon = env!("CARGO_BIN_EXE_elmstreamd");
@@ -68,14 +86,10 @@
                 .stderr(log)
                 .spawn()
         };
-        let start = |(name, domain): (&str, &str)| fleet.add_process(name, domain, spawn).unwrap();
-        let children = HOSTS.map(start).into_iter().collect();
-        let mut operator = small::make_ready(&fleet, &configuration).await.unwrap();
-        let each_owns = |s: &StatusReply| {
-            let owns = |host: &str| s.ownership.iter().any(|o| o.owner.starts_with(host));
-            s.settled && HOSTS.iter().all(|(host, _)| owns(&format!("{host}#")))
-        };
-        operator.wait(TAKEOVER_MAX, "each host owns one", each_owns).await.unwrap();
+        let start =
+            |&(name, domain): &(&str, &str)| fleet.add_process(name, domain, spawn).unwrap();
+        let children = hosts.iter().map(start).collect();
+        let operator = small::make_ready(&fleet, &configuration).await.unwrap();
         Processes { fleet: Some(fleet), children, operator, folder }
     }
 
@@ -208,3 +222,75 @@
         assert_eq!(status.code(), Some(0));
     });
 }
+
+/// Hosts of two regions; the operator's stands in the one that lives on.
+const TWO_REGIONS: [(&str, &str); 4] =
+    [("s1", "south-a"), ("s2", "south-a"), ("n1", "north-a"), ("n2", "north-b")];
+/// Requests a second that the callers of the north send.
+const DEMAND: u32 = 280;
+/// Requests in any second that may shift from north to south.
+const SHIFT_CAP: u32 = 150;
+/// Time in which the shift must stand.
+const SHIFT_IN: Duration = Duration::from_secs(5);
+
+/// Demand of the north at 70% of its 400 requests a second: two servers of four
+/// slots, 20 ms a request. South has as much, and nothing to do.
+fn two_regions(c: &mut Configuration) {
+    c.backend_servers.retain(|b| b.service == "status");
+    let mut second = c.backend_servers[2].clone();
+    second.name = "status-4".into();
+    second.slots = 4;
+    c.backend_servers.push(second);
+    c.shift_caps.retain(|cap| cap.service == "status");
+    c.shift_caps.iter_mut().for_each(|cap| cap.per_second = SHIFT_CAP);
+    c.sites.push(elmstream_config::document::Site {
+        name: "town".into(),
+        home_region: "north".into(),
+        blocks: vec!["127.0.0.0/8".parse().unwrap()],
+    });
+}
+
+#[test]
+fn a_region_that_fails_at_70_percent_shifts_up_to_the_cap() {
+    Runtime::new().unwrap().block_on(async {
+        let processes = Processes::start_with(&TWO_REGIONS, two_regions).await;
+        for index in 0..3 {
+            let slow = Behaviour { run_ms: 20, ..Behaviour::default() };
+            processes.fleet().behave(index, &slow).await.unwrap();
+        }
+        let ask = |hosts: &[usize]| {
+            let address = |&h: &usize| processes.fleet().hosts[h].settings.listen.callers;
+            hosts.iter().map(address).collect::<Vec<_>>()
+        };
+        let load = |prefix: &str, seconds, targets| Load {
+            ask: Vec::new(),
+            targets,
+            service: "status".into(),
+            per_second: DEMAND,
+            duration: Duration::from_secs(seconds),
+            method: Method::POST,
+            body_bytes: 10,
+            prefix: prefix.into(),
+        };
+        // Callers use the south's entry hosts, so that only the servers' region
+        // fails for them, and none of their own connections.
+        let before = caller::run(load("before", 3, ask(&[0, 1]))).await.summary();
+        assert_eq!(before.whole, before.sent, "{before:?}");
+        processes.signal(2, "-KILL");
+        processes.signal(3, "-KILL");
+        let during = caller::run(load("during", SHIFT_IN.as_secs(), ask(&[0, 1]))).await.summary();
+        let seen_before = processes.fleet().seen(2).await.unwrap();
+        let after = caller::run(load("after", 5, ask(&[0, 1]))).await.summary();
+        let seen = processes.fleet().seen(2).await.unwrap();
+        let rate = (seen.runs - seen_before.runs) as f64 / 5.0;
+        println!("in the first 5 s: {during:?}\nafter them: {after:?}\nshifts a second: {rate}");
+        assert!(rate <= f64::from(SHIFT_CAP), "{rate}");
+        assert!(rate >= 0.9 * f64::from(SHIFT_CAP), "{rate}");
+        assert_eq!((after.wrong, after.cut, after.failed), (0, 0, 0), "{after:?}");
+        assert_eq!(seen.repeated, 0);
+        assert!(seen.in_flight_max <= 2 * small::SLOTS, "{seen:?}");
+        let known = [1101, 1102, 1103, 1104].map(|code| after.refused.get(&code).copied());
+        let known: u64 = known.into_iter().flatten().sum();
+        assert_eq!(after.whole + known, after.sent, "the rest is refused as not run: {after:?}");
+    });
+}
