--- a/elmstream/src/code.rs
+++ b/elmstream/src/code.rs
@@ -58,7 +58,6 @@
     Ok = 0, 200, "success";
     BadRequest = 1001, 400, "the request is malformed";
     UnknownService = 1002, 404, "no such service";
-    HeadersTooLarge = 1003, 431, "the headers are too large";
     NotReady = 1101, 503, "no configuration is in force yet";
     NoCapacity = 1102, 503, "every backend server that may serve this is busy";
     ShiftCapped = 1103, 503, "the home region is full and the shift cap is used up";
@@ -69,8 +68,6 @@
     Stopping = 1108, 503, "the entry host is stopping";
     Isolated = 1109, 503, "the entry host may be behind and the service's policy is to stop";
     LeaseLapsed = 1110, 503, "the owner's lease does not cover the request";
-    Draining = 1111, 503, "the backend server is leaving";
-    RetryBudget = 1112, 503, "the retry budget is used up";
     BackendShed = 1113, 503, "the backend server refused the request";
     BackendConnect = 1114, 503, "no connection to the backend server";
     PeerUnreachable = 1115, 503, "the owning entry host could not be reached";
--- a/elmstream/src/lib.rs
+++ b/elmstream/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod catalog;
 pub mod code;
 pub mod id;
+pub mod inherit;
 pub mod lease;
 pub mod lookup;
 pub mod member;
--- a/elmstream/src/message.rs
+++ b/elmstream/src/message.rs
@@ -141,6 +141,4 @@
     HostHeard(HostRef),
     /// As steward, this host proposes a row: region, epoch, moves.
     RowProposed(Name, u64, usize),
-    /// A backend server was ejected as an outlier.
-    BackendEjected(Name),
 }
--- a/elmstream/tests/support/mod.rs
+++ b/elmstream/tests/support/mod.rs
@@ -90,6 +90,10 @@
     pub catalog: Arc<Catalog>,
     /// Writes of allotment rows that took effect.
     pub writes: u64,
+    /// Calls to the table.
+    pub calls: u64,
+    /// Messages between hosts.
+    pub messages: u64,
     rows: BTreeMap<Name, Stored>,
     flights: VecDeque<Flight>,
     running: Vec<Running>,
@@ -173,6 +177,8 @@
             hosts: Vec::new(),
             catalog: Arc::new(catalog(1, &[])),
             writes: 0,
+            calls: 0,
+            messages: 0,
             rows: BTreeMap::new(),
             flights: VecDeque::new(),
             running: Vec::new(),
@@ -351,6 +357,7 @@
     }
 
     fn post(&mut self, from: usize, to: usize, packet: Packet, extra: u64) {
+        self.messages += u64::from(from != to);
         let cut = self.cut_until.get(&(from.min(to), from.max(to)));
         if cut.is_some_and(|&until| self.now < until) {
             return;
@@ -361,6 +368,7 @@
     }
 
     fn read(&mut self, from: usize, region: &Name) {
+        self.calls += 1;
         let packet = match self.now < self.table_down_until {
             true => Packet::ReadFailed,
             false => Packet::Read(self.rows.get(region).cloned()),
@@ -370,6 +378,7 @@
     }
 
     fn write(&mut self, from: usize, row: Row, expect: u64) {
+        self.calls += 1;
         let slow = self.table_slow;
         if self.now < self.table_down_until {
             return self.post(from, from, Packet::Written(WriteOutcome::Refused), slow);
--- a/elmstreamd/src/ticker.rs
+++ b/elmstreamd/src/ticker.rs
@@ -200,9 +200,6 @@
         Event::RowProposed(region, epoch, moves) => {
             log::info!(region:% = region, epoch, moves = moves as u64; "allotment row proposed");
         }
-        Event::BackendEjected(name) => {
-            log::warn!(backend_server:% = name; "a backend server is ejected");
-        }
     }
     metrics::counter!("elmstream_events_total").increment(1);
 }
