--- a/elmstream/src/member.rs
+++ b/elmstream/src/member.rs
@@ -18,7 +18,11 @@
 /// Time for which a host that could not be reached gets no requests.
 pub const AVOID: u64 = 500 * MILLI;
 /// Hosts that a host sends heartbeats to, besides its region's witnesses.
-pub const HEARTBEAT_FANOUT: usize = 16;
+///
+/// At about 450 bytes a second for each, more would exceed 13 KB a second. In a
+/// fleet of more hosts than this a host does not hear each other one in time;
+/// `docs/CAPACITY.md` says what must be built then.
+pub const HEARTBEAT_FANOUT: usize = 28;
 
 /// What the platform's host list says.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/elmstream/src/node.rs
+++ b/elmstream/src/node.rs
@@ -21,13 +21,17 @@
     once::TicketTable,
     retry::RetryBudget,
     steward::{Step, Steward, Stored, View, WriteOutcome},
-    time::{SECOND, Time},
+    time::{MILLI, SECOND, Time},
 };
 
 /// Time without any sign of the newest revision after which a host may be
 /// behind, in microseconds.
 pub const FRESH: u64 = 10 * SECOND;
 
+/// Least time between two rounds of heartbeats, in microseconds, so that hosts
+/// that tell each other of an epoch do not set off a storm.
+const BEAT_SOON: u64 = 40 * MILLI;
+
 /// What a node is started with.
 #[derive(Clone, Debug)]
 pub struct NodeSettings {
@@ -66,6 +70,7 @@
     steward: Steward,
     sequence: u64,
     beat_at: Option<Time>,
+    beat_wanted: bool,
     was_held: bool,
     pub(crate) inherited: BTreeMap<Name, Inherited>,
 }
@@ -97,6 +102,7 @@
             steward,
             sequence: 0,
             beat_at: None,
+            beat_wanted: false,
             was_held: false,
             inherited: BTreeMap::new(),
         }
@@ -210,7 +216,7 @@
 
     /// Has the next tick send heartbeats, because the others should know soon.
     pub fn beat_soon(&mut self) {
-        self.beat_at = None;
+        self.beat_wanted = true;
     }
 
     /// Runs every system once.
@@ -221,6 +227,7 @@
         self.watch_lease(now, &mut commands);
         if self.is_beat_due(now) {
             self.beat_at = Some(now);
+            self.beat_wanted = false;
             self.send_heartbeats(now, &mut commands);
             self.hear_self(now);
             self.probe(&mut commands);
@@ -336,7 +343,8 @@
     }
 
     fn is_beat_due(&self, now: Time) -> bool {
-        self.beat_at.is_none_or(|at| now.since(at) >= HEARTBEAT_INTERVAL)
+        let interval = if self.beat_wanted { BEAT_SOON } else { HEARTBEAT_INTERVAL };
+        self.beat_at.is_none_or(|at| now.since(at) >= interval)
     }
 
     /// Reports hosts that fell silent or are heard again.
--- a/elmstreamd/src/peers.rs
+++ b/elmstreamd/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io,
     net::SocketAddr,
     sync::Arc,
@@ -31,10 +31,13 @@
 const IDLE: Duration = Duration::from_secs(10);
 /// Time in which a connection must stand; a few round trips between regions.
 const CONNECT: Duration = Duration::from_millis(400);
+/// Pause of those who wait for a connection that is being opened.
+const CONNECTING_PAUSE: Duration = Duration::from_millis(2);
 /// Time in which the other sides learn that this one closes.
 const CLOSE: Duration = Duration::from_secs(1);
-/// Streams that a host may have open at another at a time.
-const STREAMS_MAX: u32 = 16_384;
+/// Streams that a host may have open at another at a time. The transport keeps
+/// about 80 bytes for each, on every connection, from the start.
+const STREAMS_MAX: u32 = 1_024;
 /// Bytes that are read from a stream at a time at most.
 const CHUNK_MAX: usize = 64 << 10;
 /// Says on a reset stream that the body was cut.
@@ -45,6 +48,8 @@
 pub struct Peers {
     endpoint: Endpoint,
     connections: RefCell<HashMap<Name, Connection>>,
+    /// Hosts to which a connection is being opened.
+    connecting: RefCell<HashSet<Name>>,
     bytes: Cell<u64>,
 }
 
@@ -62,7 +67,12 @@
         client.transport_config(transport);
         let mut endpoint = Endpoint::server(address, server).await?;
         endpoint.default_client_config = Some(client);
-        Ok(Peers { endpoint, connections: RefCell::default(), bytes: Cell::new(0) })
+        Ok(Peers {
+            endpoint,
+            connections: RefCell::default(),
+            connecting: RefCell::default(),
+            bytes: Cell::new(0),
+        })
     }
 
     /// The next connection that another host opens and proves.
@@ -101,13 +111,20 @@
         name: &Name,
         address: SocketAddr,
     ) -> Result<(SendStream, RecvStream), Code> {
+        // One connection is opened at a time; the others wait for it.
+        while self.connecting.borrow().contains(name) {
+            compio::time::sleep(CONNECTING_PAUSE).await;
+        }
         let standing = self.connections.borrow().get(name).cloned();
         if let Some(connection) = standing {
-            if let Ok(streams) = connection.open_bi() {
-                return Ok(streams);
+            match connection.open_bi() {
+                Ok(streams) => return Ok(streams),
+                // All streams are in use; the connection itself is good.
+                Err(_) if connection.close_reason().is_none() => return Err(Code::PeerUnreachable),
+                Err(_) => self.forget(name),
             }
-            self.forget(name);
         }
+        let _connecting = Connecting::new(self, name);
         let connection = self.connect(address).await?;
         let streams = connection.open_bi().map_err(|_| Code::PeerUnreachable)?;
         self.connections.borrow_mut().insert(name.clone(), connection);
@@ -166,6 +183,25 @@
     }
 }
 
+/// Marks a host as being connected to until this is dropped.
+struct Connecting<'a> {
+    peers: &'a Peers,
+    name: &'a Name,
+}
+
+impl<'a> Connecting<'a> {
+    fn new(peers: &'a Peers, name: &'a Name) -> Connecting<'a> {
+        peers.connecting.borrow_mut().insert(name.clone());
+        Connecting { peers, name }
+    }
+}
+
+impl Drop for Connecting<'_> {
+    fn drop(&mut self) {
+        self.peers.connecting.borrow_mut().remove(self.name);
+    }
+}
+
 fn transport() -> io::Result<TransportConfig> {
     let mut transport = TransportConfig::default();
     let idle = IdleTimeout::try_from(IDLE).map_err(io::Error::other)?;
