--- a/elmstream_bench/src/fleet.rs
+++ b/elmstream_bench/src/fleet.rs
@@ -19,7 +19,7 @@
     backend::{self, Behaviour, Seen},
     platform::{self, EntryHost, Faults, HostList},
 };
-use elmstreamd::daemon;
+use elmstreamd::lifecycle;
 use futures_channel::oneshot;
 use http_body_util::BodyExt;
 use sha2::{Digest, Sha256};
@@ -288,7 +288,7 @@
 fn start_host(settings: Settings) -> Running {
     let name = settings.name.clone();
     Running::start(&name, move |stop| async move {
-        daemon::run_until(settings, stop).await.map_err(|e| e.to_string())
+        lifecycle::run_until(settings, stop).await.map_err(|e| e.to_string())
     })
 }
 
--- a/elmstreamd/src/lib.rs
+++ b/elmstreamd/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod forward;
 pub mod history;
+pub mod lifecycle;
 pub mod logging;
 pub mod operators;
 pub mod owner;
--- a/elmstreamd/src/main.rs
+++ b/elmstreamd/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use elmstream_config::Settings;
-use elmstreamd::{cli, daemon, logging};
+use elmstreamd::{cli, lifecycle, logging};
 
 /// Exit status for settings that do not pass their checks.
 const EXIT_SETTINGS: u8 = 2;
@@ -22,7 +22,7 @@
         return ExitCode::SUCCESS;
     }
     logging::start(&settings.logging.level);
-    match daemon::run(settings) {
+    match lifecycle::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("elmstreamd: {error}");
