Freeze the owner only once all requests wait there

Cause: the test of the frozen host failed in two of four runs on a busy machine, once with 0 runs before the freeze and 16 after it. The requests were still on their way when the host was frozen, so they were new to it when it woke, and it rightly sent them to the new owners. Ruled out: a late dispatch; no request that waited at the owner ran after the wake. Change: the test waits until all twenty are at the owner (four run, sixteen wait), and asserts that exactly four ran before and none after. It is stricter than before.

--- a/elmstreamd/tests/processes.rs
+++ b/elmstreamd/tests/processes.rs
@@ -157,30 +157,38 @@
     });
 }
 
+/// Requests at the owner that is frozen: four slots, and a queue of sixteen.
+const LATE: u32 = 20;
+
 #[test]
 fn a_frozen_host_that_wakes_runs_nothing_more() {
     Runtime::new().unwrap().block_on(async {
         let mut processes = Processes::start().await;
-        // Requests run for half a second, so that some wait at the owner.
+        // Requests run so long that most wait at the owner when it is frozen.
         for index in 0..small::BACKENDS.len() {
-            let slow = Behaviour { run_ms: 500, ..Behaviour::default() };
+            let slow = Behaviour { run_ms: 1_500, ..Behaviour::default() };
             processes.fleet().behave(index, &slow).await.unwrap();
         }
         let (victim, service) = processes.owner().await;
         let callers = processes.fleet().hosts[victim].settings.listen.callers;
-        for number in 0..20 {
+        for number in 0..LATE {
             compio::runtime::spawn(async move {
                 let _ = send(callers, post(service, &format!("late-{number}"))).await;
             })
             .detach();
         }
-        compio::time::sleep(Duration::from_millis(100)).await;
+        // One that is still on its way would be new to the host when it wakes.
+        let all_there = |s: &StatusReply| {
+            s.services.iter().map(|s| s.in_flight + s.queued).sum::<u32>() == LATE
+        };
+        processes.operator.wait(TAKEOVER_MAX, "all wait", all_there).await.unwrap();
         processes.signal(victim, "-STOP");
         processes.wait_taken_over(victim).await;
         let before = total_runs(processes.fleet()).await;
         processes.signal(victim, "-CONT");
         compio::time::sleep(Duration::from_secs(2)).await;
         let after = total_runs(processes.fleet()).await;
+        assert_eq!(before, u64::from(small::SLOTS), "what was running when it froze");
         assert_eq!(after, before, "the late holder ran nothing after it woke");
         for index in 0..small::BACKENDS.len() {
             let seen = processes.fleet().seen(index).await.unwrap();
