Give each test process an IP number of its own, and show panics

Run four at a time without the harness's capture, 2 of 20 runs failed: a daemon could not bind its operators' or peers' address. A port was taken from the system and closed again; until the daemon bound it, another test or an outgoing connection could get it. The panic then unwound through a handle of the runtime, which aborts the process, and the captured output was lost.

Ruled out: a panic in a destructor of ours (one panic a run, no second); the daemons' own code (both failures were before the tests' own steps).

Change: addresses come from 127.64.0.0/10 by the process's id, with ports below the system's own range and each given once; a panic hook writes past the capture, so that an abort names its test and cause.

Conclusion: an abort of the process tests seen before has the same cause in all likelihood; the hook will tell if it has another.

--- a/elmstream_bench/src/fleet.rs
+++ b/elmstream_bench/src/fleet.rs
@@ -2,8 +2,10 @@
 
 use std::{
     fs, io,
-    net::{SocketAddr, TcpListener as StdListener, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, TcpListener as StdListener, UdpSocket},
     path::{Path, PathBuf},
+    process,
+    sync::atomic::{AtomicU16, Ordering},
     thread::{self, JoinHandle},
     time::Duration,
 };
@@ -115,12 +117,22 @@
     platform_running: Running,
 }
 
-/// A free loopback address for TCP and UDP.
+/// The first port that is given out; all lie below the ports that the system
+/// gives to outgoing connections.
+const PORT_FIRST: u16 = 10_000;
+
+/// A loopback address for TCP and UDP that nobody else uses.
+///
+/// Each process has an IP number of its own, made from its id, and gives out a
+/// port once. A port that the system chose and that was closed again could be
+/// taken by another connection before it is bound.
 pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(PORT_FIRST);
+    let [_, high, middle, low] = process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, 64 | (high & 63), middle, low);
     loop {
-        let listener = StdListener::bind("127.0.0.1:0").expect("loopback has a free port");
-        let address = listener.local_addr().expect("a bound listener has an address");
-        if UdpSocket::bind(address).is_ok() {
+        let address = SocketAddr::from((ip, NEXT.fetch_add(1, Ordering::Relaxed)));
+        if StdListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
--- a/elmstreamd/tests/support/mod.rs
+++ b/elmstreamd/tests/support/mod.rs
@@ -1,8 +1,11 @@
 //! A small fleet for tests, and requests to it.
 
 use std::{
-    env, process,
+    env,
+    io::{self, Write},
+    panic, process,
     sync::atomic::{AtomicU32, Ordering},
+    thread,
 };
 
 use compio::runtime::Runtime;
@@ -22,11 +25,23 @@
     pub configuration: elmstream_config::Configuration,
 }
 
+/// Writes each panic past the harness's capture.
+///
+/// The runtime aborts the process when a panic unwinds through one of its
+/// handles, and what was captured up to then would be lost with it.
+pub fn show_panics() {
+    panic::set_hook(Box::new(|panic| {
+        let name = thread::current().name().unwrap_or("a thread").to_owned();
+        let _ = writeln!(io::stderr(), "{name}: {panic}");
+    }));
+}
+
 /// Runs a test against a fleet of its own, and stops the fleet.
 pub fn with_fleet(
     change: impl FnOnce(&mut elmstream_config::Configuration),
     test: impl AsyncFnOnce(&mut Running),
 ) {
+    show_panics();
     static NUMBER: AtomicU32 = AtomicU32::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let folder = env::temp_dir().join(format!("elmstream-test-{}-{number}", process::id()));
