Add a users' fleet under load: baselines, an ideal queue, overload, drains

Cause: nothing measured elmstream at the users' sizes, or beside anything else. Change: `elmstream_bench steering USER`: twelve daemons as processes, the user's instances as stand-ins, callers in each region by IP number, an ideal central queue worked out, random and least-loaded baselines, overload, drains, a region killed.

--- a/elmstream_bench/src/cli.rs
+++ b/elmstream_bench/src/cli.rs
@@ -22,6 +22,13 @@
         #[bpaf(positional("HOSTS"))]
         hosts: usize,
     },
+    /// Measure a user's fleet under load: leobental or kloofsig
+    #[bpaf(command)]
+    Steering {
+        /// The user
+        #[bpaf(positional("USER"))]
+        user: String,
+    },
     /// Print a user's configuration: leobental or kloofsig
     #[bpaf(command)]
     Sample {
--- a/elmstream_bench/src/experiment.rs
+++ b/elmstream_bench/src/experiment.rs
@@ -16,7 +16,7 @@
 use elmstream_http::{body, client};
 use elmstream_standin::{backend::Behaviour, caller::Load, report::Summary};
 use elmstreamd::telemetry;
-use http::{Method, Request};
+use http::Request;
 use http_body_util::BodyExt;
 
 use crate::{
@@ -92,14 +92,12 @@
 
 async fn timed_load(target: SocketAddr) -> Result<Summary, String> {
     let load = Load {
-        ask: Vec::new(),
         targets: vec![target],
         service: "status".into(),
         per_second: LATENCY_RATE,
         duration: LOAD,
-        method: Method::GET,
-        body_bytes: 0,
         prefix: "latency".into(),
+        ..Load::default()
     };
     let loading = thread::spawn(move || run_load(load));
     while !loading.is_finished() {
--- a/elmstream_bench/src/lib.rs
+++ b/elmstream_bench/src/lib.rs
@@ -6,8 +6,12 @@
 pub mod cli;
 pub mod experiment;
 pub mod fleet;
+pub mod ideal;
 pub mod operator;
+pub mod process;
 pub mod sizes;
 pub mod slope;
 pub mod small;
+pub mod steering;
 pub mod trial;
+pub mod users;
--- a/elmstream_bench/src/main.rs
+++ b/elmstream_bench/src/main.rs
@@ -5,8 +5,8 @@
 use elmstream_bench::{
     cli::{self, Command},
     experiment,
-    sizes::{KLOOFSIG, LEOBENTAL},
-    slope, trial,
+    sizes::{KLOOFSIG, LEOBENTAL, User},
+    slope, steering, trial,
 };
 
 fn main() -> ExitCode {
@@ -18,7 +18,8 @@
         }
         Command::Latency => experiment::latency(),
         Command::Spread { hosts } => experiment::spread(hosts),
-        Command::Sample { user } => sample(&user),
+        Command::Steering { user } => user_named(&user).and_then(steering::run),
+        Command::Sample { user } => user_named(&user).map(sample),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -29,18 +30,20 @@
     }
 }
 
+fn user_named(name: &str) -> Result<User, String> {
+    match name {
+        "leobental" => Ok(LEOBENTAL),
+        "kloofsig" => Ok(KLOOFSIG),
+        _ => Err("the users are leobental and kloofsig".into()),
+    }
+}
+
 /// Prints a configuration with addresses of one host per instance.
-fn sample(user: &str) -> Result<(), String> {
-    let user = match user {
-        "leobental" => LEOBENTAL,
-        "kloofsig" => KLOOFSIG,
-        _ => return Err("the users are leobental and kloofsig".into()),
-    };
+fn sample(user: User) {
     let mut number = 0u8;
     let configuration = user.configuration(|_| {
         number += 1;
         SocketAddr::from(([10, 9, 0, number], 8080))
     });
     println!("{}", configuration.to_text());
-    Ok(())
 }
--- /dev/null
+++ b/elmstream_bench/src/process.rs
@@ -0,0 +1,69 @@
+//! Daemons as processes of their own, for measurements and tests that kill
+//! them.
+
+use std::{
+    fs, io,
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
+};
+
+use crate::fleet::Fleet;
+
+/// Daemons of a fleet, in the order in which they were started. Those that
+/// still run are killed when this is dropped.
+#[derive(Debug, Default)]
+pub struct Daemons {
+    children: Vec<Child>,
+}
+
+impl Daemons {
+    /// Adds a host to the fleet and starts `program` as its daemon. Its log
+    /// lies beside its settings file.
+    pub fn start(
+        &mut self,
+        fleet: &mut Fleet,
+        program: &Path,
+        name: &str,
+        failure_domain: &str,
+    ) -> io::Result<()> {
+        let child = fleet.add_process(name, failure_domain, |settings| {
+            let log = fs::File::create(settings.with_extension("log"))?;
+            Command::new(program)
+                .arg("--settings")
+                .arg(settings)
+                .stdin(Stdio::null())
+                .stderr(log)
+                .spawn()
+        })?;
+        self.children.push(child);
+        Ok(())
+    }
+
+    /// Sends a signal, as `kill` names it: `-KILL`, `-STOP`, `-CONT`, `-TERM`.
+    pub fn signal(&self, host: usize, name: &str) -> io::Result<()> {
+        let id = self.children[host].id().to_string();
+        match Command::new("kill").args([name, &id]).status()?.success() {
+            true => Ok(()),
+            false => Err(io::Error::other(format!("process {id} did not take {name}"))),
+        }
+    }
+
+    /// Waits for the end of a host's daemon.
+    pub fn wait(&mut self, host: usize) -> io::Result<ExitStatus> {
+        self.children[host].wait()
+    }
+
+    /// Whether a host's daemon has ended, and how.
+    pub fn ended(&mut self, host: usize) -> io::Result<Option<ExitStatus>> {
+        self.children[host].try_wait()
+    }
+}
+
+impl Drop for Daemons {
+    fn drop(&mut self) {
+        for child in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/elmstream_bench/src/steering.rs
@@ -0,0 +1,250 @@
+//! A user's fleet under load: latency against an ideal queue and baselines, a
+//! region that fails, overload, drains.
+
+use std::{
+    env, process,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use compio::runtime::Runtime;
+use elmstream_standin::{report::Report, target::Pick};
+
+use crate::{
+    fleet::Fleet,
+    ideal,
+    sizes::User,
+    users::{Served, UserFleet, run_time},
+};
+
+/// Shares of the capacity at which latency is measured, in percent.
+const LEVELS: [u32; 3] = [50, 80, 95];
+/// How long each load runs.
+const LOAD: Duration = Duration::from_secs(12);
+/// Share of the capacity at which a region fails and drains are timed.
+const USUAL: u32 = 70;
+/// When the region fails.
+const FAIL_AT: Duration = Duration::from_secs(5);
+/// How long the load around the failure runs.
+const FAILURE_LOAD: Duration = Duration::from_secs(25);
+/// Share of the capacity under overload.
+const OVERLOAD: u32 = 300;
+/// Entry hosts in a region.
+const HOSTS_EACH_REGION: usize = 4;
+/// Time after a drain's begin to the next.
+const DRAIN_GAP: Duration = Duration::from_secs(6);
+
+/// Runs all parts for a user.
+pub fn run(user: User) -> Result<(), String> {
+    let folder = env::temp_dir().join(format!("elmstream-steering-{}", process::id()));
+    let fleet = Fleet::new(&folder).map_err(|e| e.to_string())?;
+    let runtime = Runtime::new().map_err(|e| e.to_string())?;
+    let result = runtime.block_on(measure(user, fleet));
+    let _ = std::fs::remove_dir_all(&folder);
+    result
+}
+
+async fn measure(user: User, fleet: Fleet) -> Result<(), String> {
+    let mut users = UserFleet::start(user, fleet).await?;
+    for percent in LEVELS {
+        latency(&users, percent).await?;
+    }
+    overload(&users).await?;
+    drains(&mut users).await?;
+    region_fails(&mut users).await?;
+    let UserFleet { fleet, daemons, operator, .. } = users;
+    drop((operator, daemons));
+    fleet.stop()
+}
+
+/// Latency of the first service at one level, four ways.
+async fn latency(users: &UserFleet, percent: u32) -> Result<(), String> {
+    println!("\nat {percent}% of capacity, {LOAD:?} each");
+    let demands = users.demands(percent);
+    users.reset().await?;
+    for (what, pick) in [("random", Pick::Random), ("least loaded", Pick::LeastLoaded)] {
+        let served = users.baseline(&demands, LOAD, pick).end().await?;
+        print_latency(what, &by_service(&served, 0));
+    }
+    users.reset().await?;
+    let served = users.load(&demands, LOAD, &format!("at{percent}")).end().await?;
+    let report = by_service(&served, 0);
+    print_latency("elmstream", &report);
+    let (waiting, twice) = users.exceeded().await?;
+    let slots: u32 = (0..users.user.regions.len()).map(|r| users.slots(r, 0)).sum();
+    let rate: u32 = demands.iter().filter(|d| d.service == 0).map(|d| d.per_second).sum();
+    let ideal = ideal::latencies(slots as usize, f64::from(rate), run_time());
+    println!(
+        "  ideal queue: p50 {} us, p99 {} us, p99.9 {} us; elmstream's p99 is {:.2} of it",
+        ideal.value_at_quantile(0.5),
+        ideal.value_at_quantile(0.99),
+        ideal.value_at_quantile(0.999),
+        report.latency.value_at_quantile(0.99) as f64 / ideal.value_at_quantile(0.99) as f64
+    );
+    println!("  slots exceeded by {waiting}, run twice {twice}, all services {}", all(&served));
+    Ok(())
+}
+
+/// The reports of one service, added.
+fn by_service(served: &[Served], service: usize) -> Report {
+    let mut sum = Report::default();
+    for served in served.iter().filter(|s| s.demand.service == service) {
+        sum.add(&served.report);
+    }
+    sum
+}
+
+/// Counts over all services.
+fn all(served: &[Served]) -> String {
+    let mut sum = Report::default();
+    for served in served {
+        sum.add(&served.report);
+    }
+    let Report { sent, whole, wrong, cut, failed, refused, .. } = sum;
+    format!(
+        "{whole} of {sent} whole, wrong {wrong}, cut {cut}, failed {failed}, refused {refused:?}"
+    )
+}
+
+fn print_latency(what: &str, report: &Report) {
+    let at = |quantile| report.latency.value_at_quantile(quantile);
+    println!(
+        "  {what}: whole {} of {}, p50 {} us, p99 {} us, p99.9 {} us, refused {:?}",
+        report.whole,
+        report.sent,
+        at(0.5),
+        at(0.99),
+        at(0.999),
+        report.refused
+    );
+}
+
+/// Demand at several times the capacity: goodput, and how fast the rest is
+/// refused.
+async fn overload(users: &UserFleet) -> Result<(), String> {
+    println!("\nat {OVERLOAD}% of capacity, {LOAD:?}");
+    users.reset().await?;
+    let served = users.load(&users.demands(OVERLOAD), LOAD, "over").end().await?;
+    for service in 0..users.user.services.len() {
+        let report = by_service(&served, service);
+        let capacity: u32 = (0..users.user.regions.len()).map(|r| users.capacity(r, service)).sum();
+        // The first second fills the queues, the last ones empty them.
+        let seconds = &report.seconds[1..report.seconds.len() - 1];
+        let whole: u64 = seconds.iter().map(|s| s.whole).sum();
+        let goodput = whole as f64 / seconds.len() as f64;
+        println!(
+            "  {}: {goodput:.0} of {capacity} a second whole ({:.1}%), p99 {} us; refusals p50 {} us, p99 {} us; {:?}",
+            users.user.services[service].0,
+            100.0 * goodput / f64::from(capacity),
+            report.latency.value_at_quantile(0.99),
+            report.refusals.value_at_quantile(0.5),
+            report.refusals.value_at_quantile(0.99),
+            report.refused
+        );
+    }
+    let (waiting, twice) = users.exceeded().await?;
+    println!("  slots exceeded by {waiting}, run twice {twice}, {}", all(&served));
+    Ok(())
+}
+
+/// Drains an instance, a failure domain and an entry host, in turn, under load.
+async fn drains(users: &mut UserFleet) -> Result<(), String> {
+    println!("\ndrains at {USUAL}% of capacity");
+    let load = users.load(&users.demands(USUAL), 3 * DRAIN_GAP, "drain");
+    compio::time::sleep(Duration::from_secs(1)).await;
+    let instance = users.instances(0, 0)[0];
+    let name = users.configuration.backend_servers[instance].name.clone();
+    drain(users, 1, "backend-server", &name, vec![instance]).await?;
+    let domain = users.user.domains()[2].clone();
+    let servers = users.configuration.backend_servers.iter().enumerate();
+    let in_domain = servers.filter(|(_, b)| b.failure_domain == domain).map(|(i, _)| i).collect();
+    drain(users, 2, "failure-domain", &domain, in_domain).await?;
+    let begin = Instant::now();
+    let host = 1;
+    users.daemons.signal(host, "-TERM").map_err(|e| e.to_string())?;
+    while users.daemons.ended(host).map_err(|e| e.to_string())?.is_none() {
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    println!("  an entry host stopped after {:?}", begin.elapsed());
+    let served = load.end().await?;
+    println!("  {}", all(&served));
+    Ok(())
+}
+
+/// Drains and tells when the last request began there after the acceptance.
+async fn drain(
+    users: &mut UserFleet,
+    revision: u64,
+    kind: &str,
+    name: &str,
+    servers: Vec<usize>,
+) -> Result<(), String> {
+    let reply = users.operator.drain(revision, kind, name).await?;
+    if reply.code != 0 {
+        return Err(reply.message);
+    }
+    let accepted = unix_ms();
+    compio::time::sleep(DRAIN_GAP).await;
+    let (mut last, mut in_flight) = (0, 0);
+    for index in servers {
+        let seen = users.fleet.seen(index).await.map_err(|e| e.to_string())?;
+        last = last.max(seen.last_begin_ms);
+        in_flight += seen.in_flight;
+    }
+    let late = last.saturating_sub(accepted);
+    println!("  {kind} {name}: last request {late} ms after the acceptance, {in_flight} left");
+    Ok(())
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Kills all entry hosts of the first region under load.
+async fn region_fails(users: &mut UserFleet) -> Result<(), String> {
+    println!("\nthe first region's hosts are killed at {USUAL}% of capacity, after {FAIL_AT:?}");
+    users.reset().await?;
+    let demands = users.demands(USUAL);
+    let load = users.load(&demands, FAILURE_LOAD, "fail");
+    compio::time::sleep(FAIL_AT).await;
+    for host in 0..HOSTS_EACH_REGION {
+        // One of them has left as planned before.
+        let _ = users.daemons.signal(host, "-KILL");
+    }
+    let served = load.end().await?;
+    for service in 0..users.user.services.len() {
+        let allowed = allowed_shift(users, service);
+        let of_region =
+            |region| move |s: &&Served| s.demand.region == region && s.demand.service == service;
+        let Some(failed) = served.iter().find(of_region(0)) else { continue };
+        let others: Vec<&Served> =
+            served.iter().filter(|s| s.demand.region != 0 && s.demand.service == service).collect();
+        let whole: Vec<u64> = failed.report.seconds.iter().map(|s| s.whole).collect();
+        let kept: u64 = others.iter().map(|s| s.report.whole).sum();
+        let sent: u64 = others.iter().map(|s| s.report.sent).sum();
+        println!(
+            "  {}: {} a second, allowed to shift {allowed}; whole by second {whole:?}; the other regions' own: {kept} of {sent}",
+            users.user.services[service].0, failed.demand.per_second
+        );
+    }
+    let (waiting, twice) = users.exceeded().await?;
+    println!("  slots exceeded by {waiting}, run twice {twice}, {}", all(&served));
+    Ok(())
+}
+
+/// Requests in a second that caps, headroom and the survivors' own demand
+/// leave for the first region.
+fn allowed_shift(users: &UserFleet, service: usize) -> u32 {
+    let c = &users.configuration;
+    let policy = &c.services[service];
+    let name = |region: usize| users.user.regions[region];
+    let room = |region: usize| {
+        let usable = policy.load_limit_percent.saturating_sub(policy.headroom_percent);
+        let free = users.capacity(region, service) * usable.saturating_sub(USUAL) / 100;
+        let cap = c.shift_caps.iter().find(|cap| {
+            cap.service == policy.name && cap.from == name(0) && cap.to == name(region)
+        });
+        free.min(cap.map_or(0, |cap| cap.per_second))
+    };
+    (1..users.user.regions.len()).map(room).sum()
+}
--- a/elmstream_bench/src/trial.rs
+++ b/elmstream_bench/src/trial.rs
@@ -83,13 +83,13 @@
 fn start_loads(fleet: &Fleet) -> Vec<(&'static str, Loading)> {
     let load = |service: &str, per_second, method, body_bytes| Load {
         ask: fleet.callers(),
-        targets: Vec::new(),
         service: service.into(),
         per_second,
         duration: LOAD,
         method,
         body_bytes,
         prefix: service.into(),
+        ..Load::default()
     };
     let plans = [
         ("reads", load("status", 300, Method::GET, 0)),
--- /dev/null
+++ b/elmstream_bench/src/users.rs
@@ -0,0 +1,263 @@
+//! A user's fleet of today: twelve entry hosts as processes, the user's
+//! instances as stand-ins, and callers in each region.
+
+use std::{
+    env,
+    net::{IpAddr, Ipv4Addr},
+    path::PathBuf,
+    thread,
+    time::Duration,
+};
+
+use compio::runtime::Runtime;
+use elmstream_config::{Configuration, document::Site};
+use elmstream_standin::{
+    backend::Behaviour,
+    caller::{self, Load},
+    report::Report,
+    target::Pick,
+};
+use futures_util::future::join_all;
+use http::Method;
+
+use crate::{
+    fleet::Fleet,
+    operator::{Operator, in_force, slots},
+    process::Daemons,
+    sizes::{SLOTS, User},
+};
+
+/// Entry hosts in each failure domain.
+const HOSTS_EACH: usize = 2;
+/// Mean time that an instance runs a request, in milliseconds.
+const RUN_MS: u64 = 100;
+/// Time for a state to come about.
+const WAIT: Duration = Duration::from_secs(20);
+/// Callers that share a region's load in the baselines, one for each of the
+/// region's entry hosts.
+const BASELINE_CALLERS: u32 = 4;
+
+/// The running fleet.
+pub struct UserFleet {
+    /// The user.
+    pub user: User,
+    /// Stand-ins and settings.
+    pub fleet: Fleet,
+    /// The daemons; the hosts of region *r* are numbers 4*r* to 4*r* + 3.
+    pub daemons: Daemons,
+    /// The operator's session, with a host of the last region.
+    pub operator: Operator,
+    /// The configuration in force.
+    pub configuration: Configuration,
+}
+
+/// A load on one service from one region.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    /// Index of the region.
+    pub region: usize,
+    /// Index of the service.
+    pub service: usize,
+    /// Requests in a second.
+    pub per_second: u32,
+}
+
+/// A demand and what became of it.
+pub struct Served {
+    /// The demand.
+    pub demand: Demand,
+    /// The callers' report.
+    pub report: Report,
+}
+
+/// The mean run time.
+pub fn run_time() -> Duration {
+    Duration::from_millis(RUN_MS)
+}
+
+/// The IP number that a region's callers send from.
+fn source(region: usize) -> IpAddr {
+    Ipv4Addr::new(127, 200 + region as u8, 0, 1).into()
+}
+
+impl UserFleet {
+    /// Starts everything and waits until each instance has an owner.
+    pub async fn start(user: User, mut fleet: Fleet) -> Result<UserFleet, String> {
+        let behaviour = instance();
+        let mut configuration =
+            user.configuration(|name| fleet.add_backend(name, behaviour.clone()));
+        configuration.sites = sites(&user);
+        let program = daemon()?;
+        let mut daemons = Daemons::default();
+        for domain in user.domains() {
+            for number in 1..=HOSTS_EACH {
+                let name = format!("{domain}-{number}");
+                let started = daemons.start(&mut fleet, &program, &name, &domain);
+                started.map_err(|e| e.to_string())?;
+            }
+        }
+        fleet.list(&fleet.host_list(&[])).await.map_err(|e| e.to_string())?;
+        let hosts = fleet.hosts.len();
+        let mut operator = Operator::connect(&fleet, hosts - 1).await?;
+        let reply = operator.apply(0, &configuration).await?;
+        if reply.code != 0 {
+            return Err(reply.message);
+        }
+        operator.wait(WAIT, "revision 1 in force", |s| in_force(s, 1, hosts)).await?;
+        let all: u32 = configuration.backend_servers.iter().map(|b| b.slots).sum();
+        operator.wait(WAIT, "owners for all", |s| slots(s) == all).await?;
+        Ok(UserFleet { user, fleet, daemons, operator, configuration })
+    }
+
+    /// Indexes of the instances of a service in a region.
+    pub fn instances(&self, region: usize, service: usize) -> Vec<usize> {
+        let name = self.user.services[service].0;
+        let region = self.user.regions[region];
+        let servers = self.configuration.backend_servers.iter().enumerate();
+        let here =
+            servers.filter(|(_, b)| b.service == name && b.failure_domain.starts_with(region));
+        here.map(|(index, _)| index).collect()
+    }
+
+    /// Slots of a service in a region.
+    pub fn slots(&self, region: usize, service: usize) -> u32 {
+        self.instances(region, service).len() as u32 * SLOTS
+    }
+
+    /// Requests in a second that all slots of a service in a region carry.
+    pub fn capacity(&self, region: usize, service: usize) -> u32 {
+        self.slots(region, service) * 1_000 / RUN_MS as u32
+    }
+
+    /// Demand on everything at a share of its capacity.
+    pub fn demands(&self, percent: u32) -> Vec<Demand> {
+        let pairs = (0..self.user.regions.len())
+            .flat_map(|region| (0..self.user.services.len()).map(move |service| (region, service)));
+        pairs
+            .map(|(region, service)| {
+                let per_second = self.capacity(region, service) * percent / 100;
+                Demand { region, service, per_second }
+            })
+            .collect()
+    }
+
+    /// Begins a load by look-ups through the entry hosts.
+    pub fn load(&self, demands: &[Demand], duration: Duration, prefix: &str) -> Loading {
+        let ask: Vec<_> = self.fleet.hosts.iter().map(|h| h.settings.listen.callers).collect();
+        let load =
+            |demand: &Demand| Load { ask: ask.clone(), ..self.plan(demand, duration, prefix) };
+        Loading::start(demands.iter().map(|d| (d.clone(), vec![load(d)])).collect())
+    }
+
+    /// Begins a load straight to the region's instances, without elmstream.
+    pub fn baseline(&self, demands: &[Demand], duration: Duration, pick: Pick) -> Loading {
+        let loads = |demand: &Demand| {
+            let instances = self.instances(demand.region, demand.service);
+            let targets = instances.iter().map(|&i| self.fleet.backends[i].address).collect();
+            let load = Load { targets, pick, ..self.plan(demand, duration, "baseline") };
+            let per_second = (demand.per_second / BASELINE_CALLERS).max(1);
+            let part =
+                |n| Load { per_second, prefix: format!("{n}-{}", load.prefix), ..load.clone() };
+            (demand.clone(), (0..BASELINE_CALLERS).map(part).collect())
+        };
+        Loading::start(demands.iter().map(loads).collect())
+    }
+
+    fn plan(&self, demand: &Demand, duration: Duration, prefix: &str) -> Load {
+        Load {
+            service: self.user.services[demand.service].0.into(),
+            per_second: demand.per_second,
+            duration,
+            method: if demand.service == 0 { Method::GET } else { Method::POST },
+            body_bytes: if demand.service == 0 { 0 } else { 200 },
+            prefix: format!("{prefix}-{}-{}", demand.region, demand.service),
+            source: Some(source(demand.region)),
+            ..Load::default()
+        }
+    }
+
+    /// Forgets the most that each instance saw waiting.
+    pub async fn reset(&self) -> Result<(), String> {
+        for index in 0..self.fleet.backends.len() {
+            self.fleet.behave(index, &instance()).await.map_err(|e| e.to_string())?;
+        }
+        Ok(())
+    }
+
+    /// Requests that came when all slots of their instance were in use, at
+    /// most at a time; and requests that ran twice.
+    pub async fn exceeded(&self) -> Result<(u32, u64), String> {
+        let (mut waiting, mut ids) = (0, std::collections::HashMap::new());
+        for index in 0..self.fleet.backends.len() {
+            let seen = self.fleet.seen(index).await.map_err(|e| e.to_string())?;
+            waiting = waiting.max(seen.waiting_max);
+            for (id, runs) in seen.ids {
+                *ids.entry(id).or_insert(0) += runs;
+            }
+        }
+        let twice = ids.values().filter(|runs| **runs > 1).count() as u64;
+        Ok((waiting, twice))
+    }
+}
+
+/// Loads under way, a thread for each region.
+pub struct Loading(Vec<thread::JoinHandle<Result<Vec<Served>, String>>>);
+
+impl Loading {
+    fn start(loads: Vec<(Demand, Vec<Load>)>) -> Loading {
+        let regions = loads.iter().map(|(d, _)| d.region).max().map_or(0, |r| r + 1);
+        let of_region = |region| {
+            let here = loads.iter().filter(|(d, _)| d.region == region).cloned().collect();
+            thread::spawn(move || run_loads(here))
+        };
+        Loading((0..regions).map(of_region).collect())
+    }
+
+    /// Waits for the end of all, without holding up this thread's tasks.
+    pub async fn end(self) -> Result<Vec<Served>, String> {
+        while !self.0.iter().all(thread::JoinHandle::is_finished) {
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let mut served = Vec::new();
+        for thread in self.0 {
+            served.extend(thread.join().map_err(|_| "a load panicked")??);
+        }
+        Ok(served)
+    }
+}
+
+fn run_loads(loads: Vec<(Demand, Vec<Load>)>) -> Result<Vec<Served>, String> {
+    let runtime = Runtime::new().map_err(|e| e.to_string())?;
+    let one = async |(demand, loads): (Demand, Vec<Load>)| {
+        let mut report = Report::default();
+        for part in join_all(loads.into_iter().map(caller::run)).await {
+            report.add(&part);
+        }
+        Served { demand, report }
+    };
+    Ok(runtime.block_on(join_all(loads.into_iter().map(one))))
+}
+
+/// How an instance behaves.
+fn instance() -> Behaviour {
+    Behaviour { run_ms: RUN_MS, exponential: true, slots: SLOTS, ..Behaviour::default() }
+}
+
+/// One site for the callers of each region.
+fn sites(user: &User) -> Vec<Site> {
+    let site = |(index, region): (usize, &&str)| Site {
+        name: format!("{region}-callers"),
+        home_region: (*region).into(),
+        blocks: vec![format!("{}/32", source(index)).parse().expect("the block is valid")],
+    };
+    user.regions.iter().enumerate().map(site).collect()
+}
+
+/// The daemon beside this program.
+fn daemon() -> Result<PathBuf, String> {
+    let program = env::current_exe().map_err(|e| e.to_string())?.with_file_name("elmstreamd");
+    match program.exists() {
+        true => Ok(program),
+        false => Err("build the daemon first: cargo build --release -p elmstreamd".into()),
+    }
+}
--- a/elmstream_standin/src/backend.rs
+++ b/elmstream_standin/src/backend.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     io,
     rc::Rc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -14,6 +14,7 @@
     BoxError, LocalBody, Stop, body,
     server::{self, Cut},
 };
+use futures_channel::oneshot;
 use futures_util::StreamExt;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -31,6 +32,8 @@
 const REQUEST_ID: &str = "elmstream-request-id";
 /// Header that says that the request was not run.
 const SHED: &str = "elmstream-shed";
+/// Microseconds in a millisecond.
+const MILLI: u64 = 1_000;
 /// Longest time that a request runs, in milliseconds.
 const WORK_MAX_MS: u64 = 3_600_000;
 /// Bytes of an answer that is cut.
@@ -46,6 +49,10 @@
 pub struct Behaviour {
     /// Time to run a request, in milliseconds.
     pub run_ms: u64,
+    /// Draws each request's time from an exponential distribution of that mean.
+    pub exponential: bool,
+    /// Requests that run at a time, more wait their turn; 0 is no bound.
+    pub slots: u32,
     /// Refuses every request as not run.
     pub shed: bool,
     /// Cuts answers in the middle.
@@ -67,6 +74,8 @@
     pub in_flight_max: u32,
     /// Requests that run now.
     pub in_flight: u32,
+    /// Most requests that waited for a slot at a time.
+    pub waiting_max: u32,
     /// Requests refused because their deadline had passed.
     pub after_deadline: u64,
     /// Requests whose caller's id was run already, here.
@@ -81,6 +90,38 @@
 struct State {
     behaviour: RefCell<Behaviour>,
     seen: RefCell<Seen>,
+    /// Requests that wait for a slot, first come first served.
+    waiting: RefCell<VecDeque<oneshot::Sender<()>>>,
+}
+
+impl State {
+    /// Waits for a slot, if the behaviour bounds them.
+    async fn wait_for_slot(&self, slots: u32) {
+        let is_free = slots == 0 || self.seen.borrow().in_flight < slots;
+        if is_free {
+            return;
+        }
+        let _ = self.queue().await;
+    }
+
+    /// Takes a place in the queue.
+    fn queue(&self) -> oneshot::Receiver<()> {
+        let (waker, woken) = oneshot::channel();
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.push_back(waker);
+        let mut seen = self.seen.borrow_mut();
+        seen.waiting_max = seen.waiting_max.max(waiting.len() as u32);
+        woken
+    }
+
+    /// Wakes the first of those who wait and are still there.
+    fn wake_next(&self) {
+        while let Some(waker) = self.waiting.borrow_mut().pop_front() {
+            if waker.send(()).is_ok() {
+                return;
+            }
+        }
+    }
 }
 
 /// Counts a request as in flight until it is dropped, also when it is cut.
@@ -100,6 +141,7 @@
 impl Drop for Running {
     fn drop(&mut self) {
         self.0.seen.borrow_mut().in_flight -= 1;
+        self.0.wake_next();
     }
 }
 
@@ -137,6 +179,7 @@
     match reply::read(request.into_body()).await {
         Some(behaviour) => {
             *state.behaviour.borrow_mut() = behaviour;
+            state.seen.borrow_mut().waiting_max = 0;
             reply::status(StatusCode::NO_CONTENT)
         }
         None => reply::status(StatusCode::BAD_REQUEST),
@@ -144,7 +187,7 @@
 }
 
 fn load(state: &State) -> Response<LocalBody> {
-    let true_load = state.seen.borrow().in_flight;
+    let true_load = state.seen.borrow().in_flight + state.waiting.borrow().len() as u32;
     let told = state.behaviour.borrow().false_load.unwrap_or(true_load);
     reply::json(StatusCode::OK, &serde_json::json!({ "in_flight": told }))
 }
@@ -159,6 +202,7 @@
     if behaviour.shed {
         return Ok(refuse());
     }
+    state.wait_for_slot(behaviour.slots).await;
     let begin_by = [BEGIN_BY, DEADLINE].map(|name| moment(&parts.headers, name));
     if begin_by.into_iter().flatten().any(|moment| moment < unix_ms()) {
         state.seen.borrow_mut().after_deadline += 1;
@@ -190,12 +234,22 @@
     let left = deadline.map_or(u64::MAX / 2, |deadline| deadline.saturating_sub(unix_ms()));
     let run = match behaviour.hung {
         true => u64::MAX / 2,
-        false => behaviour.run_ms + behaviour.late_ms,
+        false => run_time(behaviour) + behaviour.late_ms * MILLI,
     };
-    compio::time::sleep(Duration::from_millis(run.min(left).min(WORK_MAX_MS))).await;
+    let left = left.saturating_mul(MILLI);
+    compio::time::sleep(Duration::from_micros(run.min(left).min(WORK_MAX_MS * MILLI))).await;
     run <= left
 }
 
+/// The time that one request runs, in microseconds.
+fn run_time(behaviour: &Behaviour) -> u64 {
+    let mean = behaviour.run_ms * MILLI;
+    match behaviour.exponential {
+        true => (-(1.0 - rand::random::<f64>()).ln() * mean as f64) as u64,
+        false => mean,
+    }
+}
+
 /// The answer to a request that is not run.
 fn refuse() -> Response<LocalBody> {
     let mut response = reply::status(StatusCode::SERVICE_UNAVAILABLE);
--- a/elmstream_standin/src/caller.rs
+++ b/elmstream_standin/src/caller.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -16,7 +16,10 @@
 use serde::Deserialize;
 use sha2::{Digest, Sha256};
 
-use crate::report::Report;
+use crate::{
+    report::Report,
+    target::{Pick, Targets},
+};
 
 /// Time to open a connection.
 const CONNECT: Duration = Duration::from_secs(2);
@@ -25,6 +28,9 @@
 /// Time that requests in flight get at the end of a load.
 const FINISH: Duration = Duration::from_secs(10);
 
+/// Time between two rounds of asking targets for their loads.
+const LOADS_INTERVAL: Duration = Duration::from_millis(500);
+
 /// What to send.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -44,6 +50,27 @@
     pub body_bytes: usize,
     /// Prefix of the requests' ids.
     pub prefix: String,
+    /// The IP number that it sends from, if one is to be bound.
+    pub source: Option<IpAddr>,
+    /// How targets are chosen.
+    pub pick: Pick,
+}
+
+impl Default for Load {
+    fn default() -> Load {
+        Load {
+            ask: Vec::new(),
+            targets: Vec::new(),
+            service: String::new(),
+            per_second: 100,
+            duration: Duration::from_secs(5),
+            method: http::Method::GET,
+            body_bytes: 0,
+            prefix: String::new(),
+            source: None,
+            pick: Pick::default(),
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -67,9 +94,10 @@
 /// State of one load.
 struct Caller {
     load: Load,
+    begin: Instant,
     report: RefCell<Report>,
     idle: RefCell<HashMap<SocketAddr, Vec<SendRequest<LocalBody>>>>,
-    targets: RefCell<Vec<SocketAddr>>,
+    targets: Targets,
     payload: Bytes,
     digest: String,
 }
@@ -79,19 +107,22 @@
     let payload = Bytes::from(vec![b'x'; load.body_bytes]);
     let digest = Sha256::digest(&payload).iter().map(|byte| format!("{byte:02x}")).collect();
     let caller = Rc::new(Caller {
-        targets: RefCell::new(load.targets.clone()),
+        targets: Targets::new(load.pick, &load.targets),
         load,
+        begin: Instant::now(),
         report: RefCell::default(),
         idle: RefCell::default(),
         payload,
         digest,
     });
     let looking = compio::runtime::spawn(keep_looking_up(caller.clone()));
+    let asking = compio::runtime::spawn(keep_asking(caller.clone()));
     if !caller.load.ask.is_empty() {
         wait_for_targets(&caller).await;
     }
     send_all(&caller).await;
     drop(looking);
+    drop(asking);
     let end = Instant::now() + FINISH;
     while Rc::strong_count(&caller) > 1 && Instant::now() < end {
         compio::time::sleep(Duration::from_millis(10)).await;
@@ -117,7 +148,7 @@
 
 async fn wait_for_targets(caller: &Rc<Caller>) {
     let end = Instant::now() + CONNECT;
-    while caller.targets.borrow().is_empty() && Instant::now() < end {
+    while caller.targets.is_empty() && Instant::now() < end {
         compio::time::sleep(Duration::from_millis(5)).await;
     }
 }
@@ -128,10 +159,10 @@
     while !caller.load.ask.is_empty() {
         let ask = caller.load.ask[turn % caller.load.ask.len()];
         turn += 1;
-        let pause = match lookup(ask, &caller.load.service).await {
+        let pause = match lookup(&caller.load, ask).await {
             Some(answer) => {
-                let hosts = answer.entry_hosts.iter().map(|h| h.callers).collect();
-                *caller.targets.borrow_mut() = hosts;
+                let hosts: Vec<_> = answer.entry_hosts.iter().map(|h| h.callers).collect();
+                caller.targets.replace(&hosts);
                 answer.ttl_ms
             }
             None => 100,
@@ -140,9 +171,17 @@
     }
 }
 
-async fn lookup(ask: SocketAddr, service: &str) -> Option<Lookup> {
-    let mut sender = client::connect(ask, CONNECT).await.ok()?;
-    let uri = format!("/v1/lookup?service={service}");
+/// Asks the targets for their loads, again and again.
+async fn keep_asking(caller: Rc<Caller>) {
+    loop {
+        caller.targets.ask_loads().await;
+        compio::time::sleep(LOADS_INTERVAL).await;
+    }
+}
+
+async fn lookup(load: &Load, ask: SocketAddr) -> Option<Lookup> {
+    let mut sender = client::connect_from(load.source, ask, CONNECT).await.ok()?;
+    let uri = format!("/v1/lookup?service={}", load.service);
     let request = Request::get(uri).header("host", ask.to_string()).body(body::empty()).ok()?;
     let response = sender.send_request(request).await.ok()?;
     let bytes = response.into_body().collect().await.ok()?.to_bytes();
@@ -164,6 +203,7 @@
         let trying = compio::time::timeout(PATIENCE, self.attempt(number));
         let ended = trying.await.unwrap_or(Ended::Failed);
         let mut report = self.report.borrow_mut();
+        report.ended_at(due - self.begin, matches!(ended, Ended::Whole));
         match ended {
             Ended::Whole => {
                 report.whole += 1;
@@ -171,17 +211,16 @@
             }
             Ended::Wrong => report.wrong += 1,
             Ended::Cut => report.cut += 1,
-            Ended::Refused(code) => *report.refused.entry(code).or_default() += 1,
+            Ended::Refused(code) => {
+                *report.refused.entry(code).or_default() += 1;
+                let _ = report.refusals.record(due.elapsed().as_micros() as u64);
+            }
             Ended::Failed => report.failed += 1,
         }
     }
 
     async fn attempt(&self, number: u64) -> Ended {
-        let targets = self.targets.borrow().clone();
-        if targets.is_empty() {
-            return Ended::Failed;
-        }
-        let target = targets[number as usize % targets.len()];
+        let Some(target) = self.targets.next() else { return Ended::Failed };
         let id = format!("{}-{number}", self.load.prefix);
         let Some(mut sender) = self.sender(target).await else { return Ended::Failed };
         let request = self.request(target, &id);
@@ -202,7 +241,10 @@
                         return Some(sender);
                     }
                 }
-                None => return client::connect(target, CONNECT).await.ok(),
+                None => {
+                    let source = self.load.source;
+                    return client::connect_from(source, target, CONNECT).await.ok();
+                }
             }
         }
     }
--- a/elmstream_standin/src/lib.rs
+++ b/elmstream_standin/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod platform;
 pub mod reply;
 pub mod report;
+pub mod target;
--- a/elmstream_standin/src/main.rs
+++ b/elmstream_standin/src/main.rs
@@ -86,6 +86,7 @@
                 method: if post { http::Method::POST } else { http::Method::GET },
                 body_bytes,
                 prefix: format!("{:x}", std::process::id()),
+                ..Load::default()
             };
             let report = caller::run(load).await;
             println!("{}", serde_json::to_string_pretty(&report.summary())?);
--- a/elmstream_standin/src/report.rs
+++ b/elmstream_standin/src/report.rs
@@ -1,6 +1,6 @@
 //! What a loading caller saw.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -22,6 +22,19 @@
     pub failed: u64,
     /// Latency of whole answers, from the planned start, in microseconds.
     pub latency: Histogram<u64>,
+    /// Time until a refusal, from the planned start, in microseconds.
+    pub refusals: Histogram<u64>,
+    /// By the second in which requests were due.
+    pub seconds: Vec<Second>,
+}
+
+/// Requests that were due in one second of a load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Second {
+    /// Those that have ended.
+    pub ended: u64,
+    /// Those with a whole answer of their own.
+    pub whole: u64,
 }
 
 /// A report in numbers, for printing.
@@ -54,7 +67,8 @@
 
 impl Default for Report {
     fn default() -> Report {
-        let latency = Histogram::new_with_max(LATENCY_MAX, DIGITS);
+        let histogram =
+            || Histogram::new_with_max(LATENCY_MAX, DIGITS).expect("the bounds are valid");
         Report {
             sent: 0,
             whole: 0,
@@ -62,12 +76,45 @@
             cut: 0,
             wrong: 0,
             failed: 0,
-            latency: latency.expect("the bounds of the histogram are valid"),
+            latency: histogram(),
+            refusals: histogram(),
+            seconds: Vec::new(),
         }
     }
 }
 
 impl Report {
+    /// Counts a request by the time after the load's begin when it was due.
+    pub fn ended_at(&mut self, due: Duration, whole: bool) {
+        let second = due.as_secs() as usize;
+        if self.seconds.len() <= second {
+            self.seconds.resize(second + 1, Second::default());
+        }
+        self.seconds[second].ended += 1;
+        self.seconds[second].whole += u64::from(whole);
+    }
+
+    /// Adds another load's report of the same time.
+    pub fn add(&mut self, other: &Report) {
+        self.sent += other.sent;
+        self.whole += other.whole;
+        self.cut += other.cut;
+        self.wrong += other.wrong;
+        self.failed += other.failed;
+        for (code, count) in &other.refused {
+            *self.refused.entry(*code).or_default() += count;
+        }
+        // Both have the same bounds, so that adding cannot fail.
+        let _ = self.latency.add(&other.latency);
+        let _ = self.refusals.add(&other.refusals);
+        let length = self.seconds.len().max(other.seconds.len());
+        self.seconds.resize(length, Second::default());
+        for (sum, second) in self.seconds.iter_mut().zip(&other.seconds) {
+            sum.ended += second.ended;
+            sum.whole += second.whole;
+        }
+    }
+
     /// The report in numbers.
     pub fn summary(&self) -> Summary {
         Summary {
--- a/elmstreamd/tests/processes.rs
+++ b/elmstreamd/tests/processes.rs
@@ -1,9 +1,12 @@
 //! Kills, freezes and planned stops of real processes.
 
+#[allow(dead_code)]
+mod support;
+
 use std::{
-    env, fs, io,
-    path::PathBuf,
-    process::{self, Child, Command, Stdio},
+    env, fs,
+    path::{Path, PathBuf},
+    process,
     sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
@@ -12,6 +15,7 @@
 use elmstream_bench::{
     fleet::{Fleet, send},
     operator::Operator,
+    process::Daemons,
     small,
 };
 use elmstream_config::Configuration;
@@ -32,17 +36,14 @@
 /// Daemons as processes. They are killed when this is dropped.
 struct Processes {
     fleet: Option<Fleet>,
-    children: Vec<Child>,
+    daemons: Daemons,
     operator: Operator,
     folder: PathBuf,
 }
 
 impl Drop for Processes {
     fn drop(&mut self) {
-        for child in &mut self.children {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.daemons = Daemons::default();
         if let Some(fleet) = self.fleet.take() {
             let _ = fleet.stop();
         }
@@ -69,6 +70,7 @@
         hosts: &[(&str, &str)],
         change: impl FnOnce(&mut Configuration),
     ) -> Processes {
+        support::show_panics();
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let folder =
@@ -76,32 +78,21 @@
         let mut fleet = Fleet::new(&folder).unwrap();
         let mut configuration = small::configuration(&mut fleet);
         change(&mut configuration);
-        let spawn = |file: &std::path::Path| -> io::Result<Child> {
-            let log = fs::File::create(file.with_extension("log"))?;
-            let daemon = env!("CARGO_BIN_EXE_elmstreamd");
-            Command::new(daemon)
-                .arg("--settings")
-                .arg(file)
-                .stdin(Stdio::null())
-                .stderr(log)
-                .spawn()
-        };
-        let start =
-            |&(name, domain): &(&str, &str)| fleet.add_process(name, domain, spawn).unwrap();
-        let children = hosts.iter().map(start).collect();
+        let mut daemons = Daemons::default();
+        let program = Path::new(env!("CARGO_BIN_EXE_elmstreamd"));
+        for (name, domain) in hosts {
+            daemons.start(&mut fleet, program, name, domain).unwrap();
+        }
         let operator = small::make_ready(&fleet, &configuration).await.unwrap();
-        Processes { fleet: Some(fleet), children, operator, folder }
+        Processes { fleet: Some(fleet), daemons, operator, folder }
     }
 
     fn fleet(&self) -> &Fleet {
         self.fleet.as_ref().unwrap()
     }
 
-    /// Sends a signal to one of the processes that this test has started.
     fn signal(&self, host: usize, name: &str) {
-        let id = self.children[host].id().to_string();
-        let sent = Command::new("kill").args([name, &id]).status().unwrap();
-        assert!(sent.success());
+        self.daemons.signal(host, name).unwrap();
     }
 
     /// Waits until none of a host's servers is named as its own any more.
@@ -213,20 +204,20 @@
         let (victim, service) = processes.owner().await;
         let load = Load {
             ask: processes.fleet().hosts.iter().map(|h| h.settings.listen.callers).collect(),
-            targets: Vec::new(),
             service: service.into(),
             per_second: 100,
             duration: Duration::from_secs(5),
             method: Method::POST,
             body_bytes: 1_000,
             prefix: "stop".into(),
+            ..Load::default()
         };
         let loading = compio::runtime::spawn(caller::run(load));
         compio::time::sleep(Duration::from_secs(1)).await;
         processes.signal(victim, "-TERM");
         let summary = loading.await.unwrap().summary();
         assert_eq!(summary.whole, summary.sent, "{summary:?}");
-        let status = processes.children[victim].wait().unwrap();
+        let status = processes.daemons.wait(victim).unwrap();
         assert_eq!(status.code(), Some(0));
     });
 }
@@ -271,7 +262,6 @@
             hosts.iter().map(address).collect::<Vec<_>>()
         };
         let load = |prefix: &str, seconds, targets| Load {
-            ask: Vec::new(),
             targets,
             service: "status".into(),
             per_second: DEMAND,
@@ -279,6 +269,7 @@
             method: Method::POST,
             body_bytes: 10,
             prefix: prefix.into(),
+            ..Load::default()
         };
         // Callers use the south's entry hosts, so that only the servers' region
         // fails for them, and none of their own connections.
