Gather what became of a push, and run 100 daemons

Cause: with 100 daemons "in force on all" was never known at the asked host, as hosts of other regions send it no heartbeats (a run ended after 60 s); and with 12 it was known after 0.50 s only, by the next heartbeats. Change: a host answers a push once those below it have answered, with the names that are missing; the accepting host pushes again to these, and to hosts that the platform's list has named since. Status takes a revision from these answers too, and counts a listed host of which nothing is known as live.

--- a/elmstream_proto/src/peer.rs
+++ b/elmstream_proto/src/peer.rs
@@ -45,8 +45,8 @@
     Heartbeat(HeartbeatReply),
     /// To a fence.
     Fence(FenceReply),
-    /// To a push: the revision in force.
-    Pushed(u64),
+    /// To a push, once the hosts that it was passed on to have answered.
+    Pushed(Pushed),
     /// To a fetch.
     Configuration(Option<Revision>),
     /// To a request: it has a slot, the body may follow.
@@ -88,6 +88,15 @@
     pub pass_on: Vec<Name>,
 }
 
+/// What became of a push at a host and those that it passed it on to.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Pushed {
+    /// The revision in force at the host itself.
+    pub revision: u64,
+    /// Hosts of those below it that did not say that they took it.
+    pub missing: Vec<Name>,
+}
+
 /// A header.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Header {
--- a/elmstreamd/src/configuration.rs
+++ b/elmstreamd/src/configuration.rs
@@ -4,14 +4,15 @@
 //! the object store and never changes. A change is accepted once the swap of
 //! the head row has been read back as ours.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{collections::HashSet, rc::Rc, sync::Arc, time::Duration};
 
 use elmstream::{code::Code, id::Name, steward::WriteOutcome};
 use elmstream_config::{
     Configuration, compile,
     difference::{self, Edit},
 };
-use elmstream_proto::peer::{Open, Push, Reply, Revision};
+use elmstream_proto::peer::{Open, Push, Pushed, Reply, Revision};
+use futures_util::future::join_all;
 use serde::{Deserialize, Serialize};
 
 use crate::{audit, clock, daemon::Daemon, platform::Versioned};
@@ -20,8 +21,12 @@
 const HEAD: &str = "config/head";
 /// Hosts that a host passes a push on to.
 const PUSH_FANOUT: usize = 8;
-/// Time for one push or fetch.
-const PUSH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for a push at each level of the tree, and for a fetch.
+const PUSH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Rounds in which a revision is pushed to hosts that did not answer.
+const PUSH_TRIES: u32 = 5;
+/// Pause between two of them.
+const PUSH_PAUSE: Duration = Duration::from_millis(500);
 /// Former changes that the head row names.
 const RECENT: usize = 16;
 /// Tries to learn what became of a write.
@@ -168,40 +173,97 @@
     taken
 }
 
-/// Spreads a revision over the live hosts, along a tree.
-pub fn push(daemon: &Rc<Daemon>, revision: u64, edits: &[Edit]) {
-    let edits = serde_json::to_string(edits).unwrap_or_default();
-    let hosts = daemon.live_peers();
-    pass_on(daemon, revision, &edits, &hosts);
+/// What is known of how far a revision has spread from this host.
+#[derive(Clone, Debug, Default)]
+pub struct Spread {
+    /// The revision; 0 is none.
+    pub revision: u64,
+    /// Hosts that have said that it is in force there.
+    pub taken: HashSet<Name>,
 }
 
-/// Sends a push to a few hosts, each with a part of the others to pass it to.
-fn pass_on(daemon: &Rc<Daemon>, revision: u64, edits: &str, hosts: &[Name]) {
-    let heads = hosts.len().min(PUSH_FANOUT);
-    for (index, name) in hosts[..heads].iter().enumerate() {
-        let rest = hosts[heads..].iter().skip(index).step_by(PUSH_FANOUT);
-        let open = Open::Push(Push {
-            revision,
-            edits: edits.to_owned(),
-            pass_on: rest.cloned().collect(),
-        });
-        let (daemon, name) = (daemon.clone(), name.clone());
-        compio::runtime::spawn(async move {
-            let Some(address) = daemon.peer_address(&name) else { return };
-            let sent = daemon.peers.exchange(&name, address, &open, PUSH_TIMEOUT).await;
-            if let (Err(code), Open::Push(push)) = (sent, open) {
-                log::warn!(host:% = name, code = code.number(); "a push did not arrive");
-                pass_on(&daemon, push.revision, &push.edits, &push.pass_on);
+impl Spread {
+    /// Notes hosts that took a revision; tells whether it is still the last.
+    fn took(&mut self, revision: u64, hosts: Vec<Name>) -> bool {
+        let is_last = self.revision == revision;
+        if is_last {
+            self.taken.extend(hosts);
+        }
+        is_last
+    }
+}
+
+/// Spreads a revision over the hosts that may be live, along a tree, and again
+/// to those that did not answer.
+fn push(daemon: &Rc<Daemon>, revision: u64, edits: &[Edit]) {
+    let edits: Rc<str> = serde_json::to_string(edits).unwrap_or_default().into();
+    let daemon = daemon.clone();
+    let here = daemon.settings.name.as_str().into();
+    *daemon.spread.borrow_mut() = Spread { revision, taken: HashSet::from([here]) };
+    compio::runtime::spawn(async move {
+        for _ in 0..PUSH_TRIES {
+            // The host list may name others by now.
+            let mut hosts = daemon.live_peers();
+            hosts.retain(|name| !daemon.spread.borrow().taken.contains(name));
+            let missing = pass_on(&daemon, revision, &edits, &hosts).await;
+            hosts.retain(|name| !missing.contains(name));
+            if !daemon.spread.borrow_mut().took(revision, hosts) {
+                return;
             }
-        })
-        .detach();
+            compio::time::sleep(PUSH_PAUSE).await;
+        }
+    })
+    .detach();
+}
+
+/// Sends a push to a few hosts, each with a part of the others to pass it to;
+/// gives those that did not say that they took it.
+async fn pass_on(daemon: &Rc<Daemon>, revision: u64, edits: &str, hosts: &[Name]) -> Vec<Name> {
+    let heads = hosts.len().min(PUSH_FANOUT);
+    let branches = hosts[..heads].iter().enumerate().map(|(index, head)| {
+        let below = hosts[heads..].iter().skip(index).step_by(PUSH_FANOUT);
+        let push = Push { revision, edits: edits.to_owned(), pass_on: below.cloned().collect() };
+        push_to(daemon, head, push)
+    });
+    join_all(branches).await.concat()
+}
+
+/// Sends one push; if the host does not answer, passes it on in its place.
+async fn push_to(daemon: &Rc<Daemon>, head: &Name, push: Push) -> Vec<Name> {
+    let Some(address) = daemon.peer_address(head) else { return vec![head.clone()] };
+    let within = PUSH_TIMEOUT * levels(push.pass_on.len());
+    let open = Open::Push(push);
+    let reply = daemon.peers.exchange(head, address, &open, within).await;
+    let Open::Push(Push { revision, edits, pass_on: below }) = open else { return Vec::new() };
+    match reply {
+        Ok(Reply::Pushed(pushed)) => {
+            let mut missing = pushed.missing;
+            missing.extend((pushed.revision < revision).then(|| head.clone()));
+            missing
+        }
+        _ => {
+            log::warn!(host:% = head; "a push did not arrive");
+            let mut missing = Box::pin(pass_on(daemon, revision, &edits, &below)).await;
+            missing.push(head.clone());
+            missing
+        }
+    }
+}
+
+/// Levels of the tree from a host that passes a push on to so many.
+fn levels(below: usize) -> u32 {
+    let mut levels = 1;
+    let mut left = below;
+    while left > 0 {
+        levels += 1;
+        left = left.saturating_sub(PUSH_FANOUT) / PUSH_FANOUT;
     }
+    levels
 }
 
 /// Takes a push: its difference if it follows on the revision in force, else
-/// the whole from the table or a peer.
-pub fn pushed(daemon: &Rc<Daemon>, push: Push) -> u64 {
-    pass_on(daemon, push.revision, &push.edits, &push.pass_on);
+/// the whole from the table or a peer. Passes it on and waits for the answers.
+pub async fn pushed(daemon: &Rc<Daemon>, push: Push) -> Pushed {
     let (revision, configuration) = {
         let current = daemon.current.borrow();
         (current.revision, current.configuration.clone())
@@ -214,7 +276,8 @@
         None if push.revision > revision => daemon.want_revision(),
         None => {}
     }
-    daemon.current.borrow().revision
+    let missing = pass_on(daemon, push.revision, &push.edits, &push.pass_on).await;
+    Pushed { revision: daemon.current.borrow().revision, missing }
 }
 
 /// Reads the head row and takes what it names, if that is higher.
--- a/elmstreamd/src/daemon.rs
+++ b/elmstreamd/src/daemon.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     clock,
-    configuration::Current,
+    configuration::{Current, Spread},
     history::History,
     peers::Peers,
     platform::{HostList, HttpPlatform, ObjectStore, TableService},
@@ -58,6 +58,8 @@
     pub history: RefCell<History>,
     /// The configuration in force.
     pub current: RefCell<Current>,
+    /// How far the last revision that was accepted here has spread.
+    pub spread: RefCell<Spread>,
     /// Signs tickets.
     pub ticket_key: TicketKey,
     requests: Cell<u64>,
@@ -101,6 +103,7 @@
             wakers: RefCell::default(),
             history: RefCell::default(),
             current: RefCell::default(),
+            spread: RefCell::default(),
             ticket_key: TicketKey::new(cluster_key),
             requests: Cell::new(rand::random()),
             in_flight: Rc::default(),
--- a/elmstreamd/src/operators.rs
+++ b/elmstreamd/src/operators.rs
@@ -2,7 +2,7 @@
 
 use std::{net::IpAddr, rc::Rc};
 
-use elmstream::code::Code;
+use elmstream::{code::Code, member::Member};
 use elmstream_config::{
     Configuration,
     difference::Edit,
@@ -171,13 +171,19 @@
         let region = catalog.region_of_domain(domain);
         region.map(|id| catalog.regions[id.index()].name.to_string()).unwrap_or_default()
     };
-    let host = |m: &elmstream::member::Member| HostStatus {
+    let spread = daemon.spread.borrow();
+    // Of a host that sends no heartbeats here, the push's answer tells.
+    let revision = |m: &Member| match spread.taken.contains(&m.name) {
+        true => m.revision.max(spread.revision),
+        false => m.revision,
+    };
+    let host = |m: &Member| HostStatus {
         name: m.name.to_string(),
         failure_domain: m.domain.to_string(),
         region: region_of(&m.domain),
-        live: m.is_live(now),
+        live: m.may_be_live(now),
         leaving: !m.is_staying(),
-        revision: m.revision,
+        revision: revision(m),
         weight: m.weight,
     };
     let owned = |(name, grant): (&elmstream::id::Name, &elmstream::allotment::Grant)| Ownership {
--- a/elmstreamd/src/peer_server.rs
+++ b/elmstreamd/src/peer_server.rs
@@ -48,6 +48,7 @@
         Ok(Ok(Open::Ticketed(ticket, head))) => {
             return serve_ticketed(&daemon, send, recv, ticket, head).await;
         }
+        Ok(Ok(Open::Push(push))) => Reply::Pushed(configuration::pushed(&daemon, push).await),
         Ok(Ok(open)) => control(&daemon, open),
         Ok(Err(Code::PeerMessage)) => {
             log::warn!(code = Code::PeerMessage.number(); "a malformed message of another host");
@@ -73,9 +74,8 @@
             Reply::Heartbeat(reply)
         }
         Open::Fence(fence) => Reply::Fence(daemon.node.borrow_mut().fence(&fence)),
-        Open::Push(push) => Reply::Pushed(configuration::pushed(daemon, push)),
         Open::Fetch => Reply::Configuration(in_force(daemon)),
-        Open::Request(_) | Open::Ticketed(..) => malformed(),
+        Open::Push(_) | Open::Request(_) | Open::Ticketed(..) => malformed(),
     }
 }
 
