Stop only when other hosts have got their answers to the last byte

By the code, a stopping owner counted as idle once the backend server's answer was read, gave the streams to other hosts 300 ms more, and closed the connections; a host that the machine holds up for longer loses the rest. Change: the end of an answer's stream is waited for until the other side has it (5 s at most), and a stop waits until no stream of another host is served.

--- a/elmstreamd/src/daemon.rs
+++ b/elmstreamd/src/daemon.rs
@@ -64,14 +64,23 @@
     pub ticket_key: TicketKey,
     requests: Cell<u64>,
     in_flight: Rc<Cell<u32>>,
+    /// Streams of other hosts that are served now.
+    streams: Rc<Cell<u32>>,
     wants: Cell<bool>,
     want: RefCell<Option<oneshot::Sender<()>>>,
     knows_domain: Cell<bool>,
 }
 
-/// Counts a request as in flight until it is dropped.
+/// Counts a request or a stream as in flight until it is dropped.
 pub struct Counted(Rc<Cell<u32>>);
 
+impl Counted {
+    fn new(counter: &Rc<Cell<u32>>) -> Counted {
+        counter.set(counter.get() + 1);
+        Counted(counter.clone())
+    }
+}
+
 impl Drop for Counted {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
@@ -107,6 +116,7 @@
             ticket_key: TicketKey::new(cluster_key),
             requests: Cell::new(rand::random()),
             in_flight: Rc::default(),
+            streams: Rc::default(),
             wants: Cell::new(false),
             want: RefCell::new(None),
             knows_domain: Cell::new(true),
@@ -124,8 +134,17 @@
         if self.in_flight.get() >= self.settings.callers.in_flight_max {
             return Err(Refusal { code: Code::NoCapacity, retry_after: SECOND });
         }
-        self.in_flight.set(self.in_flight.get() + 1);
-        Ok(Counted(self.in_flight.clone()))
+        Ok(Counted::new(&self.in_flight))
+    }
+
+    /// Counts a stream of another host in.
+    pub fn count_stream(&self) -> Counted {
+        Counted::new(&self.streams)
+    }
+
+    /// Whether no request runs here and no answer is on its way to another host.
+    pub fn is_idle(&self) -> bool {
+        self.node.borrow().is_idle() && self.streams.get() == 0
     }
 
     /// Whether a service of this priority still gets in: the last tenth of the
--- a/elmstreamd/src/lifecycle.rs
+++ b/elmstreamd/src/lifecycle.rs
@@ -152,7 +152,7 @@
             log::warn!("ownership was not handed over in {HAND_OVER_MAX:?}");
             daemon.node.borrow_mut().abandon();
         }
-        while !daemon.node.borrow().is_idle() {
+        while !daemon.is_idle() {
             compio::time::sleep(STOP_PAUSE).await;
         }
     };
--- a/elmstreamd/src/peer_server.rs
+++ b/elmstreamd/src/peer_server.rs
@@ -42,6 +42,7 @@
 
 async fn serve_stream(daemon: Rc<Daemon>, send: SendStream, mut recv: RecvStream) {
     let mut send = BodySender::new(send);
+    let _serving = daemon.count_stream();
     let opening = compio::time::timeout(OPEN_TIMEOUT, daemon.peers.read::<Open>(&mut recv)).await;
     let reply = match opening {
         Ok(Ok(Open::Request(head))) => return serve_request(&daemon, send, recv, head).await,
@@ -196,7 +197,7 @@
         load: load(daemon, service),
     });
     if daemon.peers.write(send.stream(), &reply).await.is_ok() {
-        send.finish();
+        send.deliver().await;
     }
 }
 
--- a/elmstreamd/src/peers.rs
+++ b/elmstreamd/src/peers.rs
@@ -35,6 +35,8 @@
 const CONNECTING_PAUSE: Duration = Duration::from_millis(2);
 /// Time in which the other sides learn that this one closes.
 const CLOSE: Duration = Duration::from_secs(1);
+/// Time in which the other side must have got the end of a stream.
+const DELIVER: Duration = Duration::from_secs(5);
 /// Streams that a host may have open at another at a time. The transport keeps
 /// about 80 bytes for each, on every connection, from the start.
 const STREAMS_MAX: u32 = 1_024;
@@ -234,6 +236,14 @@
         }
     }
 
+    /// Ends the stream as whole, and waits until the other side has it all.
+    pub async fn deliver(mut self) {
+        if let Some(mut send) = self.0.take() {
+            let _ = send.finish();
+            let _ = compio::time::timeout(DELIVER, send.stopped()).await;
+        }
+    }
+
     /// Sends a body to its end; on an error of either side the stream is cut.
     pub async fn send(mut self, mut body: LocalBody) -> Result<(), Code> {
         while let Some(frame) = body.frame().await {
@@ -242,7 +252,7 @@
             let written = self.stream().write_all_chunks(&mut [data]).await;
             written.map_err(|_| Code::PeerLost)?;
         }
-        self.finish();
+        self.deliver().await;
         Ok(())
     }
 }
