--- a/elmstream/src/allotment.rs
+++ b/elmstream/src/allotment.rs
@@ -12,7 +12,7 @@
 use crate::{
     cap::WHOLE,
     catalog::{Backend, Catalog},
-    group::Groups,
+    group::{Candidate, Groups},
     id::{HostRef, Name, RegionId},
 };
 
@@ -122,17 +122,6 @@
     }
 }
 
-/// A host that may own or witness.
-#[derive(Clone, Debug)]
-pub struct Candidate {
-    /// The host.
-    pub host: HostRef,
-    /// Its failure domain.
-    pub domain: Name,
-    /// Whether it may own; a host that leaves or drains may not.
-    pub may_own: bool,
-}
-
 /// Works out the next row, or `None` if the present one will do.
 ///
 /// `hosts` are the live hosts of the region, in the order of their names.
--- a/elmstream/src/group.rs
+++ b/elmstream/src/group.rs
@@ -10,10 +10,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{
-    allotment::Candidate,
-    id::{HostRef, Name},
-};
+use crate::id::{HostRef, Name};
 
 /// Witnesses in a group at most.
 pub const WITNESSES_MAX: usize = 5;
@@ -25,6 +22,17 @@
 /// Hosts below which a group is one too many.
 const GROUP_HOSTS_MIN: usize = 8;
 
+/// A host that may own or witness.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The host.
+    pub host: HostRef,
+    /// Its failure domain.
+    pub domain: Name,
+    /// Whether it may own; a host that leaves or drains may not.
+    pub may_own: bool,
+}
+
 /// Witnesses that promise to a part of a region's hosts.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Group {
--- a/elmstream/src/serve.rs
+++ b/elmstream/src/serve.rs
@@ -4,8 +4,7 @@
 
 use crate::{
     admission::{Admission, Ask, RunResult, Slot},
-    cap::{Bucket, WHOLE},
-    catalog::{Isolation, Service, ShiftCap},
+    catalog::{Isolation, Service},
     code::Code,
     id::{Name, RegionId, ServiceId},
     inherit::is_bounded_by_lease,
@@ -33,7 +32,7 @@
 }
 
 impl Refusal {
-    fn new(code: Code, retry_after: u64) -> Refusal {
+    pub(crate) fn new(code: Code, retry_after: u64) -> Refusal {
         Refusal { code, retry_after }
     }
 }
@@ -315,107 +314,4 @@
         }
         Ok(admission)
     }
-
-    /// Whether a shift is allowed at all.
-    fn check_shift(
-        &self,
-        now: Time,
-        id: ServiceId,
-        home: RegionId,
-        here: RegionId,
-    ) -> Result<(), Refusal> {
-        if self.is_isolated(now) {
-            return Err(Refusal::new(Code::Isolated, SECOND));
-        }
-        match self.catalog.shift_caps.contains_key(&(id, home, here)) {
-            true => Ok(()),
-            false => Err(Refusal::new(Code::ShiftCapped, SECOND)),
-        }
-    }
-
-    /// Spends one request of the shift cap and of the link.
-    fn spend(
-        &mut self,
-        now: Time,
-        id: ServiceId,
-        home: RegionId,
-        here: RegionId,
-    ) -> Result<(), Refusal> {
-        let cap = self.catalog.shift_caps.get(&(id, home, here)).copied().unwrap_or_default();
-        let part = self.part_of(Some(id));
-        let settled_at = self.settled_at;
-        let ShiftCap { per_second, ramp } = cap;
-        let from = self.catalog.regions[home.index()].name.clone();
-        let key = (self.service(id).name.clone(), from.clone());
-        let bucket = self.shift_buckets.entry(key).or_insert_with(|| Bucket::new(settled_at));
-        if !bucket.take(now, 1, u64::from(per_second), part, ramp) {
-            let wait = bucket.wait(u64::from(per_second), part);
-            return Err(Refusal::new(Code::ShiftCapped, wait));
-        }
-        let Some(link) = self.catalog.links.get(&(home, here)).copied() else {
-            return Ok(());
-        };
-        if link.requests_per_second == 0 {
-            return Ok(());
-        }
-        let part = self.part_of(None);
-        let bucket = self.link_buckets.entry(from).or_insert_with(|| Bucket::new(settled_at));
-        let rate = u64::from(link.requests_per_second);
-        if !bucket.take(now, 1, rate, part, 0) {
-            return Err(Refusal::new(Code::LinkLimited, bucket.wait(rate, part)));
-        }
-        Ok(())
-    }
-
-    /// Takes as many of `bytes` as the link from another region has room for
-    /// now, and tells how many.
-    ///
-    /// A host that has released its part of the limit lets the bodies that are
-    /// still on their way pass: they are few, and must not be held for ever.
-    pub fn take_link_bytes(&mut self, now: Time, home: &str, bytes: u64) -> u64 {
-        let regions = self.catalog.region(home).zip(self.region());
-        let Some((from, here)) = regions.filter(|(from, here)| from != here) else {
-            return bytes;
-        };
-        let limit = self.catalog.links.get(&(from, here)).map_or(0, |l| l.bytes_per_second);
-        if limit == 0 {
-            return bytes;
-        }
-        let part = self.part_of(None);
-        if part == 0 {
-            return bytes;
-        }
-        let settled_at = self.settled_at;
-        let bucket = self.byte_buckets.entry(home.into());
-        let bucket = bucket.or_insert_with(|| Bucket::new(settled_at));
-        bucket.take_some(now, bytes, limit, part)
-    }
-
-    /// This host's part of its region's caps: for one service, or over all
-    /// services for limits that they share.
-    fn part_of(&self, service: Option<ServiceId>) -> u64 {
-        let of_service = |name: &Name| {
-            let backend = self.catalog.backend(name).map(|id| &self.catalog.backends[id.index()]);
-            service.is_none_or(|id| backend.is_some_and(|b| b.service == id))
-        };
-        let owned = self.row.owned_by(&self.settings.me).filter(|(name, _)| of_service(name));
-        let sum: u64 = owned.map(|(_, grant)| self.row.part(grant)).sum();
-        let services = self.services_in_row().max(1);
-        match service {
-            Some(_) => sum.min(WHOLE),
-            None => (sum / services).min(WHOLE),
-        }
-    }
-
-    /// Services that have a backend server in the row.
-    fn services_in_row(&self) -> u64 {
-        let of = |name: &Name| {
-            let id = self.catalog.backend(name)?;
-            Some(self.catalog.backends[id.index()].service)
-        };
-        let mut services: Vec<ServiceId> = self.row.grants.keys().filter_map(of).collect();
-        services.sort();
-        services.dedup();
-        services.len() as u64
-    }
 }
--- a/elmstream/src/steward.rs
+++ b/elmstream/src/steward.rs
@@ -9,8 +9,9 @@
 use std::collections::HashSet;
 
 use crate::{
-    allotment::{Candidate, Renewal, Row, plan},
+    allotment::{Renewal, Row, plan},
     catalog::Catalog,
+    group::Candidate,
     id::{HostRef, Name, RegionId},
     lease,
     message::TableRenewal,
--- a/elmstream_bench/src/experiment.rs
+++ b/elmstream_bench/src/experiment.rs
@@ -40,7 +40,8 @@
 /// Time in which control is measured at rest.
 const REST: Duration = Duration::from_secs(10);
 
-fn with_runtime<T>(run: impl AsyncFnOnce(Fleet) -> Result<T, String>) -> Result<T, String> {
+/// Runs a measurement with a fleet in a folder of its own.
+pub fn with_runtime<T>(run: impl AsyncFnOnce(Fleet) -> Result<T, String>) -> Result<T, String> {
     let folder = env::temp_dir().join(format!("elmstream-experiment-{}", process::id()));
     let fleet = Fleet::new(&folder).map_err(|e| e.to_string())?;
     let runtime = Runtime::new().map_err(|e| e.to_string())?;
--- a/elmstream_bench/src/slope.rs
+++ b/elmstream_bench/src/slope.rs
@@ -8,8 +8,9 @@
 };
 
 use elmstream::{
-    allotment::{self, Candidate, Row},
+    allotment::{self, Row},
     catalog::Catalog,
+    group::Candidate,
     id::{HostRef, Incarnation, Name, RegionId},
     member::ListedHost,
     message::{Heartbeat, ServiceLoad},
--- a/elmstream_bench/src/steering.rs
+++ b/elmstream_bench/src/steering.rs
@@ -1,16 +1,13 @@
 //! A user's fleet under load: latency against an ideal queue and baselines, a
 //! region that fails, overload, drains.
 
-use std::{
-    env, process,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
-};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use compio::runtime::Runtime;
 use elmstream_standin::{report::Report, target::Pick};
 
 use crate::{
     cli::Part,
+    experiment::with_runtime,
     fleet::Fleet,
     ideal,
     sizes::User,
@@ -36,12 +33,7 @@
 
 /// Runs one part for a user, or all.
 pub fn run(user: User, part: Option<Part>) -> Result<(), String> {
-    let folder = env::temp_dir().join(format!("elmstream-steering-{}", process::id()));
-    let fleet = Fleet::new(&folder).map_err(|e| e.to_string())?;
-    let runtime = Runtime::new().map_err(|e| e.to_string())?;
-    let result = runtime.block_on(measure(user, part, fleet));
-    let _ = std::fs::remove_dir_all(&folder);
-    result
+    with_runtime(async |fleet| measure(user, part, fleet).await)
 }
 
 async fn measure(user: User, part: Option<Part>, fleet: Fleet) -> Result<(), String> {
