--- a/elmstream/tests/histories.rs
+++ b/elmstream/tests/histories.rs
@@ -10,8 +10,11 @@
     id::RegionId,
     time::{MILLI, SECOND},
 };
-use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
-use support::{HOSTS, World, catalog};
+use quickcheck::{Gen, QuickCheck, TestResult};
+use support::{
+    HOSTS, World, catalog,
+    event::{Event, history_is_safe},
+};
 
 /// Histories that are tried.
 const HISTORIES: u64 = 150;
@@ -20,86 +23,10 @@
 /// Largest number of events in a history.
 const EVENTS_MAX: usize = 24;
 
-/// Something that happens, and the time that passes after it.
-#[derive(Clone, Debug)]
-enum Event {
-    Pass(u64),
-    Pause(usize, u64),
-    Restart(usize),
-    Cut(usize, usize, u64),
-    TableDown(u64),
-    TableSlow(u64),
-    LoseAnswers(u32),
-    FreezeList(u64),
-    Stop(usize),
-    Remove(usize),
-}
-
-impl Arbitrary for Event {
-    fn arbitrary(g: &mut Gen) -> Event {
-        let host = usize::arbitrary(g) % HOSTS.len();
-        let other = (host + 1 + usize::arbitrary(g) % (HOSTS.len() - 1)) % HOSTS.len();
-        let millis = u64::arbitrary(g) % 6_000 * MILLI;
-        match u8::arbitrary(g) % 12 {
-            0 | 1 => Event::Pause(host, millis),
-            2 | 3 => Event::Restart(host),
-            4 => Event::Cut(host, other, millis),
-            5 => Event::TableDown(millis),
-            6 => Event::TableSlow(millis / 5),
-            7 => Event::LoseAnswers(1 + millis as u32 % 3),
-            8 => Event::FreezeList(millis),
-            9 => Event::Stop(host),
-            10 => Event::Remove(host),
-            _ => Event::Pass(millis),
-        }
-    }
-
-    fn shrink(&self) -> Box<dyn Iterator<Item = Event>> {
-        match self {
-            Event::Pass(_) => quickcheck::empty_shrinker(),
-            _ => quickcheck::single_shrinker(Event::Pass(100 * MILLI)),
-        }
-    }
-}
-
-fn happen(world: &mut World, event: &Event, revision: &mut u64) {
-    match *event {
-        Event::Pass(_) => {}
-        Event::Pause(host, micros) => world.pause(host, micros),
-        Event::Restart(host) => world.restart(host),
-        Event::Cut(a, b, micros) => world.cut(a, b, micros),
-        Event::TableDown(micros) => world.table_down(micros),
-        Event::TableSlow(micros) => world.table_slow(micros),
-        Event::LoseAnswers(count) => world.lose_answers(count),
-        Event::FreezeList(micros) => world.freeze_list(micros),
-        Event::Stop(host) => world.stop(host),
-        Event::Remove(number) => {
-            *revision += 1;
-            let removed = ["na-0", "na-1", "nb-2", "sa-0", "sa-1", "none"][number];
-            world.configure(catalog(*revision, &[removed]));
-        }
-    }
-}
-
-fn history_is_safe(seed: u64, events: &[Event]) -> Result<(), String> {
-    let mut world = World::new(seed);
-    let mut revision = 1;
-    world.run(3 * SECOND)?;
-    for event in events {
-        happen(&mut world, event, &mut revision);
-        let micros = match event {
-            Event::Pass(micros) => *micros,
-            _ => 300 * MILLI,
-        };
-        world.run(micros)?;
-    }
-    world.run(2 * SECOND)
-}
-
 #[test]
 fn random_histories_are_safe() {
     fn property(seed: u64, events: Vec<Event>) -> TestResult {
-        match history_is_safe(seed, &events) {
+        match history_is_safe(World::new(seed), &events) {
             Ok(()) => TestResult::passed(),
             Err(error) => TestResult::error(error),
         }
--- a/elmstream/tests/large.rs
+++ b/elmstream/tests/large.rs
@@ -5,7 +5,20 @@
 mod support;
 
 use elmstream::time::SECOND;
-use support::World;
+use quickcheck::{Gen, QuickCheck, TestResult};
+use support::{
+    World,
+    event::{Event, history_is_safe},
+};
+
+/// Histories that are tried, and the hosts of their worlds: 32 of them in the
+/// north, so that it has two groups.
+const HISTORIES: u64 = 12;
+const HISTORY_HOSTS: usize = 40;
+/// Seed of their generation.
+const SEED: u64 = 20_261_202;
+/// Largest number of events in a history.
+const EVENTS_MAX: usize = 24;
 
 /// Hosts of the world: 96 in the north, 24 in the south.
 const HOSTS: usize = 120;
@@ -122,3 +135,17 @@
     world.stop(victim);
     wait_for_owners(&mut world, &[victim], 6);
 }
+
+#[test]
+fn random_histories_of_a_large_fleet_are_safe() {
+    fn property(seed: u64, events: Vec<Event>) -> TestResult {
+        match history_is_safe(World::large(seed, HISTORY_HOSTS, 8), &events) {
+            Ok(()) => TestResult::passed(),
+            Err(error) => TestResult::error(error),
+        }
+    }
+    println!("seed {SEED}");
+    let source = Gen::from_size_and_seed(EVENTS_MAX, SEED);
+    let property = property as fn(u64, Vec<Event>) -> TestResult;
+    QuickCheck::new().rng(source).tests(HISTORIES).quickcheck(property);
+}
--- a/elmstream/tests/support/mod.rs
+++ b/elmstream/tests/support/mod.rs
@@ -3,6 +3,8 @@
 //! All hosts share one virtual clock. A paused host gets its messages when it
 //! wakes; a restarted one is another incarnation and has lost its memory.
 
+pub mod event;
+
 use std::{
     collections::{BTreeMap, VecDeque},
     sync::Arc,
@@ -108,6 +110,7 @@
     gone: Vec<bool>,
     /// Names and failure domains of the hosts.
     shape: Vec<(Name, &'static str)>,
+    backends_each: usize,
 }
 
 /// The configuration of the world.
@@ -213,6 +216,7 @@
             list_frozen_until: Time(0),
             gone: vec![false; hosts],
             shape,
+            backends_each,
         };
         for index in 0..hosts {
             let host = world.start(index, 1);
@@ -342,6 +346,11 @@
         }
     }
 
+    /// Backend servers in each failure domain, removed ones counted.
+    pub fn backends_each(&self) -> usize {
+        self.backends_each
+    }
+
     /// The region that a host stands in: 0 is north, 1 is south.
     pub fn region_of(&self, host: usize) -> u32 {
         u32::from(self.shape[host].1 == "sa")
