--- a/elmstream/src/beat.rs
+++ b/elmstream/src/beat.rs
@@ -317,7 +317,8 @@
         let region = self.region();
         for member in self.members.iter_mut() {
             if self.catalog.region_of_domain(&member.domain) == region {
-                member.vouched = (!out.hosts.contains(&member.name)).then_some(at);
+                member.out = out.hosts.contains(&member.name);
+                member.vouched = (!member.out).then_some(at);
             }
         }
         self.out = Some(out);
--- a/elmstream/src/member.rs
+++ b/elmstream/src/member.rs
@@ -91,6 +91,8 @@
     pub told: Option<Told>,
     /// When the steward's group knew it as live.
     pub vouched: Option<Time>,
+    /// Whether the steward's group said last that it is out.
+    pub out: bool,
     /// Whether it counted as live at the last tick.
     pub was_live: bool,
     /// Whether it says that it is stopping.
@@ -149,7 +151,7 @@
     /// Whether a message for all hosts is worth sending there: it is live, or
     /// listed and nothing is known of it, as of hosts of other regions.
     pub fn may_be_live(&self, now: Time) -> bool {
-        let is_unknown = !self.is_known() && self.vouched.is_none();
+        let is_unknown = !self.is_known() && self.vouched.is_none() && !self.out;
         self.is_live(now) || self.listed == Listed::Live && is_unknown
     }
 
@@ -347,6 +349,7 @@
         heard: None,
         told: None,
         vouched: None,
+        out: false,
         was_live: false,
         leaving: false,
         epoch: 0,
--- a/elmstream/tests/large.rs
+++ b/elmstream/tests/large.rs
@@ -89,6 +89,11 @@
     wait_for_owners(&mut world, &[victim], 12);
     let survivor = (0..HOSTS).find(|&h| h != victim && world.region_of(h) == 0).unwrap();
     assert_eq!(believed_live(&world, survivor), 95, "the others know that it is gone");
+    let name = world.hosts[victim].node.me().host.clone();
+    for host in (0..HOSTS).filter(|&h| h != victim && world.region_of(h) == 0) {
+        let member = world.hosts[host].node.members().get(&name);
+        assert!(member.is_none_or(|m| !m.may_be_live(world.now)), "host {host}");
+    }
 }
 
 #[test]
--- a/elmstreamd/src/operators.rs
+++ b/elmstreamd/src/operators.rs
@@ -181,7 +181,8 @@
         name: m.name.to_string(),
         failure_domain: m.domain.to_string(),
         region: region_of(&m.domain),
-        live: m.may_be_live(now),
+        // In a large fleet the platform's list speaks for hosts that send nothing here.
+        live: m.is_live(now) || !node.is_small_fleet() && m.may_be_live(now),
         leaving: !m.is_staying(),
         revision: revision(m),
         weight: m.weight,
