--- /dev/null
+++ b/elmstream_edge/src/backend.rs
@@ -0,0 +1,182 @@
+//! Connections to backend servers, and one exchange over one of them.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compio::{net::TcpStream, runtime::JoinHandle};
+use cyper_core::HyperStream;
+use elmstream_http::{LocalBody, body};
+use http::{HeaderMap, Request, header, response};
+use http_body_util::{BodyExt, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+
+/// Time in which a connection must come up.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Idle connections that are kept to one server.
+const IDLE_MAX: usize = 16;
+/// How long an idle connection is kept, if the server does not say.
+const IDLE: Duration = Duration::from_secs(4);
+/// A connection is left this long before the server would close it.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Bytes of an answer that are taken at most.
+const ANSWER_MAX: usize = 64 << 20;
+
+/// A connection; dropping it closes it at once, whatever is on its way.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<LocalBody>,
+    /// Drives the connection; ends with it.
+    _driver: JoinHandle<()>,
+    until: Instant,
+}
+
+/// Idle connections by server.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: RefCell<HashMap<String, Vec<Connection>>>,
+}
+
+/// What an exchange came to.
+#[derive(Debug)]
+pub enum Exchange {
+    /// No connection came up; nothing was sent.
+    NoConnection,
+    /// The whole answer.
+    Whole(response::Parts, Bytes),
+    /// It was sent, and no whole answer came.
+    Broken,
+}
+
+impl Pool {
+    /// Sends a request and reads its whole answer.
+    pub async fn exchange(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        request: Request<LocalBody>,
+    ) -> Exchange {
+        let Some(mut connection) = self.take(id, address).await else {
+            return Exchange::NoConnection;
+        };
+        let answer = match connection.sender.try_send_request(request).await {
+            Ok(answer) => answer,
+            Err(mut error) => {
+                // Nothing was sent if the request comes back: the connection had
+                // been closed while it rested.
+                return match error.take_message() {
+                    Some(request) => self.exchange_anew(address, request).await,
+                    None => Exchange::Broken,
+                };
+            }
+        };
+        self.read(id, connection, answer).await
+    }
+
+    /// The same over a new connection, whose end is not waited for.
+    async fn exchange_anew(&self, address: SocketAddr, request: Request<LocalBody>) -> Exchange {
+        let Ok(mut connection) = connect(address).await else { return Exchange::NoConnection };
+        match connection.sender.try_send_request(request).await {
+            Ok(answer) => self.read("", connection, answer).await,
+            Err(_) => Exchange::Broken,
+        }
+    }
+
+    async fn read(
+        &self,
+        id: &str,
+        mut connection: Connection,
+        answer: http::Response<hyper::body::Incoming>,
+    ) -> Exchange {
+        let (parts, incoming) = answer.into_parts();
+        let Ok(whole) = Limited::new(incoming, ANSWER_MAX).collect().await else {
+            return Exchange::Broken;
+        };
+        if let Some(rest) = rest(&parts.headers) {
+            connection.until = Instant::now() + rest;
+            self.give(id, connection);
+        }
+        Exchange::Whole(parts, whole.to_bytes())
+    }
+
+    /// An idle connection that still stands, or a new one.
+    async fn take(&self, id: &str, address: SocketAddr) -> Option<Connection> {
+        loop {
+            let idle = self.idle.borrow_mut().get_mut(id).and_then(Vec::pop);
+            let Some(mut connection) = idle else { return connect(address).await.ok() };
+            let fresh = Instant::now() < connection.until && !connection.sender.is_closed();
+            if fresh && connection.sender.is_ready() && connection.sender.ready().await.is_ok() {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Keeps a connection whose answer was read to the end.
+    fn give(&self, id: &str, connection: Connection) {
+        if id.is_empty() || connection.sender.is_closed() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(id.to_owned()).or_default();
+        if connections.len() < IDLE_MAX {
+            connections.push(connection);
+        }
+    }
+
+    /// Drops connections that rested too long, or whose server is not `known`.
+    pub fn sweep(&self, known: impl Fn(&str) -> bool) {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|id, connections| {
+            connections
+                .retain(|connection| now < connection.until && !connection.sender.is_closed());
+            !connections.is_empty() && known(id)
+        });
+    }
+
+    /// Drops the connections to a server that sent what it should not.
+    pub fn distrust(&self, id: &str) {
+        self.idle.borrow_mut().remove(id);
+    }
+}
+
+/// How long a connection may rest after an answer; none if it must be closed.
+fn rest(headers: &HeaderMap) -> Option<Duration> {
+    let closes = |value: &http::HeaderValue| {
+        value.to_str().is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
+    };
+    if headers.get_all(header::CONNECTION).iter().any(closes) {
+        return None;
+    }
+    let told = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = told.and_then(|text| {
+        let part = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+        part.trim().parse().ok()
+    });
+    let told = seconds.map_or(IDLE, Duration::from_secs).min(IDLE * 2);
+    told.checked_sub(IDLE_MARGIN).filter(|rest| !rest.is_zero())
+}
+
+async fn connect(address: SocketAddr) -> io::Result<Connection> {
+    metrics::counter!("elmstream_backend_connections").increment(1);
+    let connecting = compio::time::timeout(CONNECT, TcpStream::connect(address));
+    let stream = connecting.await.map_err(|_| io::ErrorKind::TimedOut)??;
+    stream.set_nodelay(true)?;
+    let shaken = handshake(HyperStream::new_plain(stream)).await;
+    let (sender, connection) = shaken.map_err(io::Error::other)?;
+    let driver = compio::runtime::spawn(async move {
+        // The request's own future tells of an error.
+        let _ = connection.await;
+    });
+    Ok(Connection { sender, _driver: driver, until: Instant::now() + IDLE })
+}
+
+/// A body to send.
+pub fn sendable(bytes: &Bytes) -> LocalBody {
+    if bytes.is_empty() { body::empty() } else { body::full(bytes.clone()) }
+}
--- /dev/null
+++ b/elmstream_edge/src/callers.rs
@@ -0,0 +1,124 @@
+//! Takes callers' requests: finds the route, checks bounds, reads the body.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use elmstream::time::{MILLI, Time};
+use elmstream_http::{LocalBody, body, server::Cut};
+use elmstream_steer::{hash, model::Route, routes};
+use elmstreamd::clock;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, request};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use serde_json::json;
+
+use crate::{edge::Edge, forward, headers};
+
+/// When to come back to a host that knows no configuration yet.
+const UNREADY_RETRY_MS: u64 = 300;
+
+/// A caller's request that may be sent on.
+#[derive(Debug)]
+pub struct Call {
+    /// Its id; empty if the caller gave none.
+    pub id: String,
+    /// Its route.
+    pub route: Rc<Route>,
+    /// The service it goes to.
+    pub service: String,
+    /// Hash of its affinity key, or of its id.
+    pub key: u64,
+    /// Method.
+    pub method: Method,
+    /// Path and query as they came.
+    pub uri: Uri,
+    /// Headers without those of the connection.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// When it came.
+    pub came: Time,
+    /// When it must have its final answer.
+    pub until: Time,
+}
+
+impl Call {
+    /// Time that is left for it.
+    pub fn left(&self) -> Duration {
+        Duration::from_micros(self.until.since(clock::now()))
+    }
+}
+
+/// Serves a caller's request.
+pub async fn serve(edge: Rc<Edge>, request: Request<Incoming>) -> Result<Response<LocalBody>, Cut> {
+    let came = clock::now();
+    let (head, incoming) = request.into_parts();
+    let route = match find(&edge, &head) {
+        Ok(route) => route,
+        Err(response) => return Ok(response),
+    };
+    let limits = edge.steer.borrow().limits();
+    let body = match Limited::new(incoming, limits.body_bytes as usize).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => {
+            return Ok(plain(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        // The caller broke off, so nobody reads an answer.
+        Err(_) => return Err(Cut),
+    };
+    let call = call(&edge, head, route, body, came);
+    Ok(forward::run(&edge, &call).await)
+}
+
+/// The route of a request, or why there is none.
+fn find(edge: &Edge, head: &request::Parts) -> Result<Rc<Route>, Response<LocalBody>> {
+    let steer = edge.steer.borrow();
+    if steer.version().is_none() {
+        return Err(refuse(UNREADY_RETRY_MS));
+    }
+    let host = head.uri.host().or_else(|| headers::text(&head.headers, &header::HOST));
+    let host = host.unwrap_or_default();
+    if let Some(route) = steer.route(host, head.uri.path()) {
+        return Ok(route);
+    }
+    let id = headers::text(&head.headers, &edge.settings.headers.request_id);
+    let fields = json!({
+        "id": id, "host": host, "path": head.uri.path(), "version": steer.version(),
+        "code": 1002, "status": 404,
+    });
+    edge.journal.request("no_route", fields);
+    Err(plain(StatusCode::NOT_FOUND))
+}
+
+fn call(edge: &Edge, head: request::Parts, route: Rc<Route>, body: Bytes, came: Time) -> Call {
+    let names = &edge.settings.headers;
+    let mut kept = head.headers;
+    let id = headers::text(&kept, &names.request_id).unwrap_or_default().to_owned();
+    let draw = hash::of(&id);
+    let affinity = kept.get(&names.affinity).filter(|_| route.affinity);
+    let key = affinity.map_or(draw, |key| hash::of(key.as_bytes()));
+    let waits = headers::number(&kept, &names.deadline).unwrap_or(route.timeout_ms);
+    headers::strip(&mut kept);
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let uri = path.parse().unwrap_or(head.uri);
+    let service = routes::service(&route, draw).to_owned();
+    let until = came + waits.min(route.timeout_ms) * MILLI;
+    Call { id, service, key, method: head.method, uri, headers: kept, body, came, until, route }
+}
+
+/// An answer without a body.
+pub fn plain(status: StatusCode) -> Response<LocalBody> {
+    let mut response = Response::new(body::empty());
+    *response.status_mut() = status;
+    response
+}
+
+/// The request was not run; the caller may come back after a time.
+pub fn refuse(retry_ms: u64) -> Response<LocalBody> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = format!("{:.2}", retry_ms as f64 / 1_000.0);
+    if let Ok(value) = seconds.parse() {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/elmstream_edge/src/forward.rs
@@ -0,0 +1,252 @@
+//! Sends a request to backend servers until one has answered it.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use elmstream::time::MILLI;
+use elmstream_http::{LocalBody, body};
+use elmstream_steer::{
+    Ask, Choice, Refusal,
+    model::Repeat,
+    servers::{Index, Outcome},
+};
+use elmstreamd::clock;
+use http::{HeaderValue, Request, Response, StatusCode, header, response};
+use serde_json::json;
+
+use crate::{
+    backend::{self, Exchange},
+    callers::{self, Call},
+    edge::Edge,
+    headers,
+};
+
+/// Time that must be left for a request to be sent at all.
+const LEAST: Duration = Duration::from_millis(20);
+
+/// What a try came to.
+enum Try {
+    /// The server answered; the answer goes to the caller.
+    Answer(response::Parts, Bytes),
+    /// The server failed after it had run the request.
+    Failed(response::Parts, Bytes),
+    /// The request did not reach the server, or it did not run it.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// A request that counts as sent, until this is dropped.
+struct InFlight<'a> {
+    edge: &'a Rc<Edge>,
+    index: Index,
+    outcome: Outcome,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.edge.steer.borrow_mut().done(clock::now(), self.index, self.outcome);
+    }
+}
+
+/// Sends a request on, and gives its final answer.
+pub async fn run(edge: &Rc<Edge>, call: &Call) -> Response<LocalBody> {
+    edge.steer.borrow_mut().earn(&call.service);
+    let mut tried: Vec<Index> = Vec::new();
+    let mut unknown = false;
+    let mut failed = None;
+    while tried.len() < call.route.attempts.max(1) as usize && call.left() > LEAST {
+        let again = !tried.is_empty();
+        let ask = Ask { route: &call.route, service: &call.service, key: call.key, tried: &tried };
+        let index = match choose(edge, &ask, again) {
+            Ok(index) => index,
+            Err(refusal) if again => {
+                return give_up(edge, call, &tried, unknown, failed, refusal);
+            }
+            Err(refusal) => return refused(edge, call, refusal),
+        };
+        tried.push(index);
+        match attempt(edge, call, index).await {
+            Try::Answer(parts, body) => return answer(edge, call, &tried, parts, body),
+            Try::Failed(parts, body) if call.route.repeat == Repeat::Safe => {
+                failed = Some((parts, body));
+            }
+            Try::Failed(parts, body) => return answer(edge, call, &tried, parts, body),
+            Try::NotRun => {}
+            Try::Unknown => unknown = true,
+        }
+        if unknown && call.route.repeat == Repeat::Once {
+            break;
+        }
+    }
+    let refusal = Refusal { reason: elmstream_steer::choose::Reason::Full, retry_ms: 200 };
+    give_up(edge, call, &tried, unknown, failed, refusal)
+}
+
+/// The next server; a further one must be within the retry budget.
+fn choose(edge: &Rc<Edge>, ask: &Ask<'_>, again: bool) -> Result<Index, Refusal> {
+    let mut steer = edge.steer.borrow_mut();
+    let refusal = Refusal { reason: elmstream_steer::choose::Reason::Full, retry_ms: 200 };
+    if again && !steer.repeat(ask.service) {
+        metrics::counter!("elmstream_retries_denied").increment(1);
+        return Err(refusal);
+    }
+    match steer.send(clock::now(), ask) {
+        Choice::Send(index) => Ok(index),
+        Choice::Refuse(refusal) => Err(refusal),
+    }
+}
+
+/// Sends a request to one server.
+async fn attempt(edge: &Rc<Edge>, call: &Call, index: Index) -> Try {
+    let mut flight = InFlight { edge, index, outcome: Outcome::Left };
+    let target = {
+        let steer = edge.steer.borrow();
+        let entry = steer.servers().get(index);
+        entry.map(|entry| (entry.id.clone(), entry.server.address))
+    };
+    let Some((id, address)) = target else { return Try::NotRun };
+    let Some(request) = request(edge, call, &id) else { return Try::NotRun };
+    let sent = clock::now();
+    let exchange = edge.pool.exchange(&id, address, request);
+    let exchange = match compio::time::timeout(call.left(), exchange).await {
+        Ok(exchange) => exchange,
+        Err(_) => {
+            flight.outcome = Outcome::Silent;
+            return Try::Unknown;
+        }
+    };
+    let (outcome, result) = match exchange {
+        Exchange::NoConnection => (Outcome::NoConnection, Try::NotRun),
+        Exchange::Broken => (Outcome::Unknown, Try::Unknown),
+        Exchange::Whole(parts, body) => {
+            tell(edge, index, &parts);
+            judge(edge, call, &id, parts, body, clock::now().since(sent))
+        }
+    };
+    flight.outcome = outcome;
+    result
+}
+
+/// The request as the server gets it.
+fn request(edge: &Edge, call: &Call, id: &str) -> Option<Request<LocalBody>> {
+    let names = &edge.settings.headers;
+    let mut request = Request::new(backend::sendable(&call.body));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = call.headers.clone();
+    let left = call.left().as_millis() as u64;
+    request.headers_mut().insert(&names.deadline, HeaderValue::from(left));
+    request.headers_mut().insert(&names.server, HeaderValue::from_str(id).ok()?);
+    Some(request)
+}
+
+/// Takes in what the server says of its load.
+fn tell(edge: &Edge, index: Index, parts: &response::Parts) {
+    let Some(load) = headers::text(&parts.headers, &edge.settings.headers.load) else { return };
+    let mut numbers = load.split(',').map(|part| part.trim().parse::<u32>());
+    if let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next()) {
+        edge.steer.borrow_mut().tell(clock::now(), index, running + waiting);
+    }
+}
+
+/// What a whole answer means; one that is not the request's is none.
+fn judge(
+    edge: &Edge,
+    call: &Call,
+    id: &str,
+    parts: response::Parts,
+    body: Bytes,
+    took: u64,
+) -> (Outcome, Try) {
+    let names = &edge.settings.headers;
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        return (Outcome::Elsewhere, Try::NotRun);
+    }
+    if parts.headers.contains_key(&names.not_run) {
+        return (Outcome::Full, Try::NotRun);
+    }
+    let echoed = headers::text(&parts.headers, &names.request_id).unwrap_or_default();
+    let encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
+    let signed = parts.headers.contains_key(&names.signature);
+    if echoed != call.id || encoded || (parts.status.is_success() && !signed) {
+        edge.pool.distrust(id);
+        return (Outcome::Unknown, Try::Unknown);
+    }
+    if parts.status.is_server_error() {
+        return (Outcome::Failed, Try::Failed(parts, body));
+    }
+    (Outcome::Answered(took), Try::Answer(parts, body))
+}
+
+/// The server's answer, for the caller.
+fn answer(
+    edge: &Edge,
+    call: &Call,
+    tried: &[Index],
+    mut parts: response::Parts,
+    bytes: Bytes,
+) -> Response<LocalBody> {
+    let took = clock::now().since(call.came);
+    metrics::counter!("elmstream_requests", "outcome" => "answered").increment(1);
+    metrics::histogram!("elmstream_request_seconds").record(took as f64 / 1e6);
+    if !parts.status.is_success() || edge.journal.sampled() {
+        log(edge, call, tried, "answered", parts.status.as_u16(), took);
+    }
+    headers::strip(&mut parts.headers);
+    Response::from_parts(parts, body::full(bytes))
+}
+
+/// The request is refused before it was sent.
+fn refused(edge: &Edge, call: &Call, refusal: Refusal) -> Response<LocalBody> {
+    let took = clock::now().since(call.came);
+    metrics::counter!("elmstream_requests", "outcome" => "refused").increment(1);
+    let fields = json!({
+        "id": call.id, "route": call.route.name, "service": call.service, "status": 503,
+        "reason": format!("{:?}", refusal.reason), "retry_ms": refusal.retry_ms,
+        "took_ms": took / MILLI, "stale_ms": edge.steer.borrow().staleness(clock::now()) / MILLI,
+    });
+    edge.journal.request("refused", fields);
+    callers::refuse(refusal.retry_ms)
+}
+
+/// No further server is asked.
+fn give_up(
+    edge: &Edge,
+    call: &Call,
+    tried: &[Index],
+    unknown: bool,
+    failed: Option<(response::Parts, Bytes)>,
+    refusal: Refusal,
+) -> Response<LocalBody> {
+    if let Some((parts, body)) = failed {
+        return answer(edge, call, tried, parts, body);
+    }
+    let took = clock::now().since(call.came);
+    if !unknown {
+        metrics::counter!("elmstream_requests", "outcome" => "not_run").increment(1);
+        log(edge, call, tried, "not_run", 503, took);
+        return callers::refuse(refusal.retry_ms);
+    }
+    metrics::counter!("elmstream_requests", "outcome" => "unknown").increment(1);
+    let late = call.left() <= LEAST;
+    let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+    log(edge, call, tried, "unknown", status.as_u16(), took);
+    callers::plain(status)
+}
+
+fn log(edge: &Edge, call: &Call, tried: &[Index], event: &str, status: u16, took: u64) {
+    let steer = edge.steer.borrow();
+    let now = clock::now();
+    let servers: Vec<_> = tried
+        .iter()
+        .filter_map(|index| steer.servers().get(*index))
+        .map(|entry| json!({"server": entry.id, "occupied": entry.occupied(now)}))
+        .collect();
+    let fields = json!({
+        "id": call.id, "route": call.route.name, "service": call.service, "status": status,
+        "tried": servers, "took_ms": took / MILLI, "version": steer.version(),
+        "stale_ms": steer.staleness(now) / MILLI,
+    });
+    edge.journal.request(event, fields);
+}
--- /dev/null
+++ b/elmstream_edge/src/lib.rs
@@ -0,0 +1,23 @@
+//! An entry host that sends to any backend server.
+//!
+//! [`Edge`] holds the decisions of `elmstream_steer` and connects them: callers
+//! (`callers`, `forward`), backend servers (`backend`), the other hosts (`peers`)
+//! and the store (`reader`, over a [`Source`] that an adapter brings).
+
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
+
+pub mod backend;
+pub mod callers;
+pub mod edge;
+pub mod forward;
+pub mod headers;
+pub mod journal;
+pub mod lifecycle;
+pub mod peers;
+pub mod reader;
+pub mod settings;
+pub mod source;
+
+pub use edge::Edge;
+pub use settings::Settings;
+pub use source::{Source, SourceError};
--- /dev/null
+++ b/elmstream_edge/src/peers.rs
@@ -0,0 +1,175 @@
+//! What hosts tell each other: beats by datagram, rows of the view by HTTP.
+//!
+//! Beats are small and many, and a lost one does not matter, so they go by UDP.
+//! A beat that shows news makes its receiver fetch the rows that it lacks.
+
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use compio::{buf::BufResult, net::UdpSocket};
+use elmstream::time::MILLI;
+use elmstream_http::{LocalBody, body, client, server::Cut};
+use elmstream_steer::{
+    beat::{Beat, Known},
+    view::{Row, TABLES, Table},
+};
+use elmstreamd::clock;
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::edge::Edge;
+
+/// Path of the view's rows.
+const ROWS: &str = "/v1/rows";
+/// Largest datagram.
+const DATAGRAM: usize = 16 << 10;
+/// Time between two beats in a small fleet; more for each host beyond.
+const BEAT: Duration = Duration::from_millis(50);
+const BEAT_STEP: Duration = Duration::from_millis(3);
+const BEAT_MAX: Duration = Duration::from_millis(300);
+/// Hosts of other regions get each second beat.
+const AWAY_EVERY: u64 = 2;
+/// Time in which rows must have come.
+const FETCH: Duration = Duration::from_millis(1_000);
+/// Time between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What a host knows beyond a version, and which hosts it knows.
+#[derive(Debug, Deserialize, Serialize)]
+struct Rows {
+    known: [Known; 2],
+    rows: Vec<Row>,
+    hosts: Vec<SocketAddr>,
+}
+
+/// Sends beats until the process ends.
+pub async fn send(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
+    let mut round = 0u64;
+    loop {
+        round += 1;
+        let hosts = beat(&edge, &socket, round).await;
+        let pause = (BEAT + BEAT_STEP * hosts.saturating_sub(12) as u32).min(BEAT_MAX);
+        compio::time::sleep(pause).await;
+    }
+}
+
+/// Sends one beat to all whose turn it is; the number of hosts.
+pub async fn beat(edge: &Edge, socket: &UdpSocket, round: u64) -> usize {
+    let now = clock::now();
+    let (datagram, addresses, hosts) = {
+        let mut steer = edge.steer.borrow_mut();
+        let Ok(datagram) = postcard::to_allocvec(&steer.beat(now)) else { return 0 };
+        let mut addresses = steer.addresses();
+        let hosts = addresses.len();
+        let region = &edge.settings.host.region;
+        if !round.is_multiple_of(AWAY_EVERY) {
+            let away = |address: &SocketAddr| {
+                steer.members().get(address).is_some_and(|member| member.host.region != *region)
+            };
+            addresses.retain(|address| !away(address));
+        }
+        (bytes::Bytes::from(datagram), addresses, hosts)
+    };
+    for address in addresses {
+        let _ = socket.send_to(datagram.clone(), address).await;
+    }
+    hosts
+}
+
+/// Takes beats in until the process ends.
+pub async fn receive(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
+    let fetching = [Rc::new(Cell::new(false)), Rc::new(Cell::new(false))];
+    let mut buffer = Vec::with_capacity(DATAGRAM);
+    loop {
+        buffer.clear();
+        let BufResult(result, back) = socket.recv_from(buffer).await;
+        buffer = back;
+        let Ok((length, _)) = result else { continue };
+        let Ok(beat) = postcard::from_bytes::<Beat>(&buffer[..length.min(buffer.len())]) else {
+            continue;
+        };
+        let news = edge.steer.borrow_mut().hear(clock::now(), &beat);
+        let Some(news) = news else { continue };
+        if news.joined {
+            edge.journal.write("host_heard", json!({"host": beat.host.name}));
+        }
+        for (table, version) in news.wanted {
+            let flag = fetching[table as usize].clone();
+            if !flag.replace(true) {
+                let (edge, address) = (edge.clone(), beat.host.peers);
+                compio::runtime::spawn(async move {
+                    let _ = fetch(&edge, address, table, version).await;
+                    flag.set(false);
+                })
+                .detach();
+            }
+        }
+    }
+}
+
+/// Fetches the rows of a table after a version, and the addresses of hosts.
+pub async fn fetch(edge: &Edge, address: SocketAddr, table: Table, after: u64) -> io::Result<()> {
+    let fetched = compio::time::timeout(FETCH, get(address, table, after)).await;
+    let fetched = fetched.map_err(|_| io::ErrorKind::TimedOut)??;
+    let now = clock::now();
+    let known = fetched.known[table as usize];
+    let fresh = now - u64::from(known.age_ms) * MILLI;
+    let changes = {
+        let mut steer = edge.steer.borrow_mut();
+        for host in fetched.hosts {
+            steer.suppose(now, host);
+        }
+        if known.age_ms == u32::MAX {
+            return Ok(());
+        }
+        steer.read(now, table, known.version, fresh, fetched.rows)
+    };
+    edge.note(&address.to_string(), &changes);
+    Ok(())
+}
+
+async fn get(address: SocketAddr, table: Table, after: u64) -> io::Result<Rows> {
+    let mut sender = client::connect(address, FETCH).await?;
+    let uri = format!("{ROWS}?table={}&after={after}", table as usize);
+    let request = Request::builder().uri(uri).header("host", address.to_string());
+    let request = request.body(body::empty()).map_err(io::Error::other)?;
+    let response = sender.send_request(request).await.map_err(io::Error::other)?;
+    let whole = response.into_body().collect().await.map_err(io::Error::other)?;
+    postcard::from_bytes(&whole.to_bytes()).map_err(io::Error::other)
+}
+
+/// Serves another host's request for rows.
+pub async fn serve(edge: Rc<Edge>, request: Request<Incoming>) -> Result<Response<LocalBody>, Cut> {
+    let query = request.uri().query().unwrap_or_default();
+    let field = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse::<u64>().ok())
+    };
+    let table = field("table").and_then(|number| TABLES.get(number as usize).copied());
+    let (ROWS, Some(table), Some(after)) = (request.uri().path(), table, field("after")) else {
+        let mut response = Response::new(body::empty());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return Ok(response);
+    };
+    let rows = {
+        let mut steer = edge.steer.borrow_mut();
+        let known = steer.beat(clock::now()).known;
+        let mut hosts = steer.addresses();
+        hosts.push(edge.settings.host.peers);
+        Rows { known, rows: steer.view().since(table, after), hosts }
+    };
+    Ok(Response::new(body::full(postcard::to_allocvec(&rows).unwrap_or_default())))
+}
+
+/// Lets time pass for the decisions until the process ends.
+pub async fn tick(edge: Rc<Edge>) {
+    loop {
+        compio::time::sleep(TICK).await;
+        let changes = edge.steer.borrow_mut().tick(clock::now());
+        edge.note("time", &changes);
+        let steer = edge.steer.borrow();
+        edge.pool.sweep(|id| steer.servers().find(id).is_some());
+    }
+}
--- /dev/null
+++ b/elmstream_edge/src/reader.rs
@@ -0,0 +1,77 @@
+//! Reads the store for the fleet, when it is this host's turn.
+
+use std::{rc::Rc, time::Duration};
+
+use elmstream::time::MILLI;
+use elmstream_steer::{readers, steer::Change, view::Table};
+use elmstreamd::clock;
+use serde_json::json;
+
+use crate::{Source, SourceError, edge::Edge, source::Rows};
+
+/// Pause between two looks at whether it is this host's turn.
+const LOOK: Duration = Duration::from_millis(60);
+/// Part of the bound on configurations that a call waits for changes.
+const WAIT_PART: f64 = 0.3;
+
+/// Reads a table until the process ends.
+pub async fn run<S: Source>(edge: Rc<Edge>, source: Rc<S>, table: Table) {
+    let mut cursor = None;
+    let mut failing = false;
+    loop {
+        if !edge.steer.borrow().must_read(clock::now(), table) {
+            compio::time::sleep(LOOK).await;
+            continue;
+        }
+        match read(&edge, &*source, table, cursor).await {
+            Ok(version) => {
+                cursor = version;
+                edge.steer.borrow_mut().store_serves(true);
+                if failing {
+                    edge.journal.write("store_regained", json!({"table": format!("{table:?}")}));
+                }
+                failing = false;
+            }
+            Err(error) => {
+                edge.steer.borrow_mut().store_serves(false);
+                if !failing {
+                    let fields = json!({"table": format!("{table:?}"), "error": error.to_string()});
+                    edge.journal.write("store_lost", fields);
+                }
+                failing = true;
+                let hosts = edge.steer.borrow().members().live(clock::now()).count();
+                compio::time::sleep(Duration::from_micros(readers::pause(hosts + 1))).await;
+            }
+        }
+    }
+}
+
+/// One call; the version to go on from, or none to read all.
+async fn read<S: Source>(
+    edge: &Rc<Edge>,
+    source: &S,
+    table: Table,
+    cursor: Option<u64>,
+) -> Result<Option<u64>, SourceError> {
+    metrics::counter!("elmstream_store_calls", "table" => format!("{table:?}")).increment(1);
+    let Some(after) = cursor else {
+        let Rows { version, rows } = source.all(table).await?;
+        let changes = edge.steer.borrow_mut().read_all(clock::now(), table, version, rows);
+        learned(edge, &changes);
+        return Ok(Some(version));
+    };
+    let bound = edge.settings.bounds.configuration_ms as f64;
+    let wait = Duration::from_micros((bound * WAIT_PART) as u64 * MILLI);
+    let Some(Rows { version, rows }) = source.changes(table, after, wait).await? else {
+        edge.journal.write("store_history_gone", json!({"table": format!("{table:?}")}));
+        return Ok(None);
+    };
+    let now = clock::now();
+    let changes = edge.steer.borrow_mut().read(now, table, 0, now, rows);
+    learned(edge, &changes);
+    Ok(Some(version))
+}
+
+fn learned(edge: &Rc<Edge>, changes: &[Change]) {
+    edge.note("store", changes);
+}
--- /dev/null
+++ b/elmstream_edge/src/settings.rs
@@ -0,0 +1,128 @@
+//! Settings of an entry host, in JSON.
+
+use std::{collections::BTreeMap, fs, io, net::SocketAddr, path::Path};
+
+use elmstream_steer::settings::{Bounds, Host};
+use serde::Deserialize;
+use snafu::{ResultExt, Snafu, ensure};
+
+use crate::headers::HeaderNames;
+
+/// All settings.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The host itself.
+    pub host: Host,
+    /// Region of each failure domain.
+    pub domains: BTreeMap<String, String>,
+    /// Addresses of other hosts to begin with; they may be stale.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Where metrics are served; not at all if absent.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+    /// Names of headers.
+    #[serde(default)]
+    pub headers: HeaderNames,
+    /// Bounds of the fleet.
+    #[serde(default)]
+    pub bounds: Bounds,
+    /// The planned stop.
+    #[serde(default)]
+    pub stop: Stop,
+    /// What is written of requests.
+    #[serde(default)]
+    pub logging: Logging,
+}
+
+/// The planned stop.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Stop {
+    /// Time between the notice to callers and the end of new connections, in
+    /// milliseconds.
+    pub notice_ms: u64,
+    /// Time until the process ends at the latest, in milliseconds.
+    pub grace_ms: u64,
+}
+
+impl Default for Stop {
+    fn default() -> Stop {
+        Stop { notice_ms: 1_500, grace_ms: 5_500 }
+    }
+}
+
+/// What is written of requests.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Logging {
+    /// One of this many served requests is written; 0 for none.
+    pub sample: u64,
+    /// Lines a second at most; the rest is counted.
+    pub lines_per_s: u32,
+}
+
+impl Default for Logging {
+    fn default() -> Logging {
+        Logging { sample: 256, lines_per_s: 20 }
+    }
+}
+
+/// Why settings are refused.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("E3001 {path}: {source}"))]
+    Read {
+        /// The file.
+        path: String,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The file is not what it should be.
+    #[snafu(display("E3002 {source}"))]
+    Parse {
+        /// The cause, with the path of the key.
+        source: serde_path_to_error::Error<serde_json::Error>,
+    },
+    /// A value does not fit.
+    #[snafu(display("E3002 {key}: {problem}"))]
+    Value {
+        /// The key.
+        key: &'static str,
+        /// What is wrong.
+        problem: &'static str,
+    },
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let text =
+            fs::read_to_string(path).context(ReadSnafu { path: path.display().to_string() })?;
+        Settings::parse(&text)
+    }
+
+    /// Reads and checks a text.
+    pub fn parse(text: &str) -> Result<Settings, SettingsError> {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let settings: Settings = serde_path_to_error::deserialize(&mut json).context(ParseSnafu)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        let value = |key, problem| ValueSnafu { key, problem };
+        let region = self.domains.get(&self.host.domain);
+        ensure!(!self.host.name.is_empty(), value("host.name", "is empty"));
+        ensure!(region == Some(&self.host.region), value("host.domain", "is not of host.region"));
+        ensure!(
+            self.stop.notice_ms < self.stop.grace_ms,
+            value("stop.notice_ms", "is over stop.grace_ms")
+        );
+        ensure!(self.bounds.lookup_ttl_s > 0, value("bounds.lookup_ttl_s", "is 0"));
+        ensure!(self.bounds.retry_ratio >= 0.0, value("bounds.retry_ratio", "is below 0"));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/elmstream_edge/src/source.rs
@@ -0,0 +1,65 @@
+//! What an adapter to a store brings.
+
+use std::{net::SocketAddr, time::Duration};
+
+use elmstream_steer::{
+    settings::Host,
+    view::{Row, Table},
+};
+use snafu::Snafu;
+
+/// Why a call to the store gave nothing.
+#[derive(Debug, Snafu)]
+pub enum SourceError {
+    /// No answer in time, or a broken one.
+    #[snafu(display("no answer: {cause}"))]
+    Unreachable {
+        /// What the transport said.
+        cause: String,
+    },
+    /// The store refused.
+    #[snafu(display("refused with {status}"))]
+    Refused {
+        /// Its status.
+        status: u16,
+    },
+    /// The answer cannot be read.
+    #[snafu(display("bad answer: {cause}"))]
+    Malformed {
+        /// What is wrong.
+        cause: String,
+    },
+}
+
+/// Rows of a table, and the store's version that they are of.
+#[derive(Debug)]
+pub struct Rows {
+    /// The store's counter.
+    pub version: u64,
+    /// Rows; of a whole table only those that are there.
+    pub rows: Vec<Row>,
+}
+
+/// A store with rules, servers and hosts.
+pub trait Source: 'static {
+    /// All rows of a table.
+    fn all(&self, table: Table) -> impl Future<Output = Result<Rows, SourceError>>;
+
+    /// Rows that changed after a version, as soon as there is one; none if the
+    /// store no longer knows what changed.
+    fn changes(
+        &self,
+        table: Table,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Option<Rows>, SourceError>>;
+
+    /// Writes down that a host is there.
+    fn announce(&self, host: &Host) -> impl Future<Output = Result<(), SourceError>>;
+
+    /// Takes that back.
+    fn withdraw(&self, host: &Host) -> impl Future<Output = Result<(), SourceError>>;
+
+    /// Where hosts that are written down take messages of hosts.
+    fn hosts(&self) -> impl Future<Output = Result<Vec<SocketAddr>, SourceError>>;
+}
--- a/elmstream_http/src/server.rs
+++ b/elmstream_http/src/server.rs
@@ -41,6 +41,23 @@
     }
 }
 
+/// How connections are served.
+#[derive(Clone)]
+pub struct Options {
+    /// Terminates TLS; plain if none.
+    pub tls: Option<TlsAcceptor>,
+    /// Whether HTTP/2 is spoken beside HTTP/1.1.
+    pub http2: bool,
+    /// Time in which the head of the next request must have come, rest included.
+    pub head_timeout: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { tls: None, http2: true, head_timeout: HEADERS_TIMEOUT }
+    }
+}
+
 /// Serves until the stop, then lets requests in flight finish.
 ///
 /// The handler gets the client's address; `Err(Cut)` closes the connection.
@@ -50,6 +67,20 @@
     stop: Stop,
     handler: H,
 ) -> io::Result<()>
+where
+    H: Fn(SocketAddr, Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Result<Response<LocalBody>, Cut>> + 'static,
+{
+    serve_with(listener, Options { tls, ..Options::default() }, stop, handler).await
+}
+
+/// Serves as [`serve`] does, with options.
+pub async fn serve_with<H, F>(
+    listener: TcpListener,
+    options: Options,
+    stop: Stop,
+    handler: H,
+) -> io::Result<()>
 where
     H: Fn(SocketAddr, Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Result<Response<LocalBody>, Cut>> + 'static,
@@ -66,7 +97,7 @@
             Either::Right(_) => break,
         };
         let _ = stream.set_nodelay(true);
-        let connection = connection(stream, client, tls.clone(), stop.clone(), handler.clone());
+        let connection = connection(stream, client, options.clone(), stop.clone(), handler.clone());
         let open = open.clone();
         open.set(open.get() + 1);
         compio::runtime::spawn(async move {
@@ -86,14 +117,14 @@
 async fn connection<H, F>(
     stream: TcpStream,
     client: SocketAddr,
-    tls: Option<TlsAcceptor>,
+    options: Options,
     stop: Stop,
     handler: H,
 ) where
     H: Fn(SocketAddr, Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<LocalBody>, Cut>> + 'static,
 {
-    let stream = match tls {
+    let stream = match options.tls {
         None => HyperStream::new_plain(stream),
         Some(tls) => match compio::time::timeout(HANDSHAKE_TIMEOUT, tls.accept(stream)).await {
             Ok(Ok(stream)) => HyperStream::new_tls(stream),
@@ -102,10 +133,13 @@
     };
     let service = service_fn(move |request| handler(client, request));
     let mut builder = Builder::new(LocalExecutor);
+    if !options.http2 {
+        builder = builder.http1_only();
+    }
     builder
         .http1()
         .timer(CompioTimer)
-        .header_read_timeout(HEADERS_TIMEOUT)
+        .header_read_timeout(options.head_timeout)
         .max_buf_size(HEADERS_MAX);
     builder.http2().timer(CompioTimer).max_header_list_size(HEADERS_MAX as u32);
     let mut serving = pin!(builder.serve_connection(stream, service));
--- /dev/null
+++ b/elmstream_steer/src/beat.rs
@@ -0,0 +1,46 @@
+//! What hosts tell each other many times a second.
+
+use serde::{Deserialize, Serialize};
+
+use crate::settings::Host;
+
+/// One host's requests at one backend server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Load {
+    /// Hash of the server's id, cut to 32 bits.
+    pub server: u32,
+    /// Requests in flight.
+    pub in_flight: u16,
+    /// Whether the host gets no answers from it.
+    pub silent: bool,
+}
+
+/// How far a table of the store is known to the sender.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Known {
+    /// The store's version; 0 for nothing.
+    pub version: u64,
+    /// Age of the knowledge, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// A host's message to the others.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// The sender.
+    pub host: Host,
+    /// Number of its start.
+    pub incarnation: u64,
+    /// Rises with each beat of the start.
+    pub number: u64,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Whether the store serves it.
+    pub store: bool,
+    /// How far it knows the tables, in the order of [`crate::view::TABLES`].
+    pub known: [Known; 2],
+    /// Its requests in flight; servers without any are left out.
+    pub loads: Vec<Load>,
+}
--- /dev/null
+++ b/elmstream_steer/src/choose.rs
@@ -0,0 +1,239 @@
+//! Chooses the backend server of a request, or refuses it.
+//!
+//! Requests of one key meet the same server of a region (rendezvous hashing), so
+//! that it knows what they are about. The first of the caller's region comes
+//! first; the first ones of the other regions follow, which know the key too;
+//! then the second ones. What is in flight from all hosts decides when a server
+//! is passed over. A request that would wait too long everywhere is refused at
+//! once.
+
+use elmstream::time::{MILLI, Time};
+
+use crate::{
+    hash,
+    model::{Repeat, Route},
+    servers::{Entry, Index, Pace, ServerTable},
+    settings::Bounds,
+};
+
+/// Cost of another region, in milliseconds of answer time.
+const AWAY_MS: f64 = 30.0;
+/// Cost of another failure domain of the region, in milliseconds.
+const DOMAIN_MS: f64 = 2.0;
+/// Answer time of a server that does not know the key, as a multiple.
+const UNKNOWING: f64 = 2.5;
+/// Added answer time of a server all of whose answers fail, as a multiple.
+const FAILING: f64 = 6.0;
+/// Part of the objective that a wait may take, at the most urgent priority.
+const WAIT_PART: f64 = 0.45;
+/// Less for each step down in priority.
+const WAIT_STEP: f64 = 0.12;
+const WAIT_LEAST: f64 = 0.1;
+/// Servers of a region that are considered for a key.
+const RANKS: usize = 2;
+/// A server without knowledge of the key is used up to this part of its slots.
+const SPILL: f64 = 0.8;
+/// Time between two trials of a silent server, for each host that may try.
+const TRIAL: u64 = 500 * MILLI;
+/// Shortest and longest time that a refused caller is told to wait.
+const RETRY_MIN_MS: f64 = 100.0;
+const RETRY_MAX_MS: f64 = 800.0;
+
+/// A request that wants a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Its route.
+    pub route: &'a Route,
+    /// The service it goes to.
+    pub service: &'a str,
+    /// Hash of its affinity key, or of its id if it has none.
+    pub key: u64,
+    /// Servers that it was sent to before.
+    pub tried: &'a [Index],
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// To this server.
+    Send(Index),
+    /// Nowhere now.
+    Refuse(Refusal),
+}
+
+/// Why a request goes nowhere.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refusal {
+    /// The reason.
+    pub reason: Reason,
+    /// When to come back, in milliseconds.
+    pub retry_ms: u64,
+}
+
+/// Reasons of a refusal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// No server of the service may take it.
+    NoServer,
+    /// It would wait too long at each of them.
+    Full,
+}
+
+/// What a choice rests on beside the request.
+#[derive(Clone, Copy, Debug)]
+pub struct Scene<'a> {
+    /// Now.
+    pub now: Time,
+    /// When this host started.
+    pub started: Time,
+    /// Failure domain and region of this host.
+    pub place: (&'a str, &'a str),
+    /// All servers.
+    pub servers: &'a ServerTable,
+    /// Failure domains whose servers get nothing.
+    pub evacuated: &'a std::collections::BTreeSet<String>,
+    /// Bounds of the fleet.
+    pub bounds: &'a Bounds,
+    /// Requests a second that a cold server of the service bears.
+    pub cold_per_s: f64,
+    /// Hashes of the live hosts' names, with this one's first.
+    pub hosts: &'a [u64],
+}
+
+/// A server that may take the request.
+struct Candidate<'a> {
+    index: Index,
+    entry: &'a Entry,
+    weight: u64,
+}
+
+/// Chooses a server.
+pub fn choose(scene: &Scene<'_>, ask: &Ask<'_>) -> Choice {
+    let pace = scene.servers.pace(ask.service);
+    let candidates = candidates(scene, ask, pace);
+    if candidates.is_empty() {
+        return Choice::Refuse(Refusal { reason: Reason::NoServer, retry_ms: 300 });
+    }
+    let patience = patience_ms(ask.route);
+    let mut best: Option<(f64, Index)> = None;
+    let mut least_wait = f64::MAX;
+    for group in candidates.chunk_by(|a, b| a.entry.region == b.entry.region) {
+        for (rank, candidate) in group.iter().take(RANKS).enumerate() {
+            let wait = wait_ms(scene, candidate.entry, pace);
+            least_wait = least_wait.min(wait);
+            let usable = if rank == 0 { wait <= patience } else { spare(scene, candidate.entry) };
+            let cost = cost_ms(scene, candidate.entry, pace, rank) + wait;
+            if usable && best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, candidate.index));
+            }
+        }
+    }
+    let found = best.map(|(_, index)| index).or_else(|| spill(scene, &candidates));
+    match found {
+        Some(index) => Choice::Send(index),
+        None => Choice::Refuse(Refusal { reason: Reason::Full, retry_ms: retry_ms(least_wait) }),
+    }
+}
+
+/// Servers that may take the request, by region and then by weight.
+fn candidates<'a>(scene: &Scene<'a>, ask: &Ask<'_>, pace: Pace) -> Vec<Candidate<'a>> {
+    let mut found: Vec<Candidate<'a>> = Vec::new();
+    let mut silent: Vec<Candidate<'a>> = Vec::new();
+    for (index, entry) in scene.servers.of(ask.service) {
+        if !allowed(scene, ask, index, entry) || !cold_allows(scene, entry) {
+            continue;
+        }
+        let candidate = Candidate { index, entry, weight: hash::pair(entry.hash, ask.key) };
+        if silent_now(scene, entry, pace) {
+            silent.push(candidate);
+        } else {
+            found.push(candidate);
+        }
+    }
+    // A silent server is tried now and then, by requests that may run again; if
+    // most are silent, the fault is more likely on this host's side.
+    let apart = TRIAL * scene.hosts.len() as u64;
+    let all = silent.len() > found.len();
+    let may =
+        |c: &Candidate<'_>| ask.route.repeat == Repeat::Safe && c.entry.trial_due(scene.now, apart);
+    found.extend(silent.into_iter().filter(|c| all || may(c)));
+    let region = scene.place.1;
+    found.sort_by(|a, b| {
+        let place = |c: &Candidate<'a>| (c.entry.region != region, &c.entry.region);
+        place(a).cmp(&place(b)).then(b.weight.cmp(&a.weight))
+    });
+    found
+}
+
+/// Whether the server may get the request at all.
+fn allowed(scene: &Scene<'_>, ask: &Ask<'_>, index: Index, entry: &Entry) -> bool {
+    let home = ask.route.homes.is_empty() || ask.route.homes.contains(&entry.region);
+    home && !entry.server.draining
+        && !scene.evacuated.contains(&entry.server.domain)
+        && !ask.tried.contains(&index)
+        && entry.reachable(scene.now)
+}
+
+/// Whether the bound on cold servers lets this host send there now.
+fn cold_allows(scene: &Scene<'_>, entry: &Entry) -> bool {
+    if !entry.cold(scene.now) {
+        return true;
+    }
+    if scene.now < crate::cold::next(scene.started, entry.cold_sent) {
+        return false;
+    }
+    let senders = crate::cold::senders(scene.bounds, scene.cold_per_s);
+    let Some((own, others)) = scene.hosts.split_first() else { return false };
+    let mine = hash::pair(*own, entry.hash);
+    let before = others.iter().filter(|host| hash::pair(**host, entry.hash) > mine).count();
+    before < senders
+}
+
+fn silent_now(scene: &Scene<'_>, entry: &Entry, pace: Pace) -> bool {
+    let heard = entry.answered.is_some_and(|at| scene.now.since(at) < 300 * MILLI);
+    entry.silent(scene.now, pace) || (entry.silent_elsewhere > 0 && !heard)
+}
+
+/// Time until a slot is free, in milliseconds.
+fn wait_ms(scene: &Scene<'_>, entry: &Entry, pace: Pace) -> f64 {
+    let slots = entry.server.slots.max(1);
+    let occupied = entry.occupied(scene.now);
+    let ahead = (occupied + 1).saturating_sub(slots);
+    ahead as f64 * pace.mean_ms * entry.slowness.max(1.0) / slots as f64
+}
+
+/// Answer time without the wait, and what the place costs, in milliseconds.
+fn cost_ms(scene: &Scene<'_>, entry: &Entry, pace: Pace, rank: usize) -> f64 {
+    let place = if entry.region != scene.place.1 {
+        AWAY_MS
+    } else if entry.server.domain != scene.place.0 {
+        DOMAIN_MS
+    } else {
+        0.0
+    };
+    let knowing = if rank == 0 { 1.0 } else { UNKNOWING };
+    let failing = 1.0 + FAILING * entry.failing;
+    place + pace.mean_ms * knowing * entry.slowness.max(0.7) * failing
+}
+
+fn spare(scene: &Scene<'_>, entry: &Entry) -> bool {
+    (entry.occupied(scene.now) as f64) < entry.server.slots as f64 * SPILL
+}
+
+/// The emptiest server of all, if one has room to spare.
+fn spill(scene: &Scene<'_>, candidates: &[Candidate<'_>]) -> Option<Index> {
+    let free = candidates.iter().filter(|c| spare(scene, c.entry));
+    let used =
+        |c: &&Candidate<'_>| c.entry.occupied(scene.now) * 1_000 / c.entry.server.slots.max(1);
+    free.min_by_key(|c| (used(c), std::cmp::Reverse(c.weight))).map(|c| c.index)
+}
+
+/// The longest wait that a request of the route is sent into, in milliseconds.
+fn patience_ms(route: &Route) -> f64 {
+    let part = (WAIT_PART - WAIT_STEP * route.priority as f64).max(WAIT_LEAST);
+    route.objective_ms as f64 * part
+}
+
+fn retry_ms(wait: f64) -> u64 {
+    wait.clamp(RETRY_MIN_MS, RETRY_MAX_MS) as u64
+}
--- /dev/null
+++ b/elmstream_steer/src/cold.rs
@@ -0,0 +1,25 @@
+//! The bound on requests to a cold backend server, over all hosts.
+//!
+//! For each backend server a few hosts are senders, by rendezvous hashing over
+//! the live ones, and each sends at most one request in a spacing of a little
+//! more than a second. The senders are half as many as the bound allows, so two
+//! sets of hosts that know nothing of each other still keep it; a host that has
+//! just started waits a spacing first, as it does not know what it sent before.
+
+use elmstream::time::{MILLI, Time};
+
+use crate::settings::Bounds;
+
+/// Time between two requests of one sender to a cold backend server.
+pub const SPACING: u64 = 1_100 * MILLI;
+
+/// Senders of a cold backend server that bears `per_s` requests a second.
+pub fn senders(bounds: &Bounds, per_s: f64) -> usize {
+    let bound = per_s * bounds.cold_overshoot + bounds.cold_slack;
+    ((bound / 2.0) as usize).max(1)
+}
+
+/// When a sender may send again after a request at `last`, or its own start.
+pub fn next(started: Time, last: Option<Time>) -> Time {
+    last.unwrap_or(started) + SPACING
+}
--- /dev/null
+++ b/elmstream_steer/src/hash.rs
@@ -0,0 +1,18 @@
+//! Hashes that are alike on all hosts.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Hash of a text or of bytes.
+pub fn of(bytes: impl AsRef<[u8]>) -> u64 {
+    xxh3_64(bytes.as_ref())
+}
+
+/// Weight of a pair in rendezvous hashing; the highest one wins.
+pub fn pair(a: u64, b: u64) -> u64 {
+    xxh3_64_with_seed(&a.to_le_bytes(), b)
+}
+
+/// A hash as a number from 0 up to 1.
+pub fn unit(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/elmstream_steer/src/lib.rs
@@ -0,0 +1,28 @@
+//! Decisions of an entry host in a fleet whose hosts send to any backend server.
+//!
+//! Pure: no I/O, no clock, no threads. Rows of the store, beats of the other
+//! hosts, requests and time come in; choices and messages go out. `view` holds
+//! what the store says, `servers` and `members` hold the entities, and `choose`,
+//! `cold`, `budget` and `readers` are the systems over them. [`Steer`] ties them
+//! together for one host.
+
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
+
+pub mod beat;
+pub mod budget;
+pub mod choose;
+pub mod cold;
+pub mod hash;
+pub mod lookup;
+pub mod members;
+pub mod model;
+pub mod readers;
+pub mod routes;
+pub mod servers;
+pub mod settings;
+pub mod steer;
+pub mod view;
+
+pub use choose::{Ask, Choice, Refusal};
+pub use settings::{Bounds, Host, Settings};
+pub use steer::Steer;
--- /dev/null
+++ b/elmstream_steer/src/routes.rs
@@ -0,0 +1,54 @@
+//! Finds the route of a request.
+
+use std::{collections::HashMap, rc::Rc};
+
+use crate::{
+    hash,
+    model::{Configuration, Route},
+};
+
+/// Routes by host, the longest prefix first.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    by_host: HashMap<String, Vec<Rc<Route>>>,
+}
+
+impl RouteTable {
+    /// The routes of a configuration.
+    pub fn new(configuration: &Configuration) -> RouteTable {
+        let mut by_host: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
+        for route in &configuration.routes {
+            let routes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
+            routes.push(Rc::new(route.clone()));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        RouteTable { by_host }
+    }
+
+    /// The route with the longest prefix of a path; the host may bear a port.
+    pub fn find(&self, host: &str, path: &str) -> Option<Rc<Route>> {
+        let name = host.split(':').next().unwrap_or_default();
+        let routes = match self.by_host.get(name) {
+            Some(routes) => routes,
+            None => self.by_host.get(&name.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix)).cloned()
+    }
+}
+
+/// The service that a request of a route goes to; `draw` decides by weight.
+pub fn service(route: &Route, draw: u64) -> &str {
+    let total: f64 = route.parts.iter().map(|part| part.weight).sum();
+    let mut left = hash::unit(draw) * total;
+    let mut last = "";
+    for part in route.parts.iter().filter(|part| part.weight > 0.0) {
+        last = &part.service;
+        left -= part.weight;
+        if left < 0.0 {
+            break;
+        }
+    }
+    last
+}
