Keep the hosts' own listener open: rows between hosts were never fetched

Cause: the stopper of the peers' listener was dropped at once, which ends it; so each host learned only from the store, some of them seconds late.

--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -64,7 +64,7 @@
     for table in TABLES {
         spawn(reader::run(edge.clone(), source.clone(), table));
     }
-    let (_, never) = Stopper::new();
+    let (_until_the_end, never) = Stopper::new();
     let served = edge.clone();
     let peer = move |_, request| peers::serve(served.clone(), request);
     spawn(async move {
