Keep keys where they are known, and spread them only with slots to spare

Change: a region keeps the part of its keys that its slots are worth, by what all hosts say of the demand; each host remembers which server knows which key; a server that does not know the key is used only with slots to spare, and not at all when most slots are taken.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -51,7 +51,7 @@
 
 /// Sends a request on, and gives its final answer.
 pub async fn run(edge: &Rc<Edge>, call: &Call) -> Response<LocalBody> {
-    edge.steer.borrow_mut().earn(&call.service);
+    edge.steer.borrow_mut().earn(clock::now(), &call.service);
     let mut tried: Vec<Index> = Vec::new();
     let mut unknown = false;
     let mut failed = None;
@@ -121,7 +121,7 @@
         Exchange::Broken => (Outcome::Unknown, Try::Unknown),
         Exchange::Whole(parts, body) => {
             tell(edge, index, &parts);
-            judge(edge, call, &id, parts, body, clock::now().since(sent))
+            judge(edge, call, index, &id, parts, body, clock::now().since(sent))
         }
     };
     flight.outcome = outcome;
@@ -154,6 +154,7 @@
 fn judge(
     edge: &Edge,
     call: &Call,
+    index: Index,
     id: &str,
     parts: response::Parts,
     body: Bytes,
@@ -176,7 +177,8 @@
     if parts.status.is_server_error() {
         return (Outcome::Failed, Try::Failed(parts, body));
     }
-    (Outcome::Answered(took), Try::Answer(parts, body))
+    let knew = edge.steer.borrow_mut().learn(clock::now(), index, call.key);
+    (Outcome::Answered { micros: took, knew }, Try::Answer(parts, body))
 }
 
 /// The server's answer, for the caller.
@@ -244,8 +246,8 @@
         .map(|entry| json!({"server": entry.id, "occupied": entry.occupied(now)}))
         .collect();
     let fields = json!({
-        "id": call.id, "route": call.route.name, "service": call.service, "status": status,
-        "tried": servers, "took_ms": took / MILLI, "version": steer.version(),
+        "id": call.id, "key": call.key % 10_000, "route": call.route.name, "service": call.service,
+        "status": status, "tried": servers, "took_ms": took / MILLI, "version": steer.version(),
         "stale_ms": steer.staleness(now) / MILLI,
     });
     edge.journal.request(event, fields);
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -41,6 +41,8 @@
     pub store: bool,
     /// How far it knows the tables, in the order of [`crate::view::TABLES`].
     pub known: [Known; 2],
+    /// Requests that it took lately, by hash of the service, cut to 32 bits.
+    pub demand: Vec<(u32, u32)>,
     /// Its requests in flight; servers without any are left out.
     pub loads: Vec<Load>,
 }
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -1,38 +1,45 @@
 //! Chooses the backend server of a request, or refuses it.
 //!
-//! Requests of one key meet the same server of a region (rendezvous hashing), so
-//! that it knows what they are about. The first of the caller's region comes
-//! first; the first ones of the other regions follow, which know the key too;
-//! then the second ones. What is in flight from all hosts decides when a server
-//! is passed over. A request that would wait too long everywhere is refused at
-//! once.
+//! Requests of one key meet the same server (rendezvous hashing inside a region
+//! that [`crate::demand`] draws by key), so that it knows what they are about.
+//! Others follow only if it would keep the request waiting too long, and rather
+//! one that knows the key. What is in flight from all hosts tells the wait. A
+//! request that would wait too long everywhere is refused at once.
 
 use elmstream::time::{MILLI, Time};
 
 use crate::{
+    demand::Division,
     hash,
     model::{Repeat, Route},
     servers::{Entry, Index, Pace, ServerTable},
     settings::Bounds,
+    warmth::Warmth,
 };
 
 /// Cost of another region, in milliseconds of answer time.
 const AWAY_MS: f64 = 30.0;
-/// Cost of another failure domain of the region, in milliseconds.
-const DOMAIN_MS: f64 = 2.0;
-/// Answer time of a server that does not know the key, as a multiple.
-const UNKNOWING: f64 = 2.5;
 /// Added answer time of a server all of whose answers fail, as a multiple.
 const FAILING: f64 = 6.0;
-/// Part of the objective that a wait may take, at the most urgent priority.
-const WAIT_PART: f64 = 0.45;
-/// Less for each step down in priority.
-const WAIT_STEP: f64 = 0.12;
+/// Part of the objective in which an answer is aimed at.
+const AIM_PART: f64 = 0.85;
+/// Least part of the objective that a wait may take.
 const WAIT_LEAST: f64 = 0.1;
-/// Servers of a region that are considered for a key.
-const RANKS: usize = 2;
+/// Less patience for each step down in priority.
+const PRIORITY_STEP: f64 = 0.15;
+/// Servers of the first region, and of each further one, that are considered.
+const RANKS_FIRST: usize = 2;
+const RANKS_NEXT: usize = 1;
+/// Cost of each step down the order for a server that does not know the key.
+const STEP_MS: f64 = 60.0;
 /// A server without knowledge of the key is used up to this part of its slots.
-const SPILL: f64 = 0.8;
+const SPARE: f64 = 0.8;
+/// Occupied part of a service's slots beyond which requests go only to servers
+/// that know their key, or should: another would work longer on the request, and
+/// forget a key for it, just when nobody has time to spare.
+const SECOND_MAX: f64 = 0.7;
+/// The same for any server but the first ones.
+const SPILL_MAX: f64 = 0.5;
 /// Time between two trials of a silent server, for each host that may try.
 const TRIAL: u64 = 500 * MILLI;
 /// Shortest and longest time that a refused caller is told to wait.
@@ -98,12 +105,18 @@
     pub cold_per_s: f64,
     /// Hashes of the live hosts' names, with this one's first.
     pub hosts: &'a [u64],
+    /// How the regions divide the requests of the service.
+    pub division: &'a Division,
+    /// Which servers know which keys.
+    pub warmth: &'a Warmth,
 }
 
 /// A server that may take the request.
 struct Candidate<'a> {
     index: Index,
     entry: &'a Entry,
+    /// Place of its region in the key's order.
+    place: usize,
     weight: u64,
 }
 
@@ -114,21 +127,34 @@
     if candidates.is_empty() {
         return Choice::Refuse(Refusal { reason: Reason::NoServer, retry_ms: 300 });
     }
-    let patience = patience_ms(ask.route);
+    let load = load(scene, &candidates);
     let mut best: Option<(f64, Index)> = None;
     let mut least_wait = f64::MAX;
-    for group in candidates.chunk_by(|a, b| a.entry.region == b.entry.region) {
-        for (rank, candidate) in group.iter().take(RANKS).enumerate() {
+    let mut step = 0.0;
+    for group in candidates.chunk_by(|a, b| a.place == b.place) {
+        let ranks = if group[0].place == 0 { RANKS_FIRST } else { RANKS_NEXT };
+        for candidate in group.iter().take(ranks) {
+            let knows = scene.warmth.knows(scene.now, candidate.index, ask.key);
             let wait = wait_ms(scene, candidate.entry, pace);
             least_wait = least_wait.min(wait);
-            let usable = if rank == 0 { wait <= patience } else { spare(scene, candidate.entry) };
-            let cost = cost_ms(scene, candidate.entry, pace, rank) + wait;
+            let first = step == 0.0;
+            let usable = if first || knows {
+                wait <= patience_ms(scene, ask.route, candidate.entry, pace)
+            } else {
+                load < SECOND_MAX && spare(scene, candidate.entry)
+            };
+            let cost = cost_ms(scene, candidate.entry, pace, knows) + wait;
+            let cost = if knows { cost } else { cost + step };
             if usable && best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, candidate.index));
             }
+            step += STEP_MS;
         }
     }
-    let found = best.map(|(_, index)| index).or_else(|| spill(scene, &candidates));
+    let found = best.map(|(_, index)| index).or_else(|| match load < SPILL_MAX {
+        true => spill(scene, &candidates),
+        false => None,
+    });
     match found {
         Some(index) => Choice::Send(index),
         None => Choice::Refuse(Refusal { reason: Reason::Full, retry_ms: retry_ms(least_wait) }),
@@ -139,11 +165,14 @@
 fn candidates<'a>(scene: &Scene<'a>, ask: &Ask<'_>, pace: Pace) -> Vec<Candidate<'a>> {
     let mut found: Vec<Candidate<'a>> = Vec::new();
     let mut silent: Vec<Candidate<'a>> = Vec::new();
+    let order = scene.division.order(scene.place.1, ask.key);
     for (index, entry) in scene.servers.of(ask.service) {
         if !allowed(scene, ask, index, entry) || !cold_allows(scene, entry) {
             continue;
         }
-        let candidate = Candidate { index, entry, weight: hash::pair(entry.hash, ask.key) };
+        let place = order.iter().position(|name| *name == entry.region).unwrap_or(order.len());
+        let weight = hash::pair(entry.hash, ask.key);
+        let candidate = Candidate { index, entry, place, weight };
         if silent_now(scene, entry, pace) {
             silent.push(candidate);
         } else {
@@ -157,11 +186,7 @@
     let may =
         |c: &Candidate<'_>| ask.route.repeat == Repeat::Safe && c.entry.trial_due(scene.now, apart);
     found.extend(silent.into_iter().filter(|c| all || may(c)));
-    let region = scene.place.1;
-    found.sort_by(|a, b| {
-        let place = |c: &Candidate<'a>| (c.entry.region != region, &c.entry.region);
-        place(a).cmp(&place(b)).then(b.weight.cmp(&a.weight))
-    });
+    found.sort_by_key(|candidate| (candidate.place, std::cmp::Reverse(candidate.weight)));
     found
 }
 
@@ -203,21 +228,22 @@
 }
 
 /// Answer time without the wait, and what the place costs, in milliseconds.
-fn cost_ms(scene: &Scene<'_>, entry: &Entry, pace: Pace, rank: usize) -> f64 {
-    let place = if entry.region != scene.place.1 {
-        AWAY_MS
-    } else if entry.server.domain != scene.place.0 {
-        DOMAIN_MS
-    } else {
-        0.0
-    };
-    let knowing = if rank == 0 { 1.0 } else { UNKNOWING };
+fn cost_ms(scene: &Scene<'_>, entry: &Entry, pace: Pace, knows: bool) -> f64 {
+    let away = if entry.region == scene.place.1 { 0.0 } else { AWAY_MS };
+    let work = if knows { pace.knowing_ms } else { pace.unknowing_ms };
     let failing = 1.0 + FAILING * entry.failing;
-    place + pace.mean_ms * knowing * entry.slowness.max(0.7) * failing
+    away + work * entry.slowness.max(0.7) * failing
 }
 
 fn spare(scene: &Scene<'_>, entry: &Entry) -> bool {
-    (entry.occupied(scene.now) as f64) < entry.server.slots as f64 * SPILL
+    (entry.occupied(scene.now) as f64) < entry.server.slots as f64 * SPARE
+}
+
+/// Occupied part of all candidates' slots.
+fn load(scene: &Scene<'_>, candidates: &[Candidate<'_>]) -> f64 {
+    let slots: u32 = candidates.iter().map(|c| c.entry.server.slots).sum();
+    let used = candidates.iter().map(|c| c.entry.occupied(scene.now).min(c.entry.server.slots));
+    f64::from(used.sum::<u32>()) / f64::from(slots.max(1))
 }
 
 /// The emptiest server of all, if one has room to spare.
@@ -229,9 +255,12 @@
 }
 
 /// The longest wait that a request of the route is sent into, in milliseconds.
-fn patience_ms(route: &Route) -> f64 {
-    let part = (WAIT_PART - WAIT_STEP * route.priority as f64).max(WAIT_LEAST);
-    route.objective_ms as f64 * part
+fn patience_ms(scene: &Scene<'_>, route: &Route, entry: &Entry, pace: Pace) -> f64 {
+    let objective = route.objective_ms as f64;
+    let urgency = (1.0 - PRIORITY_STEP * route.priority as f64).max(WAIT_LEAST);
+    let away = if entry.region == scene.place.1 { 0.0 } else { AWAY_MS };
+    let left = objective * AIM_PART - pace.knowing_ms * entry.slowness.max(1.0) - away;
+    (left * urgency).max(objective * WAIT_LEAST)
 }
 
 fn retry_ms(wait: f64) -> u64 {
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 pub mod choose;
 pub mod cold;
+pub mod demand;
 pub mod hash;
 pub mod lookup;
 pub mod members;
@@ -22,6 +23,7 @@
 pub mod settings;
 pub mod steer;
 pub mod view;
+pub mod warmth;
 
 pub use choose::{Ask, Choice, Refusal};
 pub use settings::{Bounds, Host, Settings};
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -38,6 +38,8 @@
     pub store: bool,
     /// Its requests in flight by server.
     pub loads: Vec<Load>,
+    /// Requests that it took lately, by hash of the service.
+    pub demand: Vec<(u32, u32)>,
 }
 
 /// All hosts that are known, by address for hosts.
@@ -84,6 +86,7 @@
             leaving: beat.leaving,
             store: beat.store,
             loads: beat.loads.clone(),
+            demand: beat.demand.clone(),
         };
         let before = self.members.insert(address, member).map(|old| old.loads);
         Some(Heard { joined, before: before.unwrap_or_default() })
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -12,6 +12,8 @@
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Answer time that is assumed before the first answer, in milliseconds.
 const FIRST_GUESS_MS: f64 = 150.0;
+/// Answer time of a server that does not know the key, as a multiple, till learned.
+const UNKNOWING: f64 = 3.0;
 /// A server is silent after this many mean answer times without an answer.
 const SILENT_MEANS: f64 = 3.0;
 /// Bounds of the time after which a server is silent.
@@ -76,8 +78,13 @@
 /// What became of a request at a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
-    /// A whole answer came after this many microseconds.
-    Answered(u64),
+    /// A whole answer came.
+    Answered {
+        /// After this many microseconds.
+        micros: u64,
+        /// Whether the server was taken to know the key.
+        knew: bool,
+    },
     /// A whole answer that is a failure of the server.
     Failed,
     /// It was full and did not run the request.
@@ -99,11 +106,19 @@
 pub struct Pace {
     /// Mean answer time, in milliseconds.
     pub mean_ms: f64,
+    /// The same of servers that were taken to know the key.
+    pub knowing_ms: f64,
+    /// The same of the others.
+    pub unknowing_ms: f64,
 }
 
 impl Default for Pace {
     fn default() -> Pace {
-        Pace { mean_ms: FIRST_GUESS_MS }
+        Pace {
+            mean_ms: FIRST_GUESS_MS,
+            knowing_ms: FIRST_GUESS_MS,
+            unknowing_ms: FIRST_GUESS_MS * UNKNOWING,
+        }
     }
 }
 
@@ -274,13 +289,15 @@
         let Some(entry) = self.entries.get_mut(&index.0) else { return };
         entry.own = entry.own.saturating_sub(1);
         match outcome {
-            Outcome::Answered(micros) => {
+            Outcome::Answered { micros, knew } => {
                 entry.heard(now);
                 entry.fail(false);
                 let pace = self.paces.entry(entry.server.service.clone()).or_default();
                 let millis = micros as f64 / MILLI as f64;
                 pace.mean_ms += (millis - pace.mean_ms) * MEAN_WEIGHT;
-                let ratio = (millis / pace.mean_ms).min(8.0);
+                let kind = if knew { &mut pace.knowing_ms } else { &mut pace.unknowing_ms };
+                let ratio = (millis / *kind).min(8.0);
+                *kind += (millis - *kind) * MEAN_WEIGHT;
                 entry.slowness += (ratio - entry.slowness) * MEAN_WEIGHT;
             }
             Outcome::Failed => {
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -1,7 +1,7 @@
 //! The decisions of one host.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
 };
@@ -12,6 +12,7 @@
     beat::{Beat, Known, Load},
     budget::Budgets,
     choose::{self, Ask, Choice, Scene},
+    demand::{Count, Division, Region},
     hash,
     lookup::{self, Ready},
     members::Members,
@@ -21,6 +22,7 @@
     servers::{Index, Outcome, ServerTable},
     settings::Settings,
     view::{Item, Key, Row, TABLES, Table, View},
+    warmth::Warmth,
 };
 
 /// Servers that the store drops within this time after it was away may come back.
@@ -43,6 +45,9 @@
     evacuated: BTreeSet<String>,
     cold: HashMap<String, (u64, f64)>,
     servers: ServerTable,
+    counts: HashMap<String, Count>,
+    divisions: HashMap<String, Division>,
+    warmth: Warmth,
     members: Members,
     budgets: Budgets,
     number: u64,
@@ -77,6 +82,9 @@
             evacuated: BTreeSet::new(),
             cold: HashMap::new(),
             servers: ServerTable::default(),
+            counts: HashMap::new(),
+            divisions: HashMap::new(),
+            warmth: Warmth::default(),
             members: Members::default(),
             budgets: Budgets::default(),
             number: 0,
@@ -139,6 +147,7 @@
     pub fn send(&mut self, now: Time, ask: &Ask<'_>) -> Choice {
         let cold_per_s = self.cold.get(ask.service).map_or(1.0, |(_, per_s)| *per_s);
         let host = &self.settings.host;
+        let empty = Division::default();
         let scene = Scene {
             now,
             started: self.started,
@@ -148,6 +157,8 @@
             bounds: &self.settings.bounds,
             cold_per_s,
             hosts: &self.live,
+            division: self.divisions.get(ask.service).unwrap_or(&empty),
+            warmth: &self.warmth,
         };
         let choice = choose::choose(&scene, ask);
         if let Choice::Send(index) = choice
@@ -170,8 +181,20 @@
         }
     }
 
+    /// A server answered a request of a key; whether it was taken to know it.
+    pub fn learn(&mut self, now: Time, index: Index, key: u64) -> bool {
+        let knew = self.warmth.knows(now, index, key);
+        self.warmth.learn(now, index, key);
+        knew
+    }
+
     /// A request of a service came, which earns a part of a repeat.
-    pub fn earn(&mut self, service: &str) {
+    pub fn earn(&mut self, now: Time, service: &str) {
+        if let Some(count) = self.counts.get_mut(service) {
+            count.add(now);
+        } else {
+            self.counts.entry(service.to_owned()).or_default().add(now);
+        }
         let bounds = &self.settings.bounds;
         self.budgets.earn(service, bounds.retry_ratio, bounds.retry_slack, self.live.len());
     }
@@ -278,7 +301,7 @@
                     entry.lapses = Some(now + LAPSE);
                     changes.push(Change::Server(id.clone(), "lapsed"));
                 } else {
-                    self.servers.remove(id);
+                    self.remove(id);
                     changes.push(Change::Server(id.clone(), "gone"));
                 }
             }
@@ -286,6 +309,13 @@
         }
     }
 
+    fn remove(&mut self, id: &str) {
+        if let Some(index) = self.servers.find(id) {
+            self.warmth.forget(index);
+        }
+        self.servers.remove(id);
+    }
+
     /// Servers of a failure domain that is taken back may have turned cold.
     fn take_back(&mut self, now: Time, domain: &str) {
         let cold = &self.cold;
@@ -328,7 +358,11 @@
             let version = self.view.mark(table).version;
             Known { version, age_ms: age_ms.min(u32::MAX as u64) as u32 }
         });
+        let counts = self.counts.iter();
+        let demand = counts.map(|(name, count)| (hash::of(name) as u32, count.value(now) as u32));
+        let demand = demand.collect();
         Beat {
+            demand,
             host: self.settings.host.clone(),
             incarnation: self.settings.incarnation,
             number: self.number,
@@ -396,6 +430,34 @@
         }
     }
 
+    /// Divides each service's requests among the regions anew.
+    fn divide(&mut self, now: Time) {
+        let mut services: HashMap<String, BTreeMap<String, Region>> = HashMap::new();
+        for (_, entry) in self.servers.all() {
+            if entry.server.draining || self.evacuated.contains(&entry.server.domain) {
+                continue;
+            }
+            let regions = services.entry(entry.server.service.clone()).or_default();
+            regions.entry(entry.region.clone()).or_default().slots += f64::from(entry.server.slots);
+        }
+        for (service, mut regions) in services {
+            for region in self.settings.domains.values() {
+                regions.entry(region.clone()).or_default();
+            }
+            let hash = hash::of(&service) as u32;
+            for member in self.members.all() {
+                let told = member.demand.iter().find(|(service, _)| *service == hash);
+                let region = regions.entry(member.host.region.clone()).or_default();
+                region.demand += told.map_or(0.0, |(_, requests)| f64::from(*requests));
+            }
+            if let Some(count) = self.counts.get(&service) {
+                let region = regions.entry(self.settings.host.region.clone()).or_default();
+                region.demand += count.value(now);
+            }
+            self.divisions.insert(service, Division::new(&regions));
+        }
+    }
+
     fn count_hosts(&mut self, now: Time) {
         self.live.clear();
         self.live.push(self.hash);
@@ -407,12 +469,13 @@
         self.members.expire(now);
         self.recount();
         self.count_hosts(now);
+        self.divide(now);
         self.view.forget(now);
         let lapsed =
             self.servers.all().filter(|(_, entry)| entry.lapses.is_some_and(|at| now >= at));
         let lapsed: Vec<String> = lapsed.map(|(_, entry)| entry.id.clone()).collect();
         for id in &lapsed {
-            self.servers.remove(id);
+            self.remove(id);
         }
         lapsed.into_iter().map(|id| Change::Server(id, "gone")).collect()
     }
