--- /dev/null
+++ b/elmstream_steer/tests/choose.rs
@@ -0,0 +1,180 @@
+//! Where requests go.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use elmstream_steer::{
+    Choice, Steer,
+    choose::Reason,
+    model::Repeat,
+    servers::{Index, Outcome},
+    view::{Item, Key, Row, Table},
+};
+use support::{beats, id, ms, ready, route, send, server, servers};
+
+fn sent(steer: &mut Steer, at: u64, key: u64) -> Option<Index> {
+    match send(steer, ms(at), &route(Repeat::Safe, &[]), key) {
+        Choice::Send(index) => Some(index),
+        Choice::Refuse(_) => None,
+    }
+}
+
+fn answered(steer: &mut Steer, at: u64, index: Index, key: u64) {
+    let knew = steer.learn(ms(at), index, key);
+    steer.done(ms(at), index, Outcome::Answered { micros: 50_000, knew });
+}
+
+#[test]
+fn a_key_stays_with_its_server_and_all_hosts_of_a_region_agree() {
+    let mut fleet: Vec<Steer> = (0..8).map(|n| ready(n, ms(0), servers(3))).collect();
+    beats(ms(0), &mut fleet, |_, _| true);
+    for key in 0..60 {
+        let mut met = BTreeMap::<String, BTreeSet<String>>::new();
+        for host in &mut fleet {
+            let index = sent(host, 10, key).expect("all are idle");
+            let region = host.settings().host.region.clone();
+            met.entry(region).or_default().insert(id(host, index));
+            answered(host, 11, index, key);
+        }
+        assert!(met.values().all(|servers| servers.len() == 1), "{met:?}");
+    }
+}
+
+#[test]
+fn a_region_with_few_servers_keeps_few_of_its_keys() {
+    let mut rows = servers(0);
+    rows.push(server("small", "a1", 10));
+    rows.extend((0..9).map(|n| server(&format!("large-{n}"), "b1", 10)));
+    let mut host = ready(0, ms(0), rows);
+    let mut kept = 0;
+    for key in 0..400 {
+        let index = sent(&mut host, 10, key).expect("all are idle");
+        kept += u32::from(id(&host, index) == "small");
+        host.done(ms(11), index, Outcome::Left);
+    }
+    // One of ten servers, and the demand of the regions is taken to be alike.
+    assert!((60..160).contains(&kept), "{kept} of 400 keys");
+}
+
+#[test]
+fn homes_bind_even_when_the_home_is_full() {
+    let mut host = ready(0, ms(0), servers(1));
+    let route = route(Repeat::Safe, &["b"]);
+    let mut refused = 0;
+    for key in 0..200 {
+        match send(&mut host, ms(10), &route, key) {
+            Choice::Send(index) => assert!(id(&host, index).starts_with("s-b")),
+            Choice::Refuse(refusal) => {
+                assert_eq!(refusal.reason, Reason::Full);
+                refused += 1;
+            }
+        }
+    }
+    assert!(refused > 0);
+}
+
+#[test]
+fn a_wait_beyond_the_objective_is_refused_at_once_with_when_to_come_back() {
+    let mut host = ready(0, ms(0), vec![server("one", "a1", 10)]);
+    let mut taken = 0;
+    let refusal = loop {
+        match send(&mut host, ms(10), &route(Repeat::Once, &[]), taken) {
+            Choice::Send(_) => taken += 1,
+            Choice::Refuse(refusal) => break refusal,
+        }
+    };
+    assert!((6..20).contains(&taken), "{taken} requests at 6 slots");
+    assert!((100..=800).contains(&refusal.retry_ms));
+}
+
+#[test]
+fn what_the_other_hosts_have_in_flight_counts() {
+    let mut fleet: Vec<Steer> =
+        (0..2).map(|n| ready(n, ms(0), vec![server("one", "a1", 10)])).collect();
+    let mut taken = 0;
+    while sent(&mut fleet[0], 10, taken).is_some() {
+        taken += 1;
+    }
+    beats(ms(20), &mut fleet, |_, _| true);
+    assert!(sent(&mut fleet[1], 30, 1).is_none(), "the server is full for both");
+    // Once the first host is silent, its requests are no longer counted.
+    for at in (100..1_500).step_by(100) {
+        fleet[1].tick(ms(at));
+    }
+    assert!(sent(&mut fleet[1], 1_500, 1).is_some());
+}
+
+#[test]
+fn under_load_a_key_is_not_spread_to_servers_that_do_not_know_it() {
+    let mut host = ready(0, ms(0), servers(3));
+    let mut pairs = BTreeSet::new();
+    let mut at = 10;
+    // 120 keys on 12 servers of 6 slots, each known by the one that it met first.
+    for round in 0..6 {
+        let mut open = Vec::new();
+        for key in 0..120 {
+            at += 1;
+            if let Some(index) = sent(&mut host, at, key) {
+                pairs.insert((key, index));
+                open.push((key, index));
+            }
+            if open.len() > 60 || round == 0 {
+                let (key, index) = open.remove(0);
+                answered(&mut host, at, index, key);
+            }
+        }
+        for (key, index) in open {
+            answered(&mut host, at, index, key);
+        }
+    }
+    assert!(pairs.len() < 190, "{} pairs of 120 keys", pairs.len());
+}
+
+#[test]
+fn an_evacuated_domain_gets_nothing_and_is_cold_when_it_is_taken_back() {
+    let mut host = ready(0, ms(0), vec![server("one", "a1", 10)]);
+    let key = Key::Evacuation("a1".into());
+    let row = Row { key: key.clone(), version: 20, item: Some(Item::Evacuation) };
+    host.read(ms(2_000), Table::Rules, 0, ms(2_000), vec![row]);
+    assert!(sent(&mut host, 2_010, 1).is_none());
+    let back = Row { key, version: 21, item: None };
+    host.read(ms(4_000), Table::Rules, 0, ms(4_000), vec![back]);
+    let taken = (4_010..5_000).step_by(10).filter(|at| sent(&mut host, *at, 1).is_some()).count();
+    assert_eq!(taken, 1, "a cold server gets one request of a host in a second");
+}
+
+#[test]
+fn a_server_that_does_not_answer_is_left_and_tried_by_repeatable_requests_only() {
+    let rows = vec![server("dark", "a1", 10), server("well", "a1", 10)];
+    let mut host = ready(0, ms(0), rows);
+    let dark = host.servers().find("dark").expect("it is known");
+    // All others are answered at once.
+    let key = (0..50).find(|key| {
+        let index = sent(&mut host, 10, *key).expect("both are idle");
+        if index != dark {
+            answered(&mut host, 11, index, *key);
+        }
+        index == dark
+    });
+    let key = key.expect("some key is of the dark server");
+    let once = route(Repeat::Once, &[]);
+    let mut to_dark = 0;
+    for at in (1_800..4_800).step_by(10) {
+        if let Choice::Send(index) = send(&mut host, ms(at), &once, key) {
+            to_dark += usize::from(index == dark);
+            host.done(ms(at), index, Outcome::Answered { micros: 50_000, knew: true });
+        }
+    }
+    assert_eq!(to_dark, 0);
+}
+
+#[test]
+fn a_server_that_refuses_connections_is_passed_over_for_a_while() {
+    let rows = vec![server("closed", "a1", 10), server("well", "a1", 10)];
+    let mut host = ready(0, ms(0), rows);
+    let closed = host.servers().find("closed").expect("it is known");
+    let key = (0..50).find(|key| sent(&mut host, 10, *key) == Some(closed)).expect("some key");
+    host.done(ms(11), closed, Outcome::NoConnection);
+    assert_ne!(sent(&mut host, 12, key), Some(closed));
+}
--- /dev/null
+++ b/elmstream_steer/tests/members.rs
@@ -0,0 +1,64 @@
+//! Which hosts are named to callers.
+
+mod support;
+
+use elmstream_steer::Steer;
+use support::{address, beats, ms, ready, servers};
+
+fn fleet() -> Vec<Steer> {
+    let mut fleet: Vec<Steer> = (0..8).map(|n| ready(n, ms(0), servers(1))).collect();
+    beats(ms(0), &mut fleet, |_, _| true);
+    // The second round tells that all are ready.
+    beats(ms(50), &mut fleet, |_, _| true);
+    fleet
+}
+
+#[test]
+fn callers_are_told_the_hosts_of_their_failure_domain() {
+    let fleet = fleet();
+    let named = fleet[1].lookup(ms(60), "shop.example", "a1", "a");
+    assert_eq!(named, [address(1_000), address(1_004)]);
+}
+
+#[test]
+fn a_silent_host_is_soon_named_no_more() {
+    let mut fleet = fleet();
+    for at in (100..1_600).step_by(50) {
+        beats(ms(at), &mut fleet, |from, _| from != 4);
+    }
+    let named = fleet[1].lookup(ms(1_600), "shop.example", "a1", "a");
+    assert!(!named.contains(&address(1_004)), "{named:?}");
+}
+
+#[test]
+fn a_host_that_leaves_is_named_no_more_after_its_next_beat() {
+    let mut fleet = fleet();
+    fleet[4].leave();
+    beats(ms(100), &mut fleet, |_, _| true);
+    for host in &fleet {
+        assert!(!host.lookup(ms(110), "shop.example", "a1", "a").contains(&address(1_004)));
+    }
+}
+
+#[test]
+fn callers_of_a_domain_without_hosts_get_those_of_the_region_then_any() {
+    let mut fleet = fleet();
+    for at in (100..1_600).step_by(50) {
+        beats(ms(at), &mut fleet, |from, _| ![1, 5].contains(&from));
+    }
+    let named = fleet[2].lookup(ms(1_600), "shop.example", "a2", "a");
+    assert_eq!(named, [address(1_000), address(1_004)]);
+    let named = fleet[2].lookup(ms(1_600), "shop.example", "x", "x");
+    assert_eq!(named.len(), 6);
+}
+
+#[test]
+fn a_beat_that_comes_late_does_not_bring_back_what_was() {
+    let mut fleet = fleet();
+    let late = fleet[4].beat(ms(60));
+    fleet[4].leave();
+    let last = fleet[4].beat(ms(70));
+    fleet[0].hear(ms(80), &last);
+    fleet[0].hear(ms(90), &late);
+    assert!(!fleet[0].lookup(ms(100), "shop.example", "a1", "a").contains(&address(1_004)));
+}
--- /dev/null
+++ b/elmstream_steer/tests/readers.rs
@@ -0,0 +1,79 @@
+//! One host reads the store; another one takes over when its news stop.
+
+mod support;
+
+use elmstream::time::MILLI;
+use elmstream_steer::{Steer, view::Table};
+use support::{beats, ms, ready, servers};
+
+const HOSTS: usize = 12;
+
+/// A fleet that rests; each host that must read does, if `served` says so. Gives
+/// the calls in the time, and the highest age of what a host of `watched` knows.
+fn rest(
+    until: u64,
+    served: impl Fn(usize, u64) -> bool,
+    heard: impl Fn(usize, usize, u64) -> bool,
+    watched: impl Fn(usize) -> bool,
+) -> (usize, u64) {
+    let mut fleet: Vec<Steer> = (0..HOSTS).map(|n| ready(n, ms(0), servers(2))).collect();
+    let mut paused = [0u64; HOSTS];
+    let (mut calls, mut oldest) = (0, 0);
+    for at in (0..until).step_by(20) {
+        if at % 60 == 0 {
+            beats(ms(at), &mut fleet, |from, to| heard(from, to, at));
+        }
+        for (n, host) in fleet.iter_mut().enumerate() {
+            let tables = [Table::Rules, Table::Servers];
+            for table in tables {
+                if paused[n] > at || !host.must_read(ms(at), table) {
+                    continue;
+                }
+                calls += 1;
+                if served(n, at) {
+                    host.store_serves(true);
+                    host.read(ms(at), table, 0, ms(at), Vec::new());
+                } else {
+                    host.store_serves(false);
+                    paused[n] = at + 1_000;
+                }
+            }
+            if at > 3_000 && watched(n) {
+                let age = host.view().age(ms(at), Table::Servers).unwrap_or(u64::MAX);
+                oldest = oldest.max(age / MILLI);
+            }
+        }
+    }
+    (calls, oldest)
+}
+
+#[test]
+fn one_host_reads_for_all() {
+    let (calls, oldest) = rest(20_000, |_, _| true, |_, _, _| true, |_| true);
+    assert!(calls <= 20 * 8, "{calls} calls in 20 s");
+    assert!(oldest <= 700, "news were {oldest} ms old");
+}
+
+#[test]
+fn whoever_reads_may_fall_silent_at_any_time() {
+    for lost in 0..HOSTS {
+        let heard = |from, to, at| at < 8_000 || (from != lost && to != lost);
+        let (_, oldest) = rest(16_000, |n, at| n != lost || at < 8_000, heard, |n| n != lost);
+        assert!(oldest <= 1_500, "news were {oldest} ms old without host {lost}");
+    }
+}
+
+#[test]
+fn a_third_of_the_hosts_may_be_turned_away() {
+    let (_, oldest) = rest(16_000, |n, at| at < 5_000 || n % 3 != 0, |_, _, _| true, |_| true);
+    assert!(oldest <= 1_500, "news were {oldest} ms old");
+}
+
+#[test]
+fn a_store_that_is_down_is_not_crowded_and_soon_found_back() {
+    let away = |at: u64| (5_000..15_000).contains(&at);
+    let (calls, _) = rest(15_000, |_, at| !away(at), |_, _, _| true, |_| false);
+    assert!(calls <= 10 * HOSTS * 3, "{calls} calls, most of them in 10 s of outage");
+    let (_, oldest) = rest(30_000, |_, at| !away(at), |_, _, _| true, |_| true);
+    assert!(oldest <= 11_800, "news were {oldest} ms old, the outage took 10 s");
+}
--- /dev/null
+++ b/elmstream_steer/tests/support/mod.rs
@@ -0,0 +1,148 @@
+//! A small fleet in virtual time.
+
+#![allow(dead_code)]
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use elmstream::time::{MILLI, Time};
+use elmstream_steer::{
+    Ask, Bounds, Choice, Host, Settings, Steer,
+    model::{Configuration, Limits, Part, Repeat, Route, Server, Service},
+    servers::Index,
+    view::{Item, Key, Row, Table},
+};
+
+/// Failure domains and their regions.
+pub const DOMAINS: [(&str, &str); 4] = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")];
+/// The only service.
+pub const SERVICE: &str = "shop";
+/// Requests a second that a cold server bears.
+pub const COLD_PER_S: f64 = 9.0;
+
+/// An address by a number.
+pub fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 80))
+}
+
+/// A host's decisions, by its number.
+pub fn host(number: usize, now: Time) -> Steer {
+    let (domain, region) = DOMAINS[number % DOMAINS.len()];
+    let settings = Settings {
+        host: Host {
+            name: format!("host-{number}"),
+            domain: domain.into(),
+            region: region.into(),
+            callers: address(1_000 + number),
+            peers: address(2_000 + number),
+        },
+        incarnation: 1,
+        domains: domains(),
+        bounds: Bounds::default(),
+    };
+    Steer::new(settings, now)
+}
+
+/// Region of each failure domain.
+pub fn domains() -> BTreeMap<String, String> {
+    DOMAINS.iter().map(|(domain, region)| ((*domain).into(), (*region).into())).collect()
+}
+
+/// A route to the service.
+pub fn route(repeat: Repeat, homes: &[&str]) -> Route {
+    Route {
+        name: "r".into(),
+        host: "shop.example".into(),
+        prefix: "/".into(),
+        repeat,
+        attempts: 2,
+        timeout_ms: 800,
+        objective_ms: 300,
+        priority: 0,
+        affinity: true,
+        homes: homes.iter().map(|home| (*home).into()).collect(),
+        parts: vec![Part { service: SERVICE.into(), weight: 1.0 }],
+    }
+}
+
+/// The row of a configuration.
+pub fn configuration(version: u64, stored: u64) -> Row {
+    let service = Service { name: SERVICE.into(), cold_ms: 3_000, cold_per_s: COLD_PER_S };
+    let configuration = Configuration {
+        version,
+        routes: vec![route(Repeat::Safe, &[])],
+        services: vec![service],
+        limits: Limits::default(),
+    };
+    let item = Some(Item::Configuration(configuration));
+    Row { key: Key::Configuration, version: stored, item }
+}
+
+/// The row of a server.
+pub fn server(id: &str, domain: &str, stored: u64) -> Row {
+    let server = Server {
+        service: SERVICE.into(),
+        address: address(1),
+        domain: domain.into(),
+        slots: 6,
+        draining: false,
+        cold_ms: 0,
+    };
+    Row { key: Key::Server(id.into()), version: stored, item: Some(Item::Server(server)) }
+}
+
+/// The same row, changed.
+pub fn with(mut row: Row, stored: u64, change: impl Fn(&mut Server)) -> Row {
+    if let Some(Item::Server(server)) = &mut row.item {
+        change(server);
+    }
+    row.version = stored;
+    row
+}
+
+/// A removal.
+pub fn gone(key: Key, stored: u64) -> Row {
+    Row { key, version: stored, item: None }
+}
+
+/// Servers, some in each failure domain.
+pub fn servers(each: usize) -> Vec<Row> {
+    let ids = (0..each).flat_map(|n| DOMAINS.map(|(domain, _)| (n, domain)));
+    ids.map(|(n, domain)| server(&format!("s-{domain}-{n}"), domain, 10)).collect()
+}
+
+/// A host that knows a configuration and servers.
+pub fn ready(number: usize, now: Time, rows: Vec<Row>) -> Steer {
+    let mut steer = host(number, now);
+    steer.read_all(now, Table::Rules, 10, vec![configuration(1, 10)]);
+    steer.read_all(now, Table::Servers, 10, rows);
+    steer.tick(now);
+    steer
+}
+
+/// Lets hosts hear each other if `heard` says so.
+pub fn beats(now: Time, hosts: &mut [Steer], heard: impl Fn(usize, usize) -> bool) {
+    let all: Vec<_> = hosts.iter_mut().map(|host| host.beat(now)).collect();
+    for (to, host) in hosts.iter_mut().enumerate() {
+        for (from, beat) in all.iter().enumerate() {
+            if from != to && heard(from, to) {
+                host.hear(now, beat);
+            }
+        }
+        host.tick(now);
+    }
+}
+
+/// Sends a request of a key.
+pub fn send(steer: &mut Steer, now: Time, route: &Route, key: u64) -> Choice {
+    steer.send(now, &Ask { route, service: SERVICE, key, tried: &[] })
+}
+
+/// The id of a server.
+pub fn id(steer: &Steer, index: Index) -> String {
+    steer.servers().get(index).expect("it was just chosen").id.clone()
+}
+
+/// A time in milliseconds.
+pub fn ms(millis: u64) -> Time {
+    Time(1_000_000 * MILLI + millis * MILLI)
+}
