Ask several hosts for news at once, so that a mute one holds up nothing

One host was asked for a table at a time, for up to 1 s; a host that does not answer (an opening packet that a full queue dropped is enough) holds up what the others know.

Also: a host whom the store turns away never was ready while a table is empty.

--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -3,7 +3,7 @@
 //! Beats are small and many, and a lost one does not matter, so they go by UDP.
 //! A beat that shows news makes its receiver fetch the rows that it lacks.
 
-use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::{buf::BufResult, net::UdpSocket};
 use elmstream::time::MILLI;
@@ -32,7 +32,9 @@
 /// Hosts of other regions get each second beat.
 const AWAY_EVERY: u64 = 2;
 /// Time in which rows must have come.
-const FETCH: Duration = Duration::from_millis(1_000);
+const FETCH: Duration = Duration::from_millis(700);
+/// Hosts that are asked for a table at once.
+const FETCHES: usize = 3;
 /// Time between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -78,9 +80,12 @@
     hosts
 }
 
+/// Fetches under way, by host and table.
+type Fetching = Rc<RefCell<BTreeSet<(Table, SocketAddr)>>>;
+
 /// Takes beats in until the process ends.
 pub async fn receive(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
-    let fetching = [Rc::new(Cell::new(false)), Rc::new(Cell::new(false))];
+    let fetching = Fetching::default();
     let mut buffer = Vec::with_capacity(DATAGRAM);
     loop {
         buffer.clear();
@@ -96,19 +101,35 @@
             edge.journal.write("host_heard", json!({"host": beat.host.name}));
         }
         for (table, version) in news.wanted {
-            let flag = fetching[table as usize].clone();
-            if !flag.replace(true) {
-                let (edge, address) = (edge.clone(), beat.host.peers);
-                compio::runtime::spawn(async move {
-                    let _ = fetch(&edge, address, table, version).await;
-                    flag.set(false);
-                })
-                .detach();
-            }
+            start_fetch(&edge, &fetching, beat.host.peers, table, version);
         }
     }
 }
 
+/// Starts a fetch, unless this host or enough others are being asked.
+///
+/// Several are asked at once, as one that does not answer must not hold up what
+/// another one knows.
+fn start_fetch(
+    edge: &Rc<Edge>,
+    fetching: &Fetching,
+    address: SocketAddr,
+    table: Table,
+    after: u64,
+) {
+    let mut under_way = fetching.borrow_mut();
+    let asked = under_way.iter().filter(|(asked, _)| *asked == table).count();
+    if asked >= FETCHES || !under_way.insert((table, address)) {
+        return;
+    }
+    let (edge, fetching) = (edge.clone(), fetching.clone());
+    compio::runtime::spawn(async move {
+        let _ = fetch(&edge, address, table, after).await;
+        fetching.borrow_mut().remove(&(table, address));
+    })
+    .detach();
+}
+
 /// Fetches the rows of a table after a version, and the addresses of hosts.
 pub async fn fetch(edge: &Edge, address: SocketAddr, table: Table, after: u64) -> io::Result<()> {
     let fetched = compio::time::timeout(FETCH, get(address, table, after)).await;
--- /dev/null
+++ b/elmstream_edge/tests/hosts.rs
@@ -0,0 +1,95 @@
+//! News from host to host.
+
+mod support;
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use compio::net::{TcpListener, UdpSocket};
+use elmstream_steer::{
+    beat::{Beat, Known},
+    model::Repeat,
+    settings::Host,
+    view::Key,
+};
+use support::{PEERS, configuration, ip, run, start, until};
+
+const SOON: Duration = Duration::from_millis(600);
+
+#[test]
+fn a_host_that_the_store_turns_away_learns_from_the_others() {
+    run(async || {
+        let store = support::Store::default();
+        store.put(Key::Configuration, Some(configuration(1, Repeat::Safe)));
+        let first = start(ip(), &store, &[]);
+        assert!(until(Duration::from_secs(3), || first.edge.serves()).await);
+
+        let away = support::Store::default();
+        away.down.set(true);
+        let seed = first.edge.settings.host.peers;
+        let second = start(ip(), &away, &[seed]);
+        assert!(until(Duration::from_secs(2), || second.edge.serves()).await);
+        store.put(Key::Configuration, Some(configuration(2, Repeat::Safe)));
+        let knows = || second.edge.steer.borrow().version() == Some(2);
+        assert!(until(Duration::from_secs(2), knows).await);
+    });
+}
+
+/// A host that shows news, and never tells them.
+async fn mute(to: SocketAddr) {
+    let peers = SocketAddr::new(ip(), PEERS);
+    let socket = UdpSocket::bind(peers).await.expect("a port");
+    let listener = TcpListener::bind(peers).await.expect("a port");
+    let beat = move |number| Beat {
+        host: Host {
+            name: format!("mute-{peers}"),
+            domain: "a1".into(),
+            region: "a".into(),
+            callers: peers,
+            peers,
+        },
+        incarnation: 1,
+        number,
+        ready: false,
+        leaving: false,
+        store: true,
+        known: [Known { version: 1_000, age_ms: 0 }; 2],
+        demand: Vec::new(),
+        loads: Vec::new(),
+    };
+    compio::runtime::spawn(async move {
+        for number in 0.. {
+            let datagram = postcard::to_allocvec(&beat(number)).expect("it is small");
+            let _ = socket.send_to(datagram, to).await;
+            compio::time::sleep(Duration::from_millis(10)).await;
+        }
+        drop(listener);
+    })
+    .detach();
+}
+
+#[test]
+fn a_host_that_does_not_tell_its_news_holds_up_nobody_elses() {
+    run(async || {
+        let store = support::Store::default();
+        store.put(Key::Configuration, Some(configuration(1, Repeat::Safe)));
+        let first = start(ip(), &store, &[]);
+        let away = support::Store::default();
+        away.down.set(true);
+        let second = start(ip(), &away, &[first.edge.settings.host.peers]);
+        assert!(until(Duration::from_secs(3), || second.edge.serves()).await);
+
+        mute(second.edge.settings.host.peers).await;
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let worst = Rc::new(Cell::new(Duration::ZERO));
+        for version in 2..5 {
+            store.put(Key::Configuration, Some(configuration(version, Repeat::Safe)));
+            let known = || first.edge.steer.borrow().version() == Some(version);
+            assert!(until(Duration::from_secs(2), known).await, "the reader learns it");
+            let began = std::time::Instant::now();
+            let told = || second.edge.steer.borrow().version() == Some(version);
+            assert!(until(Duration::from_secs(4), told).await, "the other learns it");
+            worst.set(worst.get().max(began.elapsed()));
+        }
+        assert!(worst.get() < SOON, "it took {:?}", worst.get());
+    });
+}
--- /dev/null
+++ b/elmstream_edge/tests/support/mod.rs
@@ -0,0 +1,332 @@
+//! Hosts, a store and backend servers in one process, over loopback.
+
+#![allow(dead_code)]
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    process,
+    rc::Rc,
+    sync::atomic::{AtomicU8, Ordering},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use compio::{
+    buf::BufResult,
+    io::{AsyncRead, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    runtime::Runtime,
+};
+use elmstream_edge::{Edge, Settings, Source, SourceError, lifecycle, source::Rows};
+use elmstream_http::{Stopper, body, client};
+use elmstream_steer::{
+    model::{Configuration, Limits, Part, Repeat, Route, Server, Service},
+    settings::Host,
+    view::{Item, Key, Row, Table},
+};
+use futures_util::future::{Either, select};
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::BodyExt;
+
+/// The only service.
+pub const SERVICE: &str = "shop";
+/// Port of callers, and of hosts.
+pub const CALLERS: u16 = 7_001;
+pub const PEERS: u16 = 7_002;
+
+/// An IP number of this process that no other test uses.
+pub fn ip() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let pid = process::id();
+    let last = NEXT.fetch_add(1, Ordering::Relaxed);
+    IpAddr::V4(Ipv4Addr::new(127, 64 | (pid >> 8) as u8 & 63, pid as u8, last))
+}
+
+/// Runs a test on a runtime of its own.
+pub fn run(test: impl AsyncFnOnce()) {
+    Runtime::new().expect("a runtime").block_on(test());
+}
+
+/// Rows of the store, shared by hosts, and whether it serves.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    rows: Rc<RefCell<BTreeMap<Key, Row>>>,
+    hosts: Rc<RefCell<Vec<SocketAddr>>>,
+    version: Rc<Cell<u64>>,
+    pub down: Rc<Cell<bool>>,
+    pub calls: Rc<Cell<u64>>,
+}
+
+impl Store {
+    /// Writes a row, or removes it.
+    pub fn put(&self, key: Key, item: Option<Item>) {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        self.rows.borrow_mut().insert(key.clone(), Row { key, version, item });
+    }
+
+    fn serve(&self, table: Table, after: Option<u64>) -> Result<Rows, SourceError> {
+        self.calls.set(self.calls.get() + 1);
+        if self.down.get() {
+            return Err(SourceError::Refused { status: 503 });
+        }
+        let wanted = |row: &&Row| {
+            let new = after.map_or(row.item.is_some(), |after| row.version > after);
+            row.key.table() == table && new
+        };
+        let rows = self.rows.borrow().values().filter(wanted).cloned().collect();
+        Ok(Rows { version: self.version.get(), rows })
+    }
+}
+
+impl Source for Store {
+    async fn all(&self, table: Table) -> Result<Rows, SourceError> {
+        self.serve(table, None)
+    }
+
+    async fn changes(
+        &self,
+        table: Table,
+        after: u64,
+        _: Duration,
+    ) -> Result<Option<Rows>, SourceError> {
+        self.serve(table, Some(after)).map(Some)
+    }
+
+    async fn announce(&self, host: &Host) -> Result<(), SourceError> {
+        self.hosts.borrow_mut().push(host.peers);
+        self.serve(Table::Rules, None).map(drop)
+    }
+
+    async fn withdraw(&self, _: &Host) -> Result<(), SourceError> {
+        Ok(())
+    }
+
+    async fn hosts(&self) -> Result<Vec<SocketAddr>, SourceError> {
+        self.serve(Table::Rules, None).map(|_| self.hosts.borrow().clone())
+    }
+}
+
+/// A host that runs.
+pub struct Running {
+    pub edge: Rc<Edge>,
+    pub callers: SocketAddr,
+    pub ended: Rc<Cell<bool>>,
+    terminate: Stopper,
+}
+
+impl Running {
+    /// Asks for the planned stop.
+    pub fn terminate(&self) {
+        self.terminate.stop();
+    }
+}
+
+/// Settings of a host at an IP number.
+pub fn settings(ip: IpAddr, seeds: &[SocketAddr]) -> Settings {
+    let text = serde_json::json!({
+        "host": {
+            "name": format!("host-{ip}"), "domain": "a1", "region": "a",
+            "callers": SocketAddr::new(ip, CALLERS), "peers": SocketAddr::new(ip, PEERS),
+        },
+        "domains": {"a1": "a"},
+        "seeds": seeds,
+        "stop": {"notice_ms": 200, "grace_ms": 3000},
+        "logging": {"sample": 0, "lines_per_s": 0},
+    });
+    Settings::parse(&text.to_string()).expect("good settings")
+}
+
+/// Starts a host.
+pub fn start(ip: IpAddr, store: &Store, seeds: &[SocketAddr]) -> Running {
+    let edge = Edge::new(settings(ip, seeds));
+    let (terminate, terminated) = Stopper::new();
+    let (stopper, stop) = Stopper::new();
+    let ended = Rc::new(Cell::new(false));
+    let running = lifecycle::run(edge.clone(), store.clone(), stopper, stop, terminated);
+    let done = ended.clone();
+    compio::runtime::spawn(async move {
+        running.await.expect("it starts");
+        done.set(true);
+    })
+    .detach();
+    Running { edge, callers: SocketAddr::new(ip, CALLERS), ended, terminate }
+}
+
+/// Waits until something holds.
+pub async fn until(within: Duration, what: impl Fn() -> bool) -> bool {
+    let began = Instant::now();
+    while began.elapsed() < within {
+        if what() {
+            return true;
+        }
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+    what()
+}
+
+/// A configuration with one route.
+pub fn configuration(version: u64, repeat: Repeat) -> Item {
+    Item::Configuration(Configuration {
+        version,
+        routes: vec![Route {
+            name: "r".into(),
+            host: "shop.example".into(),
+            prefix: "/".into(),
+            repeat,
+            attempts: 2,
+            timeout_ms: 800,
+            objective_ms: 300,
+            priority: 0,
+            affinity: true,
+            homes: Vec::new(),
+            parts: vec![Part { service: SERVICE.into(), weight: 1.0 }],
+        }],
+        services: vec![Service { name: SERVICE.into(), cold_ms: 0, cold_per_s: 9.0 }],
+        limits: Limits::default(),
+    })
+}
+
+/// The row of a server at an address.
+pub fn server(address: SocketAddr) -> Item {
+    Item::Server(Server {
+        service: SERVICE.into(),
+        address,
+        domain: "a1".into(),
+        slots: 4,
+        draining: false,
+        cold_ms: 0,
+    })
+}
+
+/// What a backend server got.
+#[derive(Clone, Debug, Default)]
+pub struct Got {
+    pub requests: Rc<RefCell<Vec<String>>>,
+    pub connections: Rc<Cell<usize>>,
+    pub closed: Rc<Cell<usize>>,
+}
+
+/// A backend server that writes back whatever `answer` makes of a request's head;
+/// nothing at all and no more for an empty text. A close follows an answer that
+/// ends with [`CLOSE`].
+pub async fn backend(ip: IpAddr, answer: impl Fn(&str) -> Vec<u8> + 'static) -> (SocketAddr, Got) {
+    let listener = TcpListener::bind((ip, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let got = Got::default();
+    let answer = Rc::new(answer);
+    let all = got.clone();
+    compio::runtime::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let (got, answer) = (all.clone(), answer.clone());
+            got.connections.set(got.connections.get() + 1);
+            compio::runtime::spawn(async move {
+                converse(stream, &got, &*answer).await;
+                got.closed.set(got.closed.get() + 1);
+            })
+            .detach();
+        }
+    })
+    .detach();
+    (address, got)
+}
+
+/// Ends an answer after which the server closes.
+pub const CLOSE: &[u8] = b"\0close";
+
+async fn converse(mut stream: TcpStream, got: &Got, answer: &dyn Fn(&str) -> Vec<u8>) {
+    let mut text = String::new();
+    loop {
+        let BufResult(read, bytes) = stream.read(Vec::with_capacity(65_536)).await;
+        match read {
+            Ok(0) | Err(_) => return,
+            Ok(_) => text += &String::from_utf8_lossy(&bytes),
+        }
+        let Some(end) = text.find("\r\n\r\n") else { continue };
+        let head = text[..end].to_owned();
+        text.clear();
+        got.requests.borrow_mut().push(head.clone());
+        let bytes = answer(&head);
+        let (bytes, closes) = match bytes.strip_suffix(CLOSE) {
+            Some(bytes) => (bytes.to_vec(), true),
+            None => (bytes, false),
+        };
+        if stream.write_all(bytes).await.0.is_err() || closes {
+            return;
+        }
+    }
+}
+
+/// A header of a request's head.
+pub fn header<'a>(head: &'a str, name: &str) -> &'a str {
+    let lines = head.lines().filter_map(|line| line.split_once(": "));
+    lines
+        .filter(|(key, _)| key.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value)
+        .next()
+        .unwrap_or("")
+}
+
+/// A whole good answer to a request.
+pub fn good(head: &str, text: &str) -> Vec<u8> {
+    let id = header(head, "elmstream-request");
+    format!(
+        "HTTP/1.1 200 OK\r\nelmstream-request: {id}\r\nelmstream-signature: s\r\n\
+         content-length: {}\r\n\r\n{text}",
+        text.len()
+    )
+    .into_bytes()
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub took: Duration,
+}
+
+/// Sends a request; none if the connection ends without an answer.
+pub async fn ask(host: SocketAddr, id: &str, path: &str) -> Option<Answer> {
+    let began = Instant::now();
+    let mut sender = client::connect(host, Duration::from_secs(1)).await.ok()?;
+    let request = Request::builder()
+        .uri(path)
+        .header("host", "shop.example")
+        .header("elmstream-request", id)
+        .header("elmstream-affinity", path)
+        .header("elmstream-deadline", "2000");
+    let response = sender.send_request(request.body(body::empty()).ok()?).await.ok()?;
+    let (parts, incoming) = response.into_parts();
+    let body = incoming.collect().await.ok()?.to_bytes();
+    Some(Answer { status: parts.status, headers: parts.headers, body, took: began.elapsed() })
+}
+
+/// The same within a time.
+pub async fn ask_within(
+    host: SocketAddr,
+    id: &str,
+    path: &str,
+    within: Duration,
+) -> Option<Answer> {
+    let asking = Box::pin(ask(host, id, path));
+    match select(asking, Box::pin(compio::time::sleep(within))).await {
+        Either::Left((answer, _)) => answer,
+        Either::Right(_) => None,
+    }
+}
+
+/// A store and a host with servers at these addresses, ready for callers.
+pub async fn serving(repeat: Repeat, servers: &[SocketAddr]) -> (Store, Running) {
+    let store = Store::default();
+    store.put(Key::Configuration, Some(configuration(1, repeat)));
+    for (n, address) in servers.iter().enumerate() {
+        store.put(Key::Server(format!("s-{n}")), Some(server(*address)));
+    }
+    let running = start(ip(), &store, &[]);
+    assert!(until(Duration::from_secs(3), || running.edge.serves()).await, "the host is ready");
+    (store, running)
+}
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -388,13 +388,16 @@
         let mut wanted = Vec::new();
         for (table, known) in TABLES.into_iter().zip(beat.known) {
             let mark = self.view.mark(table);
-            if known.version > mark.version {
-                wanted.push((table, mark.version));
-            } else if known.version == mark.version && known.age_ms != u32::MAX {
-                let fresh = now - u64::from(known.age_ms) * MILLI;
-                if mark.fresh.is_some_and(|own| fresh > own) {
+            if known.age_ms == u32::MAX {
+                continue;
+            }
+            let fresh = now - u64::from(known.age_ms) * MILLI;
+            match mark.fresh {
+                Some(own) if known.version == mark.version && fresh > own => {
                     self.view.confirm(table, known.version, fresh);
                 }
+                Some(_) if known.version <= mark.version => {}
+                _ => wanted.push((table, mark.version)),
             }
         }
         Some(News { joined: heard.joined, wanted })
