--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -55,7 +55,8 @@
     let (head, incoming) = request.into_parts();
     let route = match find(&edge, &head) {
         Ok(route) => route,
-        Err(response) => return Ok(response),
+        Err(Missing::Configuration) => return Ok(refuse(UNREADY_RETRY_MS)),
+        Err(Missing::Route) => return Ok(plain(StatusCode::NOT_FOUND)),
     };
     let limits = edge.steer.borrow().limits();
     let body = match Limited::new(incoming, limits.body_bytes as usize).collect().await {
@@ -70,11 +71,19 @@
     Ok(forward::run(&edge, &call).await)
 }
 
+/// Why a request has no route.
+enum Missing {
+    /// No configuration is known yet.
+    Configuration,
+    /// No route of the configuration fits.
+    Route,
+}
+
 /// The route of a request, or why there is none.
-fn find(edge: &Edge, head: &request::Parts) -> Result<Rc<Route>, Response<LocalBody>> {
+fn find(edge: &Edge, head: &request::Parts) -> Result<Rc<Route>, Missing> {
     let steer = edge.steer.borrow();
     if steer.version().is_none() {
-        return Err(refuse(UNREADY_RETRY_MS));
+        return Err(Missing::Configuration);
     }
     let host = head.uri.host().or_else(|| headers::text(&head.headers, &header::HOST));
     let host = host.unwrap_or_default();
@@ -87,7 +96,7 @@
         "code": 1002, "status": 404,
     });
     edge.journal.request("no_route", fields);
-    Err(plain(StatusCode::NOT_FOUND))
+    Err(Missing::Route)
 }
 
 fn call(edge: &Edge, head: request::Parts, route: Rc<Route>, body: Bytes, came: Time) -> Call {
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -37,6 +37,13 @@
         Rc::new(Edge { settings, steer: RefCell::new(steer), pool: Pool::default(), journal })
     }
 
+    /// Takes changed settings in; addresses and names stay as they were.
+    pub fn reload(&self, settings: &Settings) {
+        let kept = settings.host == self.settings.host;
+        self.steer.borrow_mut().change(settings.domains.clone(), settings.bounds);
+        self.journal.write("reload", json!({"host": settings.host.name, "same_host": kept}));
+    }
+
     /// Whether callers can be served.
     pub fn serves(&self) -> bool {
         self.steer.borrow().serves()
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -6,7 +6,7 @@
 use elmstream::time::MILLI;
 use elmstream_http::{Stop, Stopper, server};
 use elmstream_steer::view::TABLES;
-use elmstreamd::clock;
+use elmstreamd::{clock, telemetry};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
 
@@ -14,6 +14,8 @@
 
 /// Pause before the store is asked once more for what a start needs.
 const START_PAUSE: Duration = Duration::from_millis(700);
+/// A host ends this long before its grace time does.
+const END_MARGIN: Duration = Duration::from_millis(400);
 /// Time that a caller's connection may rest before it is closed.
 const REST: Duration = Duration::from_secs(20);
 
@@ -78,6 +80,15 @@
     let serving = server::serve_with(callers_listener, options, stop, caller);
     let serving = compio::runtime::spawn(serving);
 
+    if let Some(address) = edge.settings.metrics {
+        let listener = listen("metrics", address).await?;
+        spawn(async move {
+            let page = move |_, _| async { Ok(telemetry::page()) };
+            let (_until_the_end, never) = Stopper::new();
+            let _ = server::serve(listener, None, never, page).await;
+        });
+    }
+
     terminated.await;
     edge.steer.borrow_mut().leave();
     edge.journal.write("stop", json!({"host": host.name}));
@@ -94,7 +105,7 @@
     compio::time::sleep(Duration::from_millis(settings.notice_ms)).await;
     stopper.stop();
     let rest = Duration::from_millis(settings.grace_ms.saturating_sub(settings.notice_ms));
-    let _ = compio::time::timeout(rest, serving).await;
+    let _ = compio::time::timeout(rest.saturating_sub(END_MARGIN), serving).await;
     edge.journal.write("stopped", json!({"host": host.name}));
     Ok(())
 }
--- a/elmstream_edge/tests/support/mod.rs
+++ b/elmstream_edge/tests/support/mod.rs
@@ -233,6 +233,8 @@
     (address, got)
 }
 
+/// Time that a backend server takes for paths that begin with `/slow`.
+pub const SLOW: Duration = Duration::from_millis(500);
 /// Ends an answer after which the server closes.
 pub const CLOSE: &[u8] = b"\0close";
 
@@ -248,6 +250,9 @@
         let head = text[..end].to_owned();
         text.clear();
         got.requests.borrow_mut().push(head.clone());
+        if head.starts_with("GET /slow") {
+            compio::time::sleep(SLOW).await;
+        }
         let bytes = answer(&head);
         let (bytes, closes) = match bytes.strip_suffix(CLOSE) {
             Some(bytes) => (bytes.to_vec(), true),
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -20,7 +20,7 @@
     readers,
     routes::RouteTable,
     servers::{Index, Outcome, ServerTable},
-    settings::Settings,
+    settings::{Bounds, Settings},
     view::{Item, Key, Row, TABLES, Table, View},
     warmth::Warmth,
 };
@@ -107,6 +107,12 @@
         &self.settings
     }
 
+    /// Failure domains and bounds have changed.
+    pub fn change(&mut self, domains: BTreeMap<String, String>, bounds: Bounds) {
+        self.settings.domains = domains;
+        self.settings.bounds = bounds;
+    }
+
     /// What is known of the store.
     pub fn view(&self) -> &View {
         &self.view
