--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -7,6 +7,7 @@
 use elmstream_http::{LocalBody, body};
 use elmstream_steer::{
     Ask, Choice, Refusal,
+    choose::Reason,
     model::Repeat,
     servers::{Index, Outcome},
 };
@@ -24,6 +25,9 @@
 /// Time that must be left for a request to be sent at all.
 const LEAST: Duration = Duration::from_millis(20);
 
+/// When to come back if servers did not run a request that was sent to them.
+const AGAIN_MS: u64 = 300;
+
 /// What a try came to.
 enum Try {
     /// The server answered; the answer goes to the caller.
@@ -79,17 +83,16 @@
             break;
         }
     }
-    let refusal = Refusal { reason: elmstream_steer::choose::Reason::Full, retry_ms: 200 };
+    let refusal = Refusal::of(Reason::Tries, AGAIN_MS);
     give_up(edge, call, &tried, unknown, failed, refusal)
 }
 
 /// The next server; a further one must be within the retry budget.
 fn choose(edge: &Rc<Edge>, ask: &Ask<'_>, again: bool) -> Result<Index, Refusal> {
     let mut steer = edge.steer.borrow_mut();
-    let refusal = Refusal { reason: elmstream_steer::choose::Reason::Full, retry_ms: 200 };
     if again && !steer.repeat(ask.service) {
         metrics::counter!("elmstream_retries_denied").increment(1);
-        return Err(refusal);
+        return Err(Refusal::of(Reason::Budget, AGAIN_MS));
     }
     match steer.send(clock::now(), ask) {
         Choice::Send(index) => Ok(index),
@@ -206,7 +209,9 @@
     let fields = json!({
         "id": call.id, "route": call.route.name, "service": call.service, "status": 503,
         "reason": format!("{:?}", refusal.reason), "retry_ms": refusal.retry_ms,
-        "took_ms": took / MILLI, "stale_ms": edge.steer.borrow().staleness(clock::now()) / MILLI,
+        "servers": refusal.servers, "load_percent": refusal.load, "took_ms": took / MILLI,
+        "version": edge.steer.borrow().version(),
+        "stale_ms": edge.steer.borrow().staleness(clock::now()) / MILLI,
     });
     edge.journal.request("refused", fields);
     callers::refuse(refusal.retry_ms)
@@ -227,7 +232,7 @@
     let took = clock::now().since(call.came);
     if !unknown {
         metrics::counter!("elmstream_requests", "outcome" => "not_run").increment(1);
-        log(edge, call, tried, "not_run", 503, took);
+        log(edge, call, tried, &format!("not_run_{:?}", refusal.reason).to_lowercase(), 503, took);
         return callers::refuse(refusal.retry_ms);
     }
     metrics::counter!("elmstream_requests", "outcome" => "unknown").increment(1);
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -42,8 +42,10 @@
 const SPILL_MAX: f64 = 0.5;
 /// Time between two trials of a silent server, for each host that may try.
 const TRIAL: u64 = 500 * MILLI;
+/// When to come back if no server may take the request.
+const NO_SERVER_RETRY_MS: u64 = 300;
 /// Shortest and longest time that a refused caller is told to wait.
-const RETRY_MIN_MS: f64 = 100.0;
+const RETRY_MIN_MS: f64 = 250.0;
 const RETRY_MAX_MS: f64 = 800.0;
 
 /// A request that wants a server.
@@ -75,6 +77,17 @@
     pub reason: Reason,
     /// When to come back, in milliseconds.
     pub retry_ms: u64,
+    /// Servers that were considered.
+    pub servers: u32,
+    /// Occupied part of their slots, in hundredths.
+    pub load: u32,
+}
+
+impl Refusal {
+    /// A refusal for which no server was considered.
+    pub fn of(reason: Reason, retry_ms: u64) -> Refusal {
+        Refusal { reason, retry_ms, servers: 0, load: 0 }
+    }
 }
 
 /// Reasons of a refusal.
@@ -84,6 +97,10 @@
     NoServer,
     /// It would wait too long at each of them.
     Full,
+    /// Servers did not run it, and the retry budget allows no further one.
+    Budget,
+    /// Servers did not run it, and no further try is left.
+    Tries,
 }
 
 /// What a choice rests on beside the request.
@@ -125,7 +142,7 @@
     let pace = scene.servers.pace(ask.service);
     let candidates = candidates(scene, ask, pace);
     if candidates.is_empty() {
-        return Choice::Refuse(Refusal { reason: Reason::NoServer, retry_ms: 300 });
+        return Choice::Refuse(Refusal::of(Reason::NoServer, NO_SERVER_RETRY_MS));
     }
     let load = load(scene, &candidates);
     let mut best: Option<(f64, Index)> = None;
@@ -157,7 +174,11 @@
     });
     match found {
         Some(index) => Choice::Send(index),
-        None => Choice::Refuse(Refusal { reason: Reason::Full, retry_ms: retry_ms(least_wait) }),
+        None => Choice::Refuse(Refusal {
+            servers: candidates.len() as u32,
+            load: (load * 100.0) as u32,
+            ..Refusal::of(Reason::Full, retry_ms(least_wait))
+        }),
     }
 }
 
