--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -3,7 +3,6 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::net::{TcpListener, UdpSocket};
-use elmstream::time::MILLI;
 use elmstream_http::{Stop, Stopper, server};
 use elmstream_steer::view::TABLES;
 use elmstreamd::{clock, telemetry};
@@ -116,11 +115,9 @@
         compio::time::sleep(START_PAUSE).await;
     }
     loop {
-        let asked = clock::now();
         if let Ok(hosts) = source.hosts().await {
             let now = clock::now();
             let mut steer = edge.steer.borrow_mut();
-            steer.store_answered(now.since(asked) / MILLI);
             for host in hosts {
                 steer.suppose(now, host);
             }
--- a/elmstream_edge/src/reader.rs
+++ b/elmstream_edge/src/reader.rs
@@ -55,8 +55,15 @@
 ) -> Result<Option<u64>, SourceError> {
     metrics::counter!("elmstream_store_calls", "table" => format!("{table:?}")).increment(1);
     let Some(after) = cursor else {
+        let asked = clock::now();
         let Rows { version, rows } = source.all(table).await?;
-        let changes = edge.steer.borrow_mut().read_all(clock::now(), table, version, rows);
+        let now = clock::now();
+        let mut steer = edge.steer.borrow_mut();
+        if table == Table::Servers {
+            steer.store_read_in(now.since(asked) / MILLI);
+        }
+        let changes = steer.read_all(now, table, version, rows);
+        drop(steer);
         learned(edge, &changes);
         return Ok(Some(version));
     };
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -37,7 +37,7 @@
     pub ready: bool,
     /// Whether it is about to stop.
     pub leaving: bool,
-    /// Shortest time in which the store answered it, in milliseconds; none if the
+    /// Shortest time in which it read all servers, in milliseconds; none if the
     /// store does not serve it now.
     pub store_ms: Option<u16>,
     /// How far it knows the tables, in the order of [`crate::view::TABLES`].
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -34,7 +34,7 @@
     pub ready: bool,
     /// Whether it is about to stop.
     pub leaving: bool,
-    /// Shortest time in which the store answered it, in milliseconds; none if the
+    /// Shortest time in which it read all servers, in milliseconds; none if the
     /// store does not serve it now.
     pub store_ms: Option<u16>,
     /// Its requests in flight by server.
--- a/elmstream_steer/src/readers.rs
+++ b/elmstream_steer/src/readers.rs
@@ -1,10 +1,10 @@
 //! Which hosts read the store, and when.
 //!
 //! One host reads for all; the others read only if news of it stop. No vote is
-//! needed: each host ranks the live ones whom the store serves, those near the store
-//! first and then by a hash of their names, and waits the longer the lower it ranks.
-//! Two readers do no harm. Near ones come first as a long way makes large answers
-//! slow.
+//! needed: each host ranks the live ones whom the store serves, those that read it
+//! fastest first and then by a hash of their names, and waits the longer the lower it
+//! ranks. Two readers do no harm. Fast ones come first as a long way, a thin link or
+//! a slow processor makes large answers late.
 
 use elmstream::time::{MILLI, Time};
 
@@ -41,17 +41,19 @@
     PAUSE_LEAST + PAUSE_STEP * hosts as u64
 }
 
-/// Times to the store that differ by less count as alike, in milliseconds.
-const NEAR_MS: u16 = 12;
-/// Time that a host is taken to need before it has asked the store.
+/// Time that a host is taken to need before it has read the store.
 pub const FAR_MS: u16 = 1_000;
+/// Shorter times count as alike.
+const NEAR_MS: u16 = 16;
 
-/// A host that may read: hash of its name, and its time to the store.
+/// A host that may read: hash of its name, and the time of a whole reading.
 pub type Reader = (u64, u16);
 
 /// Rank of a host among those whom the store serves.
+///
+/// Times within a factor of two count as alike.
 pub fn rank(own: Reader, served: impl Iterator<Item = Reader>) -> u64 {
-    let order = |(host, millis): Reader| (millis / NEAR_MS, !hash::pair(host, 0));
+    let order = |(host, millis): Reader| (millis.max(NEAR_MS).ilog2(), !hash::pair(host, 0));
     served.filter(|host| order(*host) < order(own)).count() as u64
 }
 
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -233,8 +233,8 @@
         self.store = serves;
     }
 
-    /// The store answered a small call in this time.
-    pub fn store_answered(&mut self, millis: u64) {
+    /// All servers were read in this time.
+    pub fn store_read_in(&mut self, millis: u64) {
         self.store_ms = self.store_ms.min(millis.min(u64::from(u16::MAX)) as u16);
     }
 
--- a/elmstream_steer/tests/readers.rs
+++ b/elmstream_steer/tests/readers.rs
@@ -79,11 +79,11 @@
 }
 
 #[test]
-fn the_host_nearest_to_the_store_reads() {
+fn the_host_that_reads_the_store_fastest_reads() {
     for near in 0..HOSTS {
         let mut fleet: Vec<Steer> = (0..HOSTS).map(|n| ready(n, ms(0), servers(2))).collect();
         for (n, host) in fleet.iter_mut().enumerate() {
-            host.store_answered(if n == near { 4 } else { 75 });
+            host.store_read_in(if n == near { 4 } else { 75 });
         }
         beats(ms(50), &mut fleet, |_, _| true);
         let reads = |n: &usize| fleet[*n].must_read(ms(700), Table::Servers);
