Pass on who read the store when, not how old its news are

Cause: hosts told each other the age of what they know. A receiver counted from the arrival, so each hop took the time on the way off the age; in a fleet the best of many echoes wins, and ages hardly grew. So the reader believed that its news were fresh and asked each 1.2 to 2.2 s instead of each 0.45 s.

Now beats name the last reading by its host and that host's clock; a reading counts once.

Ruled out: the store's answers (11 ms for 2 to 21 rows), the reader's size.

--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -6,7 +6,6 @@
 use std::{cell::RefCell, collections::BTreeSet, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::{buf::BufResult, net::UdpSocket};
-use elmstream::time::MILLI;
 use elmstream_http::{LocalBody, body, client, server::Cut};
 use elmstream_steer::{
     beat::{Beat, Known},
@@ -136,16 +135,15 @@
     let fetched = fetched.map_err(|_| io::ErrorKind::TimedOut)??;
     let now = clock::now();
     let known = fetched.known[table as usize];
-    let fresh = now - u64::from(known.age_ms) * MILLI;
     let changes = {
         let mut steer = edge.steer.borrow_mut();
         for host in fetched.hosts {
             steer.suppose(now, host);
         }
-        if known.age_ms == u32::MAX {
+        if known.reading.is_none() {
             return Ok(());
         }
-        steer.read(now, table, known.version, fresh, fetched.rows)
+        steer.told(now, table, known, fetched.rows)
     };
     edge.note(&address.to_string(), &changes);
     Ok(())
@@ -175,8 +173,8 @@
         return Ok(response);
     };
     let rows = {
-        let mut steer = edge.steer.borrow_mut();
-        let known = steer.beat(clock::now()).known;
+        let steer = edge.steer.borrow();
+        let known = steer.known();
         let mut hosts = steer.addresses();
         hosts.push(edge.settings.host.peers);
         Rows { known, rows: steer.view().since(table, after), hosts }
--- a/elmstream_edge/src/reader.rs
+++ b/elmstream_edge/src/reader.rs
@@ -74,7 +74,7 @@
         return Ok(None);
     };
     let now = clock::now();
-    let changes = edge.steer.borrow_mut().read(now, table, 0, now, rows);
+    let changes = edge.steer.borrow_mut().read(now, table, rows);
     learned(edge, &changes);
     Ok(Some(version))
 }
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -6,7 +6,7 @@
 
 use compio::net::{TcpListener, UdpSocket};
 use elmstream_steer::{
-    beat::{Beat, Known},
+    beat::{Beat, Known, Reading},
     model::Repeat,
     settings::Host,
     view::Key,
@@ -52,7 +52,7 @@
         ready: false,
         leaving: false,
         store_ms: Some(1),
-        known: [Known { version: 1_000, age_ms: 0 }; 2],
+        known: [Known { version: 1_000, reading: Some(Reading { reader: 1, stamp: 1 }) }; 2],
         demand: Vec::new(),
         loads: Vec::new(),
     };
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -16,12 +16,25 @@
 }
 
 /// How far a table of the store is known to the sender.
+///
+/// Hosts pass on who read the store last and when by that host's own clock, never
+/// an age: an age would lose the time on the way with each host that passes it on,
+/// and what goes in circles would never grow old.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Known {
     /// The store's version; 0 for nothing.
     pub version: u64,
-    /// Age of the knowledge, in milliseconds.
-    pub age_ms: u32,
+    /// The last reading that confirmed it; none if nothing is known.
+    pub reading: Option<Reading>,
+}
+
+/// A reading of the store.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Reading {
+    /// Hash of the start of the host that read.
+    pub reader: u64,
+    /// When, in milliseconds of the reader's clock.
+    pub stamp: u64,
 }
 
 /// A host's message to the others.
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -9,7 +9,7 @@
 use elmstream::time::{MILLI, SECOND, Time};
 
 use crate::{
-    beat::{Beat, Known, Load},
+    beat::{Beat, Known, Load, Reading},
     budget::Budgets,
     choose::{self, Ask, Choice, Scene},
     demand::{Count, Division, Region},
@@ -41,6 +41,8 @@
 pub struct Steer {
     settings: Settings,
     hash: u64,
+    /// Hash of this start.
+    reader: u64,
     started: Time,
     view: View,
     routes: RouteTable,
@@ -77,9 +79,11 @@
     /// A host that has just started and knows nothing.
     pub fn new(settings: Settings, now: Time) -> Steer {
         let hash = hash::of(&settings.host.name);
+        let reader = hash::pair(hash, settings.incarnation);
         Steer {
             settings,
             hash,
+            reader,
             started: now,
             view: View::default(),
             routes: RouteTable::default(),
@@ -238,7 +242,7 @@
         self.store_ms = self.store_ms.min(millis.min(u64::from(u16::MAX)) as u16);
     }
 
-    /// All rows of a table as of a version; what is not among them is gone.
+    /// All rows of a table as the store has them; what is not among them is gone.
     pub fn read_all(
         &mut self,
         now: Time,
@@ -254,21 +258,29 @@
         let gone = self.view.missing(table, &present);
         let removed = gone.into_iter().map(|key| Row { key, version, item: None });
         let rows = rows.into_iter().chain(removed).collect();
-        self.read(now, table, 0, now, rows)
+        self.read(now, table, rows)
     }
 
-    /// Rows that changed, after which the table is known as of `fresh`.
-    ///
-    /// From another host, `version` is how far that one knows the table; from the
-    /// store it is 0, as the store's counter also rises with what does not matter.
-    pub fn read(
-        &mut self,
-        now: Time,
-        table: Table,
-        version: u64,
-        fresh: Time,
-        rows: Vec<Row>,
-    ) -> Vec<Change> {
+    /// Rows that the store says have changed.
+    pub fn read(&mut self, now: Time, table: Table, rows: Vec<Row>) -> Vec<Change> {
+        let changes = self.take(now, table, rows);
+        let reading = Reading { reader: self.reader, stamp: now.0 / MILLI };
+        // The store's counter also rises with what does not matter, so the table's
+        // version is that of its last row that did.
+        self.view.confirm(now, table, 0, reading);
+        changes
+    }
+
+    /// Rows that another host knows of, after the version that was known here.
+    pub fn told(&mut self, now: Time, table: Table, known: Known, rows: Vec<Row>) -> Vec<Change> {
+        let changes = self.take(now, table, rows);
+        if let Some(reading) = known.reading {
+            self.view.confirm(now, table, known.version, reading);
+        }
+        changes
+    }
+
+    fn take(&mut self, now: Time, table: Table, rows: Vec<Row>) -> Vec<Change> {
         let before = self.view.age(now, Table::Servers);
         if table == Table::Servers && before.is_some_and(|age| age > OUTAGE) {
             self.lenient_until = now + AFTER_OUTAGE;
@@ -280,7 +292,6 @@
                 self.apply(now, &key, &mut changes);
             }
         }
-        self.view.confirm(table, version, fresh);
         changes
     }
 
@@ -357,6 +368,14 @@
         self.members.addresses()
     }
 
+    /// How far the tables are known.
+    pub fn known(&self) -> [Known; 2] {
+        TABLES.map(|table| {
+            let mark = self.view.mark(table);
+            Known { version: mark.version, reading: mark.reading }
+        })
+    }
+
     /// The next beat.
     pub fn beat(&mut self, now: Time) -> Beat {
         self.number += 1;
@@ -371,11 +390,7 @@
             (entry.own > 0 || silent).then_some(load)
         });
         let loads = loads.collect();
-        let known = TABLES.map(|table| {
-            let age_ms = self.view.age(now, table).map_or(u32::MAX as u64, |age| age / MILLI);
-            let version = self.view.mark(table).version;
-            Known { version, age_ms: age_ms.min(u32::MAX as u64) as u32 }
-        });
+        let known = self.known();
         let counts = self.counts.iter();
         let demand = counts.map(|(name, count)| (hash::of(name) as u32, count.value(now) as u32));
         let demand = demand.collect();
@@ -406,16 +421,11 @@
         let mut wanted = Vec::new();
         for (table, known) in TABLES.into_iter().zip(beat.known) {
             let mark = self.view.mark(table);
-            if known.age_ms == u32::MAX {
-                continue;
-            }
-            let fresh = now - u64::from(known.age_ms) * MILLI;
-            match mark.fresh {
-                Some(own) if known.version == mark.version && fresh > own => {
-                    self.view.confirm(table, known.version, fresh);
-                }
-                Some(_) if known.version <= mark.version => {}
-                _ => wanted.push((table, mark.version)),
+            let Some(reading) = known.reading else { continue };
+            if mark.fresh.is_none() || known.version > mark.version {
+                wanted.push((table, mark.version));
+            } else if known.version == mark.version {
+                self.view.confirm(now, table, known.version, reading);
             }
         }
         Some(News { joined: heard.joined, wanted })
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -5,12 +5,15 @@
 //! it knows, and the order of messages does not matter. Rules (configuration and
 //! evacuations) and servers are two tables, each complete up to its own version.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use elmstream::time::{SECOND, Time};
 use serde::{Deserialize, Serialize};
 
-use crate::model::{Configuration, Server};
+use crate::{
+    beat::Reading,
+    model::{Configuration, Server},
+};
 
 /// How long removals are remembered, so that late news brings nothing back.
 const REMOVED_KEEP: u64 = 60 * SECOND;
@@ -86,6 +89,8 @@
 pub struct View {
     rows: BTreeMap<Key, Kept>,
     marks: [Mark; 2],
+    /// The last reading of each host that is known of.
+    seen: [HashMap<u64, u64>; 2],
 }
 
 /// How far a table is known.
@@ -95,6 +100,8 @@
     pub version: u64,
     /// When the store was last known to say just this.
     pub fresh: Option<Time>,
+    /// The reading that this rests on.
+    pub reading: Option<Reading>,
 }
 
 impl View {
@@ -108,11 +115,18 @@
         self.mark(table).fresh.map(|fresh| now.since(fresh))
     }
 
-    /// The table is known to be current up to `version` as of `fresh`.
-    pub fn confirm(&mut self, table: Table, version: u64, fresh: Time) {
+    /// A reading showed that the table is current up to `version`.
+    ///
+    /// A reading that is not later than one of the same host says nothing new.
+    pub fn confirm(&mut self, now: Time, table: Table, version: u64, reading: Reading) {
         let mark = &mut self.marks[table as usize];
         mark.version = mark.version.max(version);
-        mark.fresh = Some(mark.fresh.map_or(fresh, |known| known.max(fresh)));
+        let seen = self.seen[table as usize].entry(reading.reader).or_default();
+        if *seen < reading.stamp {
+            *seen = reading.stamp;
+            mark.fresh = Some(now);
+            mark.reading = Some(reading);
+        }
     }
 
     /// Takes a row in; whether it changed what is known.
--- a/elmstream_steer/tests/readers.rs
+++ b/elmstream_steer/tests/readers.rs
@@ -32,7 +32,7 @@
                 calls += 1;
                 if served(n, at) {
                     host.store_serves(true);
-                    host.read(ms(at), table, 0, ms(at), Vec::new());
+                    host.read(ms(at), table, Vec::new());
                 } else {
                     host.store_serves(false);
                     paused[n] = at + 1_000;
@@ -90,3 +90,34 @@
         assert_eq!((0..HOSTS).filter(reads).collect::<Vec<_>>(), [near]);
     }
 }
+
+/// Age of what the youngest host knows, some time after the last reading, in a
+/// fleet whose beats take a while on their way.
+fn age_after(until: u64, delay: u64) -> u64 {
+    let mut fleet: Vec<Steer> = (0..HOSTS).map(|n| ready(n, ms(0), servers(2))).collect();
+    let mut on_the_way = Vec::new();
+    for at in (0..until).step_by(5) {
+        for (n, host) in fleet.iter_mut().enumerate() {
+            if (at + 5 * n as u64).is_multiple_of(50) {
+                on_the_way.push((at + delay, n, host.beat(ms(at))));
+            }
+        }
+        for (_, from, beat) in on_the_way.iter().filter(|(arrives, _, _)| *arrives == at) {
+            for (to, host) in fleet.iter_mut().enumerate().filter(|(to, _)| to != from) {
+                let _ = to;
+                host.hear(ms(at), beat);
+            }
+        }
+        on_the_way.retain(|(arrives, _, _)| *arrives > at);
+    }
+    let age = |host: &Steer| host.view().age(ms(until), Table::Servers).unwrap_or(0) / MILLI;
+    fleet.iter().map(age).min().unwrap_or(0)
+}
+
+#[test]
+fn news_that_hosts_tell_each_other_grow_old_all_the_same() {
+    for delay in [5, 35, 100] {
+        let age = age_after(3_000, delay);
+        assert!(age + 2 * delay + 100 >= 3_000, "{age} ms old after 3 s, with {delay} ms of delay");
+    }
+}
--- a/elmstream_steer/tests/view.rs
+++ b/elmstream_steer/tests/view.rs
@@ -53,19 +53,19 @@
 #[test]
 fn a_configuration_never_goes_back_nor_away() {
     let mut steer = host(0, ms(0));
-    steer.read(ms(0), Table::Rules, 0, ms(0), vec![configuration(5, 20)]);
-    steer.read(ms(1), Table::Rules, 0, ms(1), vec![configuration(4, 30)]);
+    steer.read(ms(0), Table::Rules, vec![configuration(5, 20)]);
+    steer.read(ms(1), Table::Rules, vec![configuration(4, 30)]);
     assert_eq!(steer.version(), Some(5));
-    steer.read(ms(2), Table::Rules, 0, ms(2), vec![gone(Key::Configuration, 40)]);
+    steer.read(ms(2), Table::Rules, vec![gone(Key::Configuration, 40)]);
     assert_eq!(steer.version(), Some(5));
-    steer.read(ms(3), Table::Rules, 0, ms(3), vec![configuration(6, 50)]);
+    steer.read(ms(3), Table::Rules, vec![configuration(6, 50)]);
     assert_eq!(steer.version(), Some(6));
 }
 
 #[test]
 fn an_old_reading_of_all_rows_changes_nothing() {
     let mut steer = ready(0, ms(0), servers(1));
-    steer.read(ms(1), Table::Servers, 0, ms(1), vec![server("new", "a1", 40)]);
+    steer.read(ms(1), Table::Servers, vec![server("new", "a1", 40)]);
     steer.read_all(ms(2), Table::Servers, 30, servers(1));
     assert!(steer.servers().find("new").is_some());
 }
@@ -76,11 +76,11 @@
     let route = route(Repeat::Safe, &[]);
     assert!(matches!(send(&mut steer, ms(1), &route, 1), Choice::Send(_)));
     let draining = with(server("one", "a1", 11), 11, |server| server.draining = true);
-    steer.read(ms(2), Table::Servers, 0, ms(2), vec![draining]);
+    steer.read(ms(2), Table::Servers, vec![draining]);
     assert!(matches!(send(&mut steer, ms(3), &route, 1), Choice::Refuse(_)));
-    steer.read(ms(4), Table::Servers, 0, ms(4), vec![server("one", "a1", 12)]);
+    steer.read(ms(4), Table::Servers, vec![server("one", "a1", 12)]);
     assert!(matches!(send(&mut steer, ms(5), &route, 1), Choice::Send(_)));
-    steer.read(ms(6), Table::Servers, 0, ms(6), vec![gone(Key::Server("one".into()), 13)]);
+    steer.read(ms(6), Table::Servers, vec![gone(Key::Server("one".into()), 13)]);
     assert!(matches!(send(&mut steer, ms(7), &route, 1), Choice::Refuse(_)));
 }
 
@@ -90,7 +90,7 @@
     let route = route(Repeat::Safe, &[]);
     steer.read_all(ms(6_000), Table::Servers, 30, Vec::new());
     assert!(matches!(send(&mut steer, ms(6_100), &route, 1), Choice::Send(_)));
-    steer.read(ms(7_900), Table::Servers, 0, ms(7_900), vec![server("one", "a1", 31)]);
+    steer.read(ms(7_900), Table::Servers, vec![server("one", "a1", 31)]);
     steer.tick(ms(9_000));
     assert!(matches!(send(&mut steer, ms(9_000), &route, 1), Choice::Send(_)));
 }
@@ -106,7 +106,7 @@
 #[test]
 fn a_server_that_leaves_on_a_calm_day_is_gone_at_once() {
     let mut steer = ready(0, ms(0), vec![server("one", "a1", 10)]);
-    steer.read(ms(1_000), Table::Servers, 0, ms(1_000), Vec::new());
-    steer.read(ms(1_500), Table::Servers, 0, ms(1_500), vec![gone(Key::Server("one".into()), 12)]);
+    steer.read(ms(1_000), Table::Servers, Vec::new());
+    steer.read(ms(1_500), Table::Servers, vec![gone(Key::Server("one".into()), 12)]);
     assert!(steer.servers().find("one").is_none());
 }
