--- /dev/null
+++ b/elmstream_soak/src/backend.rs
@@ -0,0 +1,76 @@
+//! Backend servers of a soak.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use compio::net::TcpListener;
+use elmstream_http::{LocalBody, Stopper, body, server, server::Cut};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::world::{ServerMode, World};
+
+/// Time that a request takes.
+const WORK: Duration = Duration::from_millis(8);
+/// Time that a dark server holds a request.
+const DARK: Duration = Duration::from_secs(5);
+
+/// Starts a listener that stands for any number of servers; its address.
+pub async fn start(world: &Rc<World>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let world = world.clone();
+    compio::runtime::spawn(async move {
+        let (_until_the_end, never) = Stopper::new();
+        let handler = move |_, request| answer(world.clone(), request);
+        let _ = server::serve(listener, None, never, handler).await;
+    })
+    .detach();
+    Ok(address)
+}
+
+async fn answer(world: Rc<World>, request: Request<Incoming>) -> Result<Response<LocalBody>, Cut> {
+    let field = |name: &str| {
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let (id, server) = (field("elmstream-request"), field("elmstream-server"));
+    let known = world.servers.borrow().get(&server).copied();
+    let Some(mode) = known else {
+        return Ok(status(StatusCode::MISDIRECTED_REQUEST));
+    };
+    if mode == ServerMode::Full {
+        let mut refusal = status(StatusCode::SERVICE_UNAVAILABLE);
+        refusal.headers_mut().insert("elmstream-not-run", http::HeaderValue::from_static("1"));
+        return Ok(refusal);
+    }
+    world.ledger.borrow_mut().runs(&id);
+    if world.breaks("once") && id.ends_with("7") {
+        world.ledger.borrow_mut().runs(&id);
+    }
+    compio::time::sleep(WORK).await;
+    match mode {
+        ServerMode::Dark => {
+            compio::time::sleep(DARK).await;
+            Err(Cut)
+        }
+        ServerMode::Cutting => Err(Cut),
+        _ => {
+            let echoed = if mode == ServerMode::Mixing { "another" } else { &id };
+            let told = if world.breaks("mixed") && id.ends_with("7") { "x" } else { &id };
+            let mut response = Response::new(body::full(format!("{told} {server}")));
+            if let Ok(value) = echoed.parse() {
+                response.headers_mut().insert("elmstream-request", value);
+            }
+            response
+                .headers_mut()
+                .insert("elmstream-signature", http::HeaderValue::from_static("s"));
+            Ok(response)
+        }
+    }
+}
+
+fn status(status: StatusCode) -> Response<LocalBody> {
+    let mut response = Response::new(body::empty());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/elmstream_soak/src/lib.rs
@@ -0,0 +1,15 @@
+//! A fault soak: entry hosts as real processes, a stand-in store, backend servers
+//! and callers, faults drawn from a seed, and checks of what callers and backend
+//! servers see.
+
+#![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
+
+pub mod backend;
+pub mod callers;
+pub mod faults;
+pub mod host;
+pub mod ledger;
+pub mod process;
+pub mod soak;
+pub mod store;
+pub mod world;
--- /dev/null
+++ b/elmstream_soak/src/main.rs
@@ -0,0 +1,57 @@
+//! Runs the fault soak, or one of its hosts.
+
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
+
+use bpaf::{Parser, construct, long, positional, pure};
+use compio::runtime::Runtime;
+use elmstream_soak::{host, soak};
+
+/// What to run.
+enum Command {
+    Soak(soak::Options),
+    Host(PathBuf, SocketAddr),
+}
+
+fn command() -> impl Parser<Command> {
+    let settings = positional("SETTINGS");
+    let store = positional("STORE");
+    let host = construct!(Command::Host(settings, store)).to_options();
+    let host = host.command("host").help("Runs one host; the soak starts these");
+    let seed = long("seed").help("Draws the faults").argument("N").fallback(1);
+    let seconds = long("seconds").help("How long faults go on").argument("N").fallback(20);
+    let processes = long("processes").help("Number of hosts").argument("N").fallback(5);
+    let broken = long("break")
+        .help("Leaves a rule out, to see that the checks notice: once, back or mixed")
+        .argument("RULE")
+        .optional();
+    let program = pure(None);
+    let soak =
+        construct!(soak::Options { seed, seconds, processes, broken, program }).map(Command::Soak);
+    construct!([host, soak])
+}
+
+fn main() -> ExitCode {
+    let command = command().to_options().descr("Soaks real hosts in faults").run();
+    let runtime = match Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("elmstream_soak: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match command {
+        Command::Host(settings, store) => match runtime.block_on(host::run(&settings, store)) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!("elmstream_soak host: {error}");
+                ExitCode::FAILURE
+            }
+        },
+        Command::Soak(options) => {
+            let report =
+                runtime.block_on(soak::run(&options, Duration::from_secs(options.seconds)));
+            println!("{report}");
+            if report.passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+    }
+}
--- /dev/null
+++ b/elmstream_soak/src/store.rs
@@ -0,0 +1,101 @@
+//! The store of a soak, with faults.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use compio::net::TcpListener;
+use elmstream_http::{LocalBody, Stopper, body, server, server::Cut};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+
+use crate::{
+    host::Page,
+    world::{StoreMode, World},
+};
+
+/// Time that a slow store takes.
+const SLOW: Duration = Duration::from_millis(300);
+/// Time that a silent store keeps a call.
+const SILENT: Duration = Duration::from_secs(5);
+/// Time between two looks for changes.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Starts the store; its address.
+pub async fn start(world: &Rc<World>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let world = world.clone();
+    compio::runtime::spawn(async move {
+        let (_until_the_end, never) = Stopper::new();
+        let handler = move |_, request| answer(world.clone(), request);
+        let _ = server::serve(listener, None, never, handler).await;
+    })
+    .detach();
+    Ok(address)
+}
+
+async fn answer(world: Rc<World>, request: Request<Incoming>) -> Result<Response<LocalBody>, Cut> {
+    let from = request.headers().get("from").and_then(|from| from.to_str().ok());
+    let turned_away = from.is_some() && world.away.borrow().as_deref() == from;
+    match world.store.get() {
+        StoreMode::Down => return Ok(refuse()),
+        _ if turned_away => return Ok(refuse()),
+        StoreMode::Silent => {
+            compio::time::sleep(SILENT).await;
+            return Err(Cut);
+        }
+        StoreMode::Slow => compio::time::sleep(SLOW).await,
+        StoreMode::Well => {}
+    }
+    let query = request.uri().query().unwrap_or_default();
+    let text = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map_or("", |(_, value)| value)
+    };
+    let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
+    let host: Option<SocketAddr> = text("host").parse().ok();
+    match request.uri().path() {
+        "/rows" => Ok(page(&world, number("table"), None)),
+        "/changes" => {
+            let mut waits = number("wait") / LOOK.as_millis() as u64;
+            while waits > 0 && rows(&world, number("table"), Some(number("after"))).rows.is_empty()
+            {
+                compio::time::sleep(LOOK).await;
+                waits -= 1;
+            }
+            Ok(page(&world, number("table"), Some(number("after"))))
+        }
+        "/announce" => {
+            world.hosts.borrow_mut().extend(host);
+            Ok(packed(&()))
+        }
+        "/withdraw" => {
+            world.hosts.borrow_mut().retain(|known| Some(*known) != host);
+            Ok(packed(&()))
+        }
+        _ => Ok(packed(&*world.hosts.borrow())),
+    }
+}
+
+fn rows(world: &World, table: u64, after: Option<u64>) -> Page {
+    let all = world.rows.borrow();
+    let wanted = all.values().filter(|row| {
+        let new = after.map_or(row.item.is_some(), |after| row.version > after);
+        row.key.table() as u64 == table && new
+    });
+    Page { version: world.version.get(), rows: wanted.cloned().collect() }
+}
+
+fn page(world: &World, table: u64, after: Option<u64>) -> Response<LocalBody> {
+    packed(&rows(world, table, after))
+}
+
+fn packed<T: Serialize>(value: &T) -> Response<LocalBody> {
+    Response::new(body::full(postcard::to_allocvec(value).unwrap_or_default()))
+}
+
+fn refuse() -> Response<LocalBody> {
+    let mut response = Response::new(body::empty());
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
