--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -37,7 +37,7 @@
 /// Occupied part of a service's slots beyond which requests go only to servers
 /// that know their key, or should: another would work longer on the request, and
 /// forget a key for it, just when nobody has time to spare.
-const SECOND_MAX: f64 = 0.7;
+const SECOND_MAX: f64 = 0.6;
 /// The same for any server but the first ones.
 const SPILL_MAX: f64 = 0.5;
 /// Time between two trials of a silent server, for each host that may try.
