Pass news on from host to host when many want them at once

Change: four requests for rows are served at once, each keeping its place for as long as its bytes take at 2 Mbit/s; the others ask a host that was served meanwhile.

--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod callers;
 pub mod edge;
 pub mod forward;
+pub mod gate;
 pub mod headers;
 pub mod journal;
 pub mod lifecycle;
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
 
-use crate::{Edge, Source, callers, peers, reader};
+use crate::{Edge, Source, callers, gate::Gate, peers, reader};
 
 /// Pause before the store is asked once more for what a start needs.
 const START_PAUSE: Duration = Duration::from_millis(700);
@@ -68,7 +68,8 @@
     }
     let (_until_the_end, never) = Stopper::new();
     let served = edge.clone();
-    let peer = move |_, request| peers::serve(served.clone(), request);
+    let gate = Gate::new(peers::SERVED);
+    let peer = move |_, request| peers::serve(served.clone(), gate.clone(), request);
     spawn(async move {
         let _ = server::serve(peers_listener, None, never, peer).await;
     });
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::edge::Edge;
+use crate::{edge::Edge, gate::Gate};
 
 /// Path of the view's rows.
 const ROWS: &str = "/v1/rows";
@@ -32,6 +32,11 @@
 const AWAY_EVERY: u64 = 2;
 /// Time in which rows must have come.
 const FETCH: Duration = Duration::from_millis(700);
+/// Requests for rows that are served at once.
+pub const SERVED: usize = 4;
+/// Time that a served request keeps its place for each byte, as what was handed to
+/// the connection is not yet on its way: together they use 8 Mbit/s at most.
+const MICROS_A_BYTE: u64 = 4;
 /// Hosts that are asked for a table at once.
 const FETCHES: usize = 3;
 /// Time between two ticks of the decisions.
@@ -155,12 +160,28 @@
     let request = Request::builder().uri(uri).header("host", address.to_string());
     let request = request.body(body::empty()).map_err(io::Error::other)?;
     let response = sender.send_request(request).await.map_err(io::Error::other)?;
+    if !response.status().is_success() {
+        return Err(io::ErrorKind::ResourceBusy.into());
+    }
     let whole = response.into_body().collect().await.map_err(io::Error::other)?;
     postcard::from_bytes(&whole.to_bytes()).map_err(io::Error::other)
 }
 
 /// Serves another host's request for rows.
-pub async fn serve(edge: Rc<Edge>, request: Request<Incoming>) -> Result<Response<LocalBody>, Cut> {
+///
+/// Only a few are served at once, as all hosts ask the one that has news first, and
+/// large news over a thin link would reach each of them late. Those that are turned
+/// away ask one that has been served meanwhile.
+pub async fn serve(
+    edge: Rc<Edge>,
+    gate: Gate,
+    request: Request<Incoming>,
+) -> Result<Response<LocalBody>, Cut> {
+    let Some(pass) = gate.enter() else {
+        let mut response = Response::new(body::empty());
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return Ok(response);
+    };
     let query = request.uri().query().unwrap_or_default();
     let field = |name: &str| {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -179,7 +200,14 @@
         hosts.push(edge.settings.host.peers);
         Rows { known, rows: steer.view().since(table, after), hosts }
     };
-    Ok(Response::new(body::full(postcard::to_allocvec(&rows).unwrap_or_default())))
+    let bytes = postcard::to_allocvec(&rows).unwrap_or_default();
+    let pace = Duration::from_micros(bytes.len() as u64 * MICROS_A_BYTE);
+    compio::runtime::spawn(async move {
+        compio::time::sleep(pace).await;
+        drop(pass);
+    })
+    .detach();
+    Ok(Response::new(body::full(bytes)))
 }
 
 /// Lets time pass for the decisions until the process ends.
