--- a/elmstream_soak/src/backend.rs
+++ b/elmstream_soak/src/backend.rs
@@ -2,12 +2,14 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use compio::net::TcpListener;
-use elmstream_http::{LocalBody, Stopper, body, server, server::Cut};
+use elmstream_http::{LocalBody, body, server::Cut};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use crate::world::{ServerMode, World};
+use crate::{
+    listen,
+    world::{ServerMode, World},
+};
 
 /// Time that a request takes.
 const WORK: Duration = Duration::from_millis(8);
@@ -16,16 +18,7 @@
 
 /// Starts a listener that stands for any number of servers; its address.
 pub async fn start(world: &Rc<World>) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    let world = world.clone();
-    compio::runtime::spawn(async move {
-        let (_until_the_end, never) = Stopper::new();
-        let handler = move |_, request| answer(world.clone(), request);
-        let _ = server::serve(listener, None, never, handler).await;
-    })
-    .detach();
-    Ok(address)
+    listen::serve(world, answer).await
 }
 
 async fn answer(world: Rc<World>, request: Request<Incoming>) -> Result<Response<LocalBody>, Cut> {
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 pub mod host;
 pub mod ledger;
+pub mod listen;
 pub mod process;
 pub mod soak;
 pub mod store;
--- a/elmstream_soak/src/store.rs
+++ b/elmstream_soak/src/store.rs
@@ -2,14 +2,14 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use compio::net::TcpListener;
-use elmstream_http::{LocalBody, Stopper, body, server, server::Cut};
+use elmstream_http::{LocalBody, body, server::Cut};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
 
 use crate::{
     host::Page,
+    listen,
     world::{StoreMode, World},
 };
 
@@ -22,16 +22,7 @@
 
 /// Starts the store; its address.
 pub async fn start(world: &Rc<World>) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let address = listener.local_addr()?;
-    let world = world.clone();
-    compio::runtime::spawn(async move {
-        let (_until_the_end, never) = Stopper::new();
-        let handler = move |_, request| answer(world.clone(), request);
-        let _ = server::serve(listener, None, never, handler).await;
-    })
-    .detach();
-    Ok(address)
+    listen::serve(world, answer).await
 }
 
 async fn answer(world: Rc<World>, request: Request<Incoming>) -> Result<Response<LocalBody>, Cut> {
