--- /dev/null
+++ b/elmstream_steer/src/hearing.rs
@@ -0,0 +1,182 @@
+//! Tells the other hosts what this one knows and does, and takes in what they say.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use elmstream::time::{SECOND, Time};
+
+use crate::{
+    beat::{Beat, Known, Load},
+    demand::{Division, Region},
+    hash,
+    steer::{Change, Steer},
+    view::{TABLES, Table},
+};
+
+/// Time between two divisions of the requests among regions.
+const DIVIDE: u64 = SECOND;
+
+impl Steer {
+    /// An address at which another host may be.
+    pub fn suppose(&mut self, now: Time, address: SocketAddr) {
+        if address != self.settings.host.peers {
+            self.members.suppose(now, address);
+        }
+    }
+
+    /// Where beats go.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.members.addresses()
+    }
+
+    /// How far the tables are known.
+    pub fn known(&self) -> [Known; 2] {
+        TABLES.map(|table| {
+            let mark = self.view.mark(table);
+            Known { version: mark.version, reading: mark.reading }
+        })
+    }
+
+    /// The next beat.
+    pub fn beat(&mut self, now: Time) -> Beat {
+        self.number += 1;
+        self.ready = self.serves();
+        let loads = self.servers.all().filter_map(|(_, entry)| {
+            let silent = entry.silent(now, self.servers.pace(&entry.server.service));
+            let load = Load {
+                server: entry.hash as u32,
+                in_flight: entry.own.min(u16::MAX as u32) as u16,
+                silent,
+            };
+            (entry.own > 0 || silent).then_some(load)
+        });
+        let loads = loads.collect();
+        let known = self.known();
+        let counts = self.counts.iter();
+        let demand = counts.map(|(name, count)| (hash::of(name) as u32, count.value(now) as u32));
+        let demand = demand.collect();
+        Beat {
+            demand,
+            host: self.settings.host.clone(),
+            incarnation: self.settings.incarnation,
+            number: self.number,
+            ready: self.ready,
+            leaving: self.leaving,
+            store_ms: self.store.then_some(self.store_ms),
+            known,
+            loads,
+        }
+    }
+
+    /// Takes a beat in; the tables that its sender knows better.
+    pub fn hear(&mut self, now: Time, beat: &Beat) -> Option<News> {
+        if beat.host.peers == self.settings.host.peers {
+            return None;
+        }
+        let heard = self.members.hear(now, beat)?;
+        self.count(&heard.before, false);
+        self.count(&beat.loads, true);
+        if heard.joined {
+            self.count_hosts(now);
+        }
+        let mut wanted = Vec::new();
+        for (table, known) in TABLES.into_iter().zip(beat.known) {
+            let mark = self.view.mark(table);
+            let Some(reading) = known.reading else { continue };
+            if mark.fresh.is_none() || known.version > mark.version {
+                wanted.push((table, mark.version));
+            } else if known.version == mark.version {
+                self.view.confirm(now, table, known.version, reading);
+            }
+        }
+        Some(News { joined: heard.joined, wanted })
+    }
+
+    fn count(&mut self, loads: &[Load], add: bool) {
+        for load in loads {
+            let Some(entry) = self.servers.by_hash(load.server) else { continue };
+            let (in_flight, silent) = (u32::from(load.in_flight), u32::from(load.silent));
+            if add {
+                entry.others += in_flight;
+                entry.silent_elsewhere += silent;
+            } else {
+                entry.others = entry.others.saturating_sub(in_flight);
+                entry.silent_elsewhere = entry.silent_elsewhere.saturating_sub(silent);
+            }
+        }
+    }
+
+    /// Counts the others' requests anew, as servers and hosts come and go.
+    fn recount(&mut self) {
+        for entry in self.servers.all_mut() {
+            entry.others = 0;
+            entry.silent_elsewhere = 0;
+        }
+        let members = std::mem::take(&mut self.members);
+        for member in members.all() {
+            self.count(&member.loads, true);
+        }
+        self.members = members;
+    }
+
+    /// Divides each service's requests among the regions anew.
+    fn divide(&mut self, now: Time) {
+        if now.since(self.divided) < DIVIDE {
+            return;
+        }
+        self.divided = now;
+        let services: Vec<String> = self.servers.services().map(str::to_owned).collect();
+        for service in services {
+            let names = self.settings.domains.values();
+            let mut regions: BTreeMap<String, Region> =
+                names.map(|name| (name.clone(), Region::default())).collect();
+            for (_, entry) in self.servers.of(&service) {
+                let used = !entry.server.draining && !self.evacuated.contains(&entry.server.domain);
+                if used && let Some(region) = regions.get_mut(&entry.region) {
+                    region.slots += f64::from(entry.server.slots);
+                }
+            }
+            let hash = hash::of(&service) as u32;
+            for member in self.members.all() {
+                let told = member.demand.iter().find(|(service, _)| *service == hash);
+                let region = regions.entry(member.host.region.clone()).or_default();
+                region.demand += told.map_or(0.0, |(_, requests)| f64::from(*requests));
+            }
+            if let Some(count) = self.counts.get(&service) {
+                let region = regions.entry(self.settings.host.region.clone()).or_default();
+                region.demand += count.value(now);
+            }
+            self.divisions.insert(service, Division::new(&regions));
+        }
+    }
+
+    fn count_hosts(&mut self, now: Time) {
+        self.live.clear();
+        self.live.push(self.hash);
+        self.live.extend(self.members.live(now).map(|member| member.hash));
+    }
+
+    /// What time alone brings about; called every 100 ms or so.
+    pub fn tick(&mut self, now: Time) -> Vec<Change> {
+        self.members.expire(now);
+        self.recount();
+        self.count_hosts(now);
+        self.divide(now);
+        self.view.forget(now);
+        let lapsed =
+            self.servers.all().filter(|(_, entry)| entry.lapses.is_some_and(|at| now >= at));
+        let lapsed: Vec<String> = lapsed.map(|(_, entry)| entry.id.clone()).collect();
+        for id in &lapsed {
+            self.remove(id);
+        }
+        lapsed.into_iter().map(|id| Change::Server(id, "gone")).collect()
+    }
+}
+
+/// What a beat calls for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// The host is new, or back.
+    pub joined: bool,
+    /// Tables that its sender knows better, with the version known here.
+    pub wanted: Vec<(Table, u64)>,
+}
