Let hosts that lost each other for long find each other again

Cause: a host forgot another one after 20 s of silence and tried seeds for 15 s only, and read the table of hosts once; so after a cut of a minute neither tried the other again. A test with an hour's silence shows it.

Readings of long gone starts are forgotten.

--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -39,6 +39,8 @@
 const MICROS_A_BYTE: u64 = 4;
 /// Hosts that are asked for a table at once.
 const FETCHES: usize = 3;
+/// Seeds are tried again after this many ticks, as all may have been away at first.
+const SEEDS_EVERY: u64 = 100;
 /// Time between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -67,7 +69,7 @@
     let (datagram, addresses, hosts) = {
         let mut steer = edge.steer.borrow_mut();
         let Ok(datagram) = postcard::to_allocvec(&steer.beat(now)) else { return 0 };
-        let mut addresses = steer.addresses();
+        let mut addresses = steer.addresses(now, round);
         let hosts = addresses.len();
         let region = &edge.settings.host.region;
         if !round.is_multiple_of(AWAY_EVERY) {
@@ -196,7 +198,7 @@
     let rows = {
         let steer = edge.steer.borrow();
         let known = steer.known();
-        let mut hosts = steer.addresses();
+        let mut hosts = steer.addresses(clock::now(), 1);
         hosts.push(edge.settings.host.peers);
         Rows { known, rows: steer.view().since(table, after), hosts }
     };
@@ -212,8 +214,13 @@
 
 /// Lets time pass for the decisions until the process ends.
 pub async fn tick(edge: Rc<Edge>) {
-    loop {
+    for count in 0u64.. {
         compio::time::sleep(TICK).await;
+        if count.is_multiple_of(SEEDS_EVERY) {
+            for seed in &edge.settings.seeds {
+                edge.steer.borrow_mut().suppose(clock::now(), *seed);
+            }
+        }
         let changes = edge.steer.borrow_mut().tick(clock::now());
         edge.note("time", &changes);
         let steer = edge.steer.borrow();
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -24,8 +24,8 @@
     }
 
     /// Where beats go.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.members.addresses()
+    pub fn addresses(&self, now: Time, round: u64) -> Vec<SocketAddr> {
+        self.members.addresses(now, round)
     }
 
     /// How far the tables are known.
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -12,8 +12,13 @@
 
 /// A host is live for this long after its last beat.
 pub const LIVE: u64 = 1_200 * MILLI;
-/// A host that has been silent for this long is forgotten.
-const FORGET: u64 = 20 * SECOND;
+/// A silent host is tried only now and then after this long.
+const LOST: u64 = 20 * SECOND;
+/// One of so many rounds of beats goes to hosts that are lost.
+const LOST_EVERY: u64 = 40;
+/// A host that has been silent for this long is forgotten: regions may lose each
+/// other for hours, and have to find each other again.
+const FORGET: u64 = 24 * 3_600 * SECOND;
 /// Known addresses that never answered are tried for this long.
 const TRY: u64 = 15 * SECOND;
 
@@ -117,9 +122,11 @@
         self.members.get(address)
     }
 
-    /// Where beats go: hosts, and addresses that may be hosts'.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.members.keys().chain(self.tried.keys()).copied().collect()
+    /// Where the beats of a round go: hosts, and addresses that may be hosts'.
+    pub fn addresses(&self, now: Time, round: u64) -> Vec<SocketAddr> {
+        let all = round.is_multiple_of(LOST_EVERY);
+        let due = self.members.iter().filter(|(_, member)| all || now.since(member.heard) < LOST);
+        due.map(|(address, _)| address).chain(self.tried.keys()).copied().collect()
     }
 }
 
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -18,6 +18,9 @@
 /// How long removals are remembered, so that late news brings nothing back.
 const REMOVED_KEEP: u64 = 60 * SECOND;
 
+/// Starts of hosts whose last reading is remembered.
+const READERS_KEEP: usize = 4_096;
+
 /// The two tables of a view.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Table {
@@ -192,6 +195,12 @@
 
     /// Forgets removals that are long past.
     pub fn forget(&mut self, now: Time) {
+        for (seen, mark) in self.seen.iter_mut().zip(&self.marks) {
+            let reader = mark.reading.map(|reading| reading.reader);
+            if seen.len() > READERS_KEEP {
+                seen.retain(|known, _| Some(*known) == reader);
+            }
+        }
         self.rows.retain(|_, row| row.item.is_some() || now.since(row.at) < REMOVED_KEEP);
     }
 }
--- a/elmstream_steer/tests/members.rs
+++ b/elmstream_steer/tests/members.rs
@@ -62,3 +62,16 @@
     fleet[0].hear(ms(90), &late);
     assert!(!fleet[0].lookup(ms(100), "shop.example", "a1", "a").contains(&address(1_004)));
 }
+
+#[test]
+fn hosts_that_lost_each_other_for_an_hour_still_try_to_reach_each_other() {
+    let mut fleet = fleet();
+    let hour = 3_600_000;
+    for at in (1_000..hour).step_by(60_000) {
+        fleet[0].tick(ms(at));
+    }
+    let lost = fleet[4].settings().host.peers;
+    let tried = (0..100).filter(|round| fleet[0].addresses(ms(hour), *round).contains(&lost));
+    let tried = tried.count();
+    assert!((1..=5).contains(&tried), "tried in {tried} of 100 rounds");
+}
