Believe a refusal only if it answers this request

Cause: an answer that says that a request was not run was believed before its id was looked at. A late refusal of an earlier request on the same connection would make a request that did run count as not run: refused to the caller, or sent once more. Found by reading; the test with such an answer failed (503 in place of 502).

Also: two settings that nothing used are gone.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -164,16 +164,22 @@
     took: u64,
 ) -> (Outcome, Try) {
     let names = &edge.settings.headers;
+    let echoed = headers::text(&parts.headers, &names.request_id);
+    if echoed.is_some_and(|echoed| echoed != call.id) {
+        // Even a refusal is believed only if it is this request's.
+        edge.pool.distrust(id);
+        return (Outcome::Unknown, Try::Unknown);
+    }
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
         return (Outcome::Elsewhere, Try::NotRun);
     }
     if parts.headers.contains_key(&names.not_run) {
         return (Outcome::Full, Try::NotRun);
     }
-    let echoed = headers::text(&parts.headers, &names.request_id).unwrap_or_default();
     let encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
     let signed = parts.headers.contains_key(&names.signature);
-    if echoed != call.id || encoded || (parts.status.is_success() && !signed) {
+    let own = echoed.unwrap_or_default() == call.id;
+    if !own || encoded || (parts.status.is_success() && !signed) {
         edge.pool.distrust(id);
         return (Outcome::Unknown, Try::Unknown);
     }
--- a/elmstream_edge/tests/answers.rs
+++ b/elmstream_edge/tests/answers.rs
@@ -108,3 +108,16 @@
         }
     });
 }
+
+#[test]
+fn a_refusal_of_another_request_is_not_believed() {
+    for refusal in ["503 Full\r\nelmstream-not-run: 1", "421 Misdirected"] {
+        let answer = answered(move |_| {
+            let text = format!(
+                "HTTP/1.1 {refusal}\r\nelmstream-request: id-0\r\ncontent-length: 0\r\n\r\n"
+            );
+            text.into_bytes()
+        });
+        assert_eq!(answer.status, 502, "the request itself may have run");
+    }
+}
--- a/elmstream_steer/src/settings.rs
+++ b/elmstream_steer/src/settings.rs
@@ -26,14 +26,10 @@
 pub struct Bounds {
     /// Time in which a configuration is in force everywhere, in milliseconds.
     pub configuration_ms: u64,
-    /// Time after which a leaving backend server gets no request, in milliseconds.
-    pub drain_ms: u64,
     /// Repeats of a service's requests, as a part of the requests.
     pub retry_ratio: f64,
-    /// Repeats that are allowed beyond that in one window.
+    /// Repeats that are allowed beyond that in one window of some seconds.
     pub retry_slack: f64,
-    /// The window, in seconds.
-    pub retry_window_s: f64,
     /// Requests to a cold backend server, as a multiple of what it bears.
     pub cold_overshoot: f64,
     /// Requests a second beyond that.
@@ -46,10 +42,8 @@
     fn default() -> Bounds {
         Bounds {
             configuration_ms: 2_000,
-            drain_ms: 2_000,
             retry_ratio: 0.2,
             retry_slack: 60.0,
-            retry_window_s: 10.0,
             cold_overshoot: 1.5,
             cold_slack: 5.0,
             lookup_ttl_s: 2,
