Judge a killed host's test by the part of requests that ran

The test counted requests in 2 s on the wall clock. Runs beside six busy processes show 24 of 24 and 23 of 23: each one that was asked ran, fewer fit into the time. So the test was wrong, not the product.

Change: more than a third of those asked must run, which is what 30 of 90 was, and at least 10 must be asked.

--- a/elmstreamd/tests/processes.rs
+++ b/elmstreamd/tests/processes.rs
@@ -129,6 +129,9 @@
         .unwrap()
 }
 
+/// Requests that even a busy machine has to get through while the owner is dead.
+const ASKED_MIN: u32 = 10;
+
 #[test]
 fn a_killed_host_is_taken_over_and_the_others_serve_on() {
     Runtime::new().unwrap().block_on(async {
@@ -136,15 +139,18 @@
         let (victim, _) = processes.owner().await;
         let begin = Instant::now();
         processes.signal(victim, "-KILL");
-        let mut ran = 0;
+        let (mut ran, mut asked) = (0, 0);
         while begin.elapsed() < Duration::from_secs(2) {
+            asked += 1;
             let callers = processes.fleet().hosts[0].settings.listen.callers;
             let get = Request::get("/").header("host", "t").header("elmstream-service", "status");
             let answer = send(callers, get.body(body::empty()).unwrap()).await.unwrap();
             ran += u32::from(answer.header("elmstream-outcome") == Some("ran"));
             compio::time::sleep(Duration::from_millis(20)).await;
         }
-        assert!(ran > 30, "{ran} of about 90 requests ran while the owner was dead");
+        // A part, as on a busy machine fewer requests fit into the time.
+        let served = asked >= ASKED_MIN && ran * 3 > asked;
+        assert!(served, "{ran} of {asked} requests ran while the owner was dead");
         let took = processes.wait_taken_over(victim).await + Duration::from_secs(2);
         println!("taken over after {took:?}");
     });
