Tell the hosts of a region which servers know which keys

Ruled out: too few slots (a third was free when requests were refused), and servers that forget (they keep 17 keys, 8 were theirs).

Change: a beat to hosts of the own region tells, three times each, which server was sent a key that it was not known to know. A server counts as knowing a key from the send on, and whether it knew is now taken at the send, not at the answer. Requests without a key teach nothing any more.

Test: what_a_server_knows_is_told_to_the_hosts_of_the_region.

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -28,6 +28,8 @@
     pub service: String,
     /// Hash of its affinity key, or of its id.
     pub key: u64,
+    /// Whether it has an affinity key that counts.
+    pub keyed: bool,
     /// Method.
     pub method: Method,
     /// Path and query as they came.
@@ -105,6 +107,7 @@
     let id = headers::text(&kept, &names.request_id).unwrap_or_default().to_owned();
     let draw = hash::of(&id);
     let affinity = kept.get(&names.affinity).filter(|_| route.affinity);
+    let keyed = affinity.is_some();
     let key = affinity.map_or(draw, |key| hash::of(key.as_bytes()));
     let waits = headers::number(&kept, &names.deadline).unwrap_or(route.timeout_ms);
     headers::strip(&mut kept);
@@ -112,7 +115,8 @@
     let uri = path.parse().unwrap_or(head.uri);
     let service = routes::service(&route, draw).to_owned();
     let until = came + waits.min(route.timeout_ms) * MILLI;
-    Call { id, service, key, method: head.method, uri, headers: kept, body, came, until, route }
+    let method = head.method;
+    Call { id, service, key, keyed, method, uri, headers: kept, body, came, until, route }
 }
 
 /// An answer without a body.
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -111,6 +111,7 @@
     let Some((id, address)) = target else { return Try::NotRun };
     let Some(request) = request(edge, call, &id) else { return Try::NotRun };
     let sent = clock::now();
+    let knew = call.keyed && edge.steer.borrow_mut().learn(sent, index, call.key);
     let exchange = edge.pool.exchange(&id, address, request);
     let exchange = match compio::time::timeout(call.left(), exchange).await {
         Ok(exchange) => exchange,
@@ -124,7 +125,9 @@
         Exchange::Broken => (Outcome::Unknown, Try::Unknown),
         Exchange::Whole(parts, body) => {
             tell(edge, index, &parts);
-            judge(edge, call, index, &id, parts, body, clock::now().since(sent))
+            let (outcome, result) = judge(edge, call, &id, parts, body);
+            let micros = clock::now().since(sent);
+            (outcome.unwrap_or(Outcome::Answered { micros, knew }), result)
         }
     };
     flight.outcome = outcome;
@@ -154,40 +157,39 @@
 }
 
 /// What a whole answer means; one that is not the request's is none.
+///
+/// No outcome is told if the request was answered.
 fn judge(
     edge: &Edge,
     call: &Call,
-    index: Index,
     id: &str,
     parts: response::Parts,
     body: Bytes,
-    took: u64,
-) -> (Outcome, Try) {
+) -> (Option<Outcome>, Try) {
     let names = &edge.settings.headers;
     let echoed = headers::text(&parts.headers, &names.request_id);
     if echoed.is_some_and(|echoed| echoed != call.id) {
         // Even a refusal is believed only if it is this request's.
         edge.pool.distrust(id);
-        return (Outcome::Unknown, Try::Unknown);
+        return (Some(Outcome::Unknown), Try::Unknown);
     }
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
-        return (Outcome::Elsewhere, Try::NotRun);
+        return (Some(Outcome::Elsewhere), Try::NotRun);
     }
     if parts.headers.contains_key(&names.not_run) {
-        return (Outcome::Full, Try::NotRun);
+        return (Some(Outcome::Full), Try::NotRun);
     }
     let encoded = parts.headers.contains_key(header::CONTENT_ENCODING);
     let signed = parts.headers.contains_key(&names.signature);
     let own = echoed.unwrap_or_default() == call.id;
     if !own || encoded || (parts.status.is_success() && !signed) {
         edge.pool.distrust(id);
-        return (Outcome::Unknown, Try::Unknown);
+        return (Some(Outcome::Unknown), Try::Unknown);
     }
     if parts.status.is_server_error() {
-        return (Outcome::Failed, Try::Failed(parts, body));
+        return (Some(Outcome::Failed), Try::Failed(parts, body));
     }
-    let knew = edge.steer.borrow_mut().learn(clock::now(), index, call.key);
-    (Outcome::Answered { micros: took, knew }, Try::Answer(parts, body))
+    (None, Try::Answer(parts, body))
 }
 
 /// The server's answer, for the caller.
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -66,26 +66,33 @@
 /// Sends one beat to all whose turn it is; the number of hosts.
 pub async fn beat(edge: &Edge, socket: &UdpSocket, round: u64) -> usize {
     let now = clock::now();
-    let (datagram, addresses, hosts) = {
+    let (mut beat, near, mut away) = {
         let mut steer = edge.steer.borrow_mut();
-        let Ok(datagram) = postcard::to_allocvec(&steer.beat(now)) else { return 0 };
-        let mut addresses = steer.addresses(now, round);
-        let hosts = addresses.len();
         let region = &edge.settings.host.region;
-        if !round.is_multiple_of(AWAY_EVERY) {
-            let away = |address: &SocketAddr| {
-                steer.members().get(address).is_some_and(|member| member.host.region != *region)
-            };
-            addresses.retain(|address| !away(address));
-        }
-        (bytes::Bytes::from(datagram), addresses, hosts)
+        let (near, away): (Vec<_>, Vec<_>) =
+            steer.addresses(now, round).into_iter().partition(|address| {
+                steer.members().get(address).is_none_or(|member| member.host.region == *region)
+            });
+        (steer.beat(now), near, away)
     };
-    for address in addresses {
-        let _ = socket.send_to(datagram.clone(), address).await;
+    let hosts = near.len() + away.len();
+    if !round.is_multiple_of(AWAY_EVERY) {
+        away.clear();
     }
+    tell(socket, &beat, &near).await;
+    beat.lessons.clear();
+    tell(socket, &beat, &away).await;
     hosts
 }
 
+async fn tell(socket: &UdpSocket, beat: &Beat, hosts: &[SocketAddr]) {
+    let Ok(datagram) = postcard::to_allocvec(beat) else { return };
+    let datagram = bytes::Bytes::from(datagram);
+    for host in hosts {
+        let _ = socket.send_to(datagram.clone(), *host).await;
+    }
+}
+
 /// Fetches under way, by host and table.
 type Fetching = Rc<RefCell<BTreeSet<(Table, SocketAddr)>>>;
 
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -55,6 +55,7 @@
         known: [Known { version: 1_000, reading: Some(Reading { reader: 1, stamp: 1 }) }; 2],
         demand: Vec::new(),
         loads: Vec::new(),
+        lessons: Vec::new(),
     };
     compio::runtime::spawn(async move {
         for number in 0.. {
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::settings::Host;
+use crate::{settings::Host, warmth::Lesson};
 
 /// One host's requests at one backend server.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -59,4 +59,6 @@
     pub demand: Vec<(u32, u32)>,
     /// Its requests in flight; servers without any are left out.
     pub loads: Vec<Load>,
+    /// Keys that servers have lately worked on; told in the sender's region only.
+    pub lessons: Vec<Lesson>,
 }
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -64,6 +64,7 @@
             store_ms: self.store.then_some(self.store_ms),
             known,
             loads,
+            lessons: self.warmth.tell(),
         }
     }
 
@@ -78,6 +79,11 @@
         if heard.joined {
             self.count_hosts(now);
         }
+        for lesson in &beat.lessons {
+            if let Some(index) = self.servers.place(lesson.server) {
+                self.warmth.hear(now, index, lesson.key);
+            }
+        }
         let mut wanted = Vec::new();
         for (table, known) in TABLES.into_iter().zip(beat.known) {
             let mark = self.view.mark(table);
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -215,6 +215,11 @@
         self.by_id.get(id).copied()
     }
 
+    /// Place of a server by the hash of its id, cut to 32 bits.
+    pub fn place(&self, hash: u32) -> Option<Index> {
+        self.by_hash.get(&hash).copied()
+    }
+
     /// A server by the hash of its id, cut to 32 bits, to be changed.
     pub fn by_hash(&mut self, hash: u32) -> Option<&mut Entry> {
         let index = self.by_hash.get(&hash)?;
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -187,13 +187,23 @@
         }
     }
 
-    /// A server answered a request of a key; whether it was taken to know it.
+    /// A server works on a request of a key; whether it was taken to know it.
+    ///
+    /// It counts as knowing it from then on, so that the key's next requests, from
+    /// other hosts too, do not meet yet another server.
     pub fn learn(&mut self, now: Time, index: Index, key: u64) -> bool {
         let knew = self.warmth.knows(now, index, key);
-        self.warmth.learn(now, index, key);
+        if let Some(entry) = self.servers.get(index) {
+            self.warmth.learn(now, (index, entry.hash as u32), key);
+        }
         knew
     }
 
+    /// Whether a server is taken to know a key.
+    pub fn knows(&self, now: Time, index: Index, key: u64) -> bool {
+        self.warmth.knows(now, index, key)
+    }
+
     /// A request of a service came, which earns a part of a repeat.
     pub fn earn(&mut self, now: Time, service: &str) {
         if let Some(count) = self.counts.get_mut(service) {
--- a/elmstream_steer/tests/choose.rs
+++ b/elmstream_steer/tests/choose.rs
@@ -131,6 +131,38 @@
     assert!(pairs.len() < 190, "{} pairs of 120 keys", pairs.len());
 }
 
+#[test]
+fn what_a_server_knows_is_told_to_the_hosts_of_the_region() {
+    // Hosts 0 and 1 are of one region, host 2 is of another one.
+    let mut fleet: Vec<Steer> = (0..3).map(|n| ready(n, ms(0), servers(1))).collect();
+    let key = 7;
+    let first = sent(&mut fleet[0], 10, key).expect("all are idle");
+    answered(&mut fleet[0], 11, first, key);
+    let other = |index: &Index| *index != first;
+    let region = fleet[0].settings().host.region.clone();
+    let of_region = |host: &Steer| -> Vec<Index> {
+        let entries = host.servers().all().filter(|(_, entry)| entry.region == region);
+        entries.map(|(index, _)| index).collect()
+    };
+    let second = of_region(&fleet[0]).into_iter().find(other).expect("there are two");
+    answered(&mut fleet[0], 12, second, key);
+    let name = id(&fleet[0], second);
+    let knows = |fleet: &[Steer], host: usize, at: u64| {
+        let index = fleet[host].servers().find(&name).expect("it is known");
+        fleet[host].knows(ms(at), index, key)
+    };
+    beats(ms(20), &mut fleet, |from, to| from == 0 && to == 1);
+    assert!(knows(&fleet, 1, 30));
+    assert!(!knows(&fleet, 2, 30));
+    // The beats that tell it may be lost, but not all of them.
+    let mut fleet: Vec<Steer> = (0..2).map(|n| ready(n, ms(0), servers(1))).collect();
+    answered(&mut fleet[0], 12, second, key);
+    for (count, at) in (20..80).step_by(20).enumerate() {
+        beats(ms(at), &mut fleet, |_, _| count == 2);
+    }
+    assert!(knows(&fleet, 1, 90));
+}
+
 #[test]
 fn an_evacuated_domain_gets_nothing_and_is_cold_when_it_is_taken_back() {
     let mut host = ready(0, ms(0), vec![server("one", "a1", 10)]);
