Send a round of beats to a bounded number of hosts, and choose in one pass

Ruled out: the requests themselves (their number a host is alike at 30, 100 and 300), and the store (its calls grow with power 0.2).

Change: a round goes to 32 hosts of the region and, each second time, 24 of the others, in turns that differ from host to host. Where that is not all, beats in the region also say which hosts are live, by the number of their last beat, and a host counts as live for 3 s after it was last heard of instead of 1.2 s. A host that learns of a configuration, an evacuation or a server that leaves beats at once, 100 ms after its last beat at the earliest. A choice goes over the servers once, and keeps the first few of each region.

--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -6,9 +6,11 @@
 use std::{cell::RefCell, collections::BTreeSet, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::{buf::BufResult, net::UdpSocket};
+use elmstream::time::MILLI;
 use elmstream_http::{LocalBody, body, client, server::Cut};
 use elmstream_steer::{
     beat::{Beat, Known},
+    members::Targets,
     view::{Row, TABLES, Table},
 };
 use elmstreamd::clock;
@@ -28,6 +30,8 @@
 const BEAT: Duration = Duration::from_millis(50);
 const BEAT_STEP: Duration = Duration::from_millis(3);
 const BEAT_MAX: Duration = Duration::from_millis(300);
+/// Least time between two beats if there is news that must not wait.
+const URGENT: Duration = Duration::from_millis(100);
 /// Hosts of other regions get each second beat.
 const AWAY_EVERY: u64 = 2;
 /// Time in which rows must have come.
@@ -59,29 +63,28 @@
         round += 1;
         let hosts = beat(&edge, &socket, round).await;
         let pause = (BEAT + BEAT_STEP * hosts.saturating_sub(12) as u32).min(BEAT_MAX);
-        compio::time::sleep(pause).await;
+        let mut waited = Duration::ZERO;
+        while waited < pause && (waited < URGENT || !edge.steer.borrow().urgent()) {
+            let step = BEAT.min(pause - waited);
+            compio::time::sleep(step).await;
+            waited += step;
+        }
     }
 }
 
 /// Sends one beat to all whose turn it is; the number of hosts.
 pub async fn beat(edge: &Edge, socket: &UdpSocket, round: u64) -> usize {
     let now = clock::now();
-    let (mut beat, near, mut away) = {
+    let (mut beat, targets, hosts) = {
         let mut steer = edge.steer.borrow_mut();
-        let region = &edge.settings.host.region;
-        let (near, away): (Vec<_>, Vec<_>) =
-            steer.addresses(now, round).into_iter().partition(|address| {
-                steer.members().get(address).is_none_or(|member| member.host.region == *region)
-            });
-        (steer.beat(now), near, away)
+        (steer.beat(now), steer.targets(now, round), steer.members().all().count())
     };
-    let hosts = near.len() + away.len();
-    if !round.is_multiple_of(AWAY_EVERY) {
-        away.clear();
+    tell(socket, &beat, &targets.near).await;
+    if round.is_multiple_of(AWAY_EVERY) {
+        beat.lessons.clear();
+        beat.words.clear();
+        tell(socket, &beat, &targets.far).await;
     }
-    tell(socket, &beat, &near).await;
-    beat.lessons.clear();
-    tell(socket, &beat, &away).await;
     hosts
 }
 
@@ -205,7 +208,10 @@
     let rows = {
         let steer = edge.steer.borrow();
         let known = steer.known();
-        let mut hosts = steer.addresses(clock::now(), 1);
+        // Any number will do; another one each time names other hosts in turn.
+        let round = clock::now().0 / MILLI;
+        let Targets { near: mut hosts, far } = steer.targets(clock::now(), round);
+        hosts.extend(far);
         hosts.push(edge.settings.host.peers);
         Rows { known, rows: steer.view().since(table, after), hosts }
     };
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -56,6 +56,7 @@
         demand: Vec::new(),
         loads: Vec::new(),
         lessons: Vec::new(),
+        words: Vec::new(),
     };
     compio::runtime::spawn(async move {
         for number in 0.. {
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -37,6 +37,21 @@
     pub stamp: u64,
 }
 
+/// A host that another host knows to be live.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Word {
+    /// Hash of its name, cut to 32 bits.
+    pub host: u32,
+    /// Number of its start, cut to 32 bits.
+    pub start: u32,
+    /// Highest number of a beat that it is known to have sent.
+    pub number: u64,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+}
+
 /// A host's message to the others.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Beat {
@@ -61,4 +76,7 @@
     pub loads: Vec<Load>,
     /// Keys that servers have lately worked on; told in the sender's region only.
     pub lessons: Vec<Lesson>,
+    /// Other hosts that are live; told in the sender's region only, and in large
+    /// fleets only.
+    pub words: Vec<Word>,
 }
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -129,86 +129,125 @@
 }
 
 /// A server that may take the request.
+#[derive(Clone, Copy)]
 struct Candidate<'a> {
     index: Index,
     entry: &'a Entry,
     /// Place of its region in the key's order.
     place: usize,
     weight: u64,
+    /// Requests in flight there.
+    occupied: u32,
+}
+
+/// Servers that may take the request, gathered in one pass: a service has many, and
+/// only the first few of each region are ever looked at.
+struct Field<'a> {
+    /// The first few servers of each region, in the key's order.
+    ranks: Vec<Vec<Candidate<'a>>>,
+    /// The emptiest server with room to spare.
+    emptiest: Option<Candidate<'a>>,
+    count: u32,
+    slots: u32,
+    used: u32,
+}
+
+impl<'a> Field<'a> {
+    fn new(regions: usize) -> Field<'a> {
+        Field { ranks: vec![Vec::new(); regions], emptiest: None, count: 0, slots: 0, used: 0 }
+    }
+
+    fn add(&mut self, candidate: Candidate<'a>) {
+        let slots = candidate.entry.server.slots;
+        self.count += 1;
+        self.slots += slots;
+        self.used += candidate.occupied.min(slots);
+        if spare(&candidate) && self.emptiest.is_none_or(|best| emptier(&candidate, &best)) {
+            self.emptiest = Some(candidate);
+        }
+        let ranks = &mut self.ranks[candidate.place];
+        let most = if candidate.place == 0 { RANKS_FIRST } else { RANKS_NEXT };
+        let at = ranks.partition_point(|other| other.weight > candidate.weight);
+        if at < most {
+            ranks.truncate(most - 1);
+            ranks.insert(at, candidate);
+        }
+    }
+
+    /// Occupied part of all servers' slots.
+    fn load(&self) -> f64 {
+        f64::from(self.used) / f64::from(self.slots.max(1))
+    }
 }
 
 /// Chooses a server.
 pub fn choose(scene: &Scene<'_>, ask: &Ask<'_>) -> Choice {
     let pace = scene.servers.pace(ask.service);
-    let candidates = candidates(scene, ask, pace);
-    if candidates.is_empty() {
+    let field = field(scene, ask, pace);
+    if field.count == 0 {
         return Choice::Refuse(Refusal::of(Reason::NoServer, NO_SERVER_RETRY_MS));
     }
-    let load = load(scene, &candidates);
+    let load = field.load();
     let mut best: Option<(f64, Index)> = None;
     let mut least_wait = f64::MAX;
     let mut step = 0.0;
-    for group in candidates.chunk_by(|a, b| a.place == b.place) {
-        let ranks = if group[0].place == 0 { RANKS_FIRST } else { RANKS_NEXT };
-        for candidate in group.iter().take(ranks) {
-            let knows = scene.warmth.knows(scene.now, candidate.index, ask.key);
-            let wait = wait_ms(scene, candidate.entry, pace);
-            least_wait = least_wait.min(wait);
-            let first = step == 0.0;
-            let usable = if first || knows {
-                wait <= patience_ms(scene, ask.route, candidate.entry, pace)
-            } else {
-                load < SECOND_MAX && spare(scene, candidate.entry)
-            };
-            let cost = cost_ms(scene, candidate.entry, pace, knows) + wait;
-            let cost = if knows { cost } else { cost + step };
-            if usable && best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, candidate.index));
-            }
-            step += STEP_MS;
+    for candidate in field.ranks.iter().flatten() {
+        let knows = scene.warmth.knows(scene.now, candidate.index, ask.key);
+        let wait = wait_ms(candidate, pace);
+        least_wait = least_wait.min(wait);
+        let first = step == 0.0;
+        let usable = if first || knows {
+            wait <= patience_ms(scene, ask.route, candidate.entry, pace)
+        } else {
+            load < SECOND_MAX && spare(candidate)
+        };
+        let cost = cost_ms(scene, candidate.entry, pace, knows) + wait;
+        let cost = if knows { cost } else { cost + step };
+        if usable && best.is_none_or(|(least, _)| cost < least) {
+            best = Some((cost, candidate.index));
         }
+        step += STEP_MS;
     }
-    let found = best.map(|(_, index)| index).or_else(|| match load < SPILL_MAX {
-        true => spill(scene, &candidates),
-        false => None,
-    });
-    match found {
+    let spill = field.emptiest.filter(|_| load < SPILL_MAX).map(|candidate| candidate.index);
+    match best.map(|(_, index)| index).or(spill) {
         Some(index) => Choice::Send(index),
         None => Choice::Refuse(Refusal {
-            servers: candidates.len() as u32,
+            servers: field.count,
             load: (load * 100.0) as u32,
             ..Refusal::of(Reason::Full, retry_ms(least_wait))
         }),
     }
 }
 
-/// Servers that may take the request, by region and then by weight.
-fn candidates<'a>(scene: &Scene<'a>, ask: &Ask<'_>, pace: Pace) -> Vec<Candidate<'a>> {
-    let mut found: Vec<Candidate<'a>> = Vec::new();
-    let mut silent: Vec<Candidate<'a>> = Vec::new();
+/// Servers that may take the request.
+fn field<'a>(scene: &Scene<'a>, ask: &Ask<'_>, pace: Pace) -> Field<'a> {
     let order = scene.division.order(scene.place.1, ask.key);
+    let mut field = Field::new(order.len() + 1);
+    let mut silent: Vec<Candidate<'a>> = Vec::new();
     for (index, entry) in scene.servers.of(ask.service) {
         if !allowed(scene, ask, index, entry) || !cold_allows(scene, entry) {
             continue;
         }
         let place = order.iter().position(|name| *name == entry.region).unwrap_or(order.len());
         let weight = hash::pair(entry.hash, ask.key);
-        let candidate = Candidate { index, entry, place, weight };
+        let occupied = entry.occupied(scene.now);
+        let candidate = Candidate { index, entry, place, weight, occupied };
         if silent_now(scene, entry, pace) {
             silent.push(candidate);
         } else {
-            found.push(candidate);
+            field.add(candidate);
         }
     }
     // A silent server is tried now and then, by requests that may run again; if
     // most are silent, the fault is more likely on this host's side.
     let apart = TRIAL * scene.hosts.len() as u64;
-    let all = silent.len() > found.len();
+    let all = silent.len() > field.count as usize;
     let may =
         |c: &Candidate<'_>| ask.route.repeat == Repeat::Safe && c.entry.trial_due(scene.now, apart);
-    found.extend(silent.into_iter().filter(|c| all || may(c)));
-    found.sort_by_key(|candidate| (candidate.place, std::cmp::Reverse(candidate.weight)));
-    found
+    for candidate in silent.into_iter().filter(|c| all || may(c)) {
+        field.add(candidate);
+    }
+    field
 }
 
 /// Whether the server may get the request at all.
@@ -241,11 +280,10 @@
 }
 
 /// Time until a slot is free, in milliseconds.
-fn wait_ms(scene: &Scene<'_>, entry: &Entry, pace: Pace) -> f64 {
-    let slots = entry.server.slots.max(1);
-    let occupied = entry.occupied(scene.now);
-    let ahead = (occupied + 1).saturating_sub(slots);
-    ahead as f64 * pace.mean_ms * entry.slowness.max(1.0) / slots as f64
+fn wait_ms(candidate: &Candidate<'_>, pace: Pace) -> f64 {
+    let slots = candidate.entry.server.slots.max(1);
+    let ahead = (candidate.occupied + 1).saturating_sub(slots);
+    ahead as f64 * pace.mean_ms * candidate.entry.slowness.max(1.0) / slots as f64
 }
 
 /// Answer time without the wait, and what the place costs, in milliseconds.
@@ -256,23 +294,15 @@
     away + work * entry.slowness.max(0.7) * failing
 }
 
-fn spare(scene: &Scene<'_>, entry: &Entry) -> bool {
-    (entry.occupied(scene.now) as f64) < entry.server.slots as f64 * SPARE
-}
-
-/// Occupied part of all candidates' slots.
-fn load(scene: &Scene<'_>, candidates: &[Candidate<'_>]) -> f64 {
-    let slots: u32 = candidates.iter().map(|c| c.entry.server.slots).sum();
-    let used = candidates.iter().map(|c| c.entry.occupied(scene.now).min(c.entry.server.slots));
-    f64::from(used.sum::<u32>()) / f64::from(slots.max(1))
+/// Whether a server has room for a request of a key that it does not know.
+fn spare(candidate: &Candidate<'_>) -> bool {
+    f64::from(candidate.occupied) < f64::from(candidate.entry.server.slots) * SPARE
 }
 
-/// The emptiest server of all, if one has room to spare.
-fn spill(scene: &Scene<'_>, candidates: &[Candidate<'_>]) -> Option<Index> {
-    let free = candidates.iter().filter(|c| spare(scene, c.entry));
-    let used =
-        |c: &&Candidate<'_>| c.entry.occupied(scene.now) * 1_000 / c.entry.server.slots.max(1);
-    free.min_by_key(|c| (used(c), std::cmp::Reverse(c.weight))).map(|c| c.index)
+/// Whether one server is emptier than another; of two alike, the key's order decides.
+fn emptier(one: &Candidate<'_>, other: &Candidate<'_>) -> bool {
+    let used = |c: &Candidate<'_>| c.occupied * 1_000 / c.entry.server.slots.max(1);
+    (used(one), other.weight) < (used(other), one.weight)
 }
 
 /// The longest wait that a request of the route is sent into, in milliseconds.
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -8,6 +8,7 @@
     beat::{Beat, Known, Load},
     demand::{Division, Region},
     hash,
+    members::Targets,
     steer::{Change, Steer},
     view::{TABLES, Table},
 };
@@ -23,9 +24,9 @@
         }
     }
 
-    /// Where beats go.
-    pub fn addresses(&self, now: Time, round: u64) -> Vec<SocketAddr> {
-        self.members.addresses(now, round)
+    /// Where the beats of a round go.
+    pub fn targets(&self, now: Time, round: u64) -> Targets {
+        self.members.targets(now, round, self.hash)
     }
 
     /// How far the tables are known.
@@ -36,9 +37,15 @@
         })
     }
 
+    /// Whether the other hosts should hear at once of what has changed.
+    pub fn urgent(&self) -> bool {
+        self.urgent
+    }
+
     /// The next beat.
     pub fn beat(&mut self, now: Time) -> Beat {
         self.number += 1;
+        self.urgent = false;
         self.ready = self.serves();
         let loads = self.servers.all().filter_map(|(_, entry)| {
             let silent = entry.silent(now, self.servers.pace(&entry.server.service));
@@ -65,6 +72,7 @@
             known,
             loads,
             lessons: self.warmth.tell(),
+            words: self.members.words(now),
         }
     }
 
@@ -79,6 +87,9 @@
         if heard.joined {
             self.count_hosts(now);
         }
+        for word in beat.words.iter().filter(|word| word.host != self.hash as u32) {
+            self.members.hear_of(now, word);
+        }
         for lesson in &beat.lessons {
             if let Some(index) = self.servers.place(lesson.server) {
                 self.warmth.hear(now, index, lesson.key);
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -1,17 +1,31 @@
-//! The other hosts, as their beats show them.
+//! The other hosts, as their beats and those of others show them.
+//!
+//! A round of beats goes to a bounded number of hosts, so that what a host spends
+//! does not grow with the fleet. In a small fleet that is all of them. In a larger
+//! one the rounds take turns, and beats also tell which other hosts are live.
 
 use std::{collections::HashMap, net::SocketAddr};
 
 use elmstream::time::{MILLI, SECOND, Time};
 
 use crate::{
-    beat::{Beat, Load},
+    beat::{Beat, Load, Word},
     hash,
     settings::Host,
 };
 
-/// A host is live for this long after its last beat.
+/// A host is live for this long after its last beat, if each round reaches it.
 pub const LIVE: u64 = 1_200 * MILLI;
+/// The same if rounds take turns.
+const LIVE_IN_TURNS: u64 = 3_000 * MILLI;
+/// How long the requests that a host told of count.
+const LOADS: u64 = 1_200 * MILLI;
+/// Hosts of the own region that a round of beats goes to at most.
+const NEAR: usize = 32;
+/// Hosts of other regions that a round of beats goes to at most.
+const FAR: usize = 24;
+/// Hosts that one beat says are live at most.
+const WORDS: usize = 24;
 /// A silent host is tried only now and then after this long.
 const LOST: u64 = 20 * SECOND;
 /// One of so many rounds of beats goes to hosts that are lost.
@@ -31,10 +45,16 @@
     pub hash: u64,
     /// Number of its present start.
     pub incarnation: u64,
-    /// Last number of a beat.
+    /// Number of its last beat that came here.
     pub number: u64,
-    /// When it was last heard.
+    /// When that came.
+    pub told: Time,
+    /// Highest number of a beat that it is known to have sent.
+    pub newest: u64,
+    /// When that was learned.
     pub heard: Time,
+    /// How long it is live after that.
+    patience: u64,
     /// Whether it serves callers.
     pub ready: bool,
     /// Whether it is about to stop.
@@ -51,8 +71,24 @@
 /// All hosts that are known, by address for hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Members {
+    region: String,
     members: HashMap<SocketAddr, Member>,
+    by_hash: HashMap<u32, SocketAddr>,
     tried: HashMap<SocketAddr, Time>,
+    /// Hosts of the own region, and of the others.
+    near: usize,
+    far: usize,
+    /// Where the next beat's words begin.
+    cursor: usize,
+}
+
+/// Where a round of beats goes.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    /// Hosts of the own region, and addresses that may be hosts'.
+    pub near: Vec<SocketAddr>,
+    /// Hosts of other regions.
+    pub far: Vec<SocketAddr>,
 }
 
 /// What a beat changed.
@@ -65,6 +101,11 @@
 }
 
 impl Members {
+    /// No hosts, as seen from a region.
+    pub fn new(region: &str) -> Members {
+        Members { region: region.to_owned(), ..Members::default() }
+    }
+
     /// An address that may be a host's.
     pub fn suppose(&mut self, now: Time, address: SocketAddr) {
         if !self.members.contains_key(&address) {
@@ -82,28 +123,89 @@
             return None;
         }
         let joined = known.is_none_or(|known| !known.live(now));
+        let restarted = known.is_none_or(|known| known.incarnation != beat.incarnation);
+        let newest = known.filter(|_| !restarted).map_or(0, |known| known.newest);
         let member = Member {
             host: beat.host.clone(),
             hash: hash::of(&beat.host.name),
             incarnation: beat.incarnation,
             number: beat.number,
+            told: now,
+            newest: newest.max(beat.number),
             heard: now,
+            patience: self.patience(&beat.host.region),
             ready: beat.ready,
             leaving: beat.leaving,
             store_ms: beat.store_ms,
             loads: beat.loads.clone(),
             demand: beat.demand.clone(),
         };
+        if known.is_none() {
+            match member.host.region == self.region {
+                true => self.near += 1,
+                false => self.far += 1,
+            }
+            self.by_hash.insert(member.hash as u32, address);
+        }
         let before = self.members.insert(address, member).map(|old| old.loads);
         Some(Heard { joined, before: before.unwrap_or_default() })
     }
 
+    /// Takes in that another host heard of a host; one that is not known, or has
+    /// started anew meanwhile, must be heard itself first.
+    pub fn hear_of(&mut self, now: Time, word: &Word) {
+        let address = self.by_hash.get(&word.host);
+        let Some(member) = address.and_then(|address| self.members.get_mut(address)) else {
+            return;
+        };
+        if member.incarnation as u32 == word.start && member.newest < word.number {
+            member.newest = word.number;
+            member.heard = now;
+            member.ready = word.ready;
+            member.leaving = word.leaving;
+        }
+    }
+
+    /// Which hosts the next beat says are live; none if each round reaches all.
+    pub fn words(&mut self, now: Time) -> Vec<Word> {
+        if self.near <= NEAR && self.far <= FAR {
+            return Vec::new();
+        }
+        let count = self.members.len();
+        let turn = self.members.values().cycle().skip(self.cursor % count.max(1)).take(count);
+        let live = turn.filter(|member| member.live(now)).take(WORDS);
+        let words = live.map(|member| Word {
+            host: member.hash as u32,
+            start: member.incarnation as u32,
+            number: member.newest,
+            ready: member.ready,
+            leaving: member.leaving,
+        });
+        let words = words.collect();
+        self.cursor = (self.cursor + WORDS) % count.max(1);
+        words
+    }
+
+    /// How long hosts of a region are live after they were last heard of.
+    fn patience(&self, region: &str) -> u64 {
+        let all = match region == self.region {
+            true => self.near <= NEAR,
+            false => self.far <= FAR,
+        };
+        if all { LIVE } else { LIVE_IN_TURNS }
+    }
+
     /// Drops the loads of silent hosts, and forgets those that are long silent.
     pub fn expire(&mut self, now: Time) {
-        for member in self.members.values_mut().filter(|member| !member.live(now)) {
+        for member in self.members.values_mut().filter(|member| now.since(member.told) >= LOADS) {
             member.loads.clear();
         }
         self.members.retain(|_, member| now.since(member.heard) < FORGET);
+        let members = &self.members;
+        self.by_hash.retain(|_, address| members.contains_key(address));
+        let near = self.members.values().filter(|member| member.host.region == self.region);
+        self.near = near.count();
+        self.far = self.members.len() - self.near;
         self.tried.retain(|_, since| now.since(*since) < TRY);
     }
 
@@ -122,17 +224,40 @@
         self.members.get(address)
     }
 
-    /// Where the beats of a round go: hosts, and addresses that may be hosts'.
-    pub fn addresses(&self, now: Time, round: u64) -> Vec<SocketAddr> {
+    /// Where the beats of a round go.
+    ///
+    /// `own` tells hosts apart, so that not all of them turn to the same ones.
+    pub fn targets(&self, now: Time, round: u64, own: u64) -> Targets {
         let all = round.is_multiple_of(LOST_EVERY);
         let due = self.members.iter().filter(|(_, member)| all || now.since(member.heard) < LOST);
-        due.map(|(address, _)| address).chain(self.tried.keys()).copied().collect()
+        let mut targets = Targets::default();
+        for (address, member) in due {
+            match member.host.region == self.region {
+                true => targets.near.push(*address),
+                false => targets.far.push(*address),
+            }
+        }
+        targets.near.extend(self.tried.keys());
+        take_turns(&mut targets.near, NEAR, round, own);
+        take_turns(&mut targets.far, FAR, round / 2, own);
+        targets
+    }
+}
+
+/// Leaves those of a list whose turn it is; each has its turn once in a cycle.
+fn take_turns(list: &mut Vec<SocketAddr>, most: usize, turn: u64, own: u64) {
+    if list.len() <= most {
+        return;
     }
+    list.sort_unstable();
+    let begin = (own % list.len() as u64 + turn * most as u64) % list.len() as u64;
+    list.rotate_left(begin as usize);
+    list.truncate(most);
 }
 
 impl Member {
     /// Whether it was heard lately.
     pub fn live(&self, now: Time) -> bool {
-        now.since(self.heard) < LIVE
+        now.since(self.heard) < self.patience
     }
 }
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -101,10 +101,12 @@
                 self.routes = RouteTable::new(&configuration);
                 let services = configuration.services.iter();
                 self.cold = services.map(|s| (s.name.clone(), (s.cold_ms, s.cold_per_s))).collect();
+                self.urgent = true;
                 changes.push(Change::Configuration(configuration.version));
             }
             (Key::Evacuation(domain), item) => {
                 let begins = item.is_some();
+                self.urgent = true;
                 if begins {
                     self.evacuated.insert(domain.clone());
                 } else if self.evacuated.remove(domain) {
@@ -117,6 +119,7 @@
                 let region = region.cloned().unwrap_or_default();
                 self.servers.put(now, id, &server, &region);
                 let what = if server.draining { "draining" } else { "ready" };
+                self.urgent |= server.draining;
                 changes.push(Change::Server(id.clone(), what));
             }
             (Key::Server(id), _) => {
@@ -128,6 +131,7 @@
                     entry.lapses = Some(now + LAPSE);
                     changes.push(Change::Server(id.clone(), "lapsed"));
                 } else {
+                    self.urgent = true;
                     self.remove(id);
                     changes.push(Change::Server(id.clone(), "gone"));
                 }
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use elmstream::time::{MILLI, SECOND, Time};
+use rustc_hash::FxHashMap;
 
 use crate::{hash, model::Server};
 
@@ -125,9 +126,9 @@
 /// All backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
-    entries: HashMap<usize, Entry>,
+    entries: FxHashMap<usize, Entry>,
     by_id: HashMap<String, Index>,
-    by_hash: HashMap<u32, Index>,
+    by_hash: FxHashMap<u32, Index>,
     by_service: HashMap<String, Vec<Index>>,
     paces: HashMap<String, Pace>,
     next: usize,
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -49,6 +49,8 @@
     pub(crate) store: bool,
     pub(crate) store_ms: u16,
     pub(crate) ready: bool,
+    /// News that hosts must not wait for have come since the last beat.
+    pub(crate) urgent: bool,
     pub(crate) leaving: bool,
     pub(crate) lenient_until: Time,
     pub(crate) live: Vec<u64>,
@@ -70,6 +72,7 @@
     pub fn new(settings: Settings, now: Time) -> Steer {
         let hash = hash::of(&settings.host.name);
         let reader = hash::pair(hash, settings.incarnation);
+        let members = Members::new(&settings.host.region);
         Steer {
             settings,
             hash,
@@ -84,12 +87,13 @@
             divisions: HashMap::new(),
             divided: Time(0),
             warmth: Warmth::default(),
-            members: Members::default(),
+            members,
             budgets: Budgets::default(),
             number: 0,
             store: true,
             store_ms: FAR_MS,
             ready: false,
+            urgent: false,
             leaving: false,
             lenient_until: Time(0),
             live: vec![hash],
--- a/elmstream_steer/src/warmth.rs
+++ b/elmstream_steer/src/warmth.rs
@@ -4,9 +4,10 @@
 //! So it tells the hosts of its region what it saw that they may not know yet, and
 //! takes in what they saw.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 
 use elmstream::time::{SECOND, Time};
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 
 use crate::servers::Index;
@@ -36,7 +37,7 @@
 /// What servers know.
 #[derive(Clone, Debug, Default)]
 pub struct Warmth {
-    known: HashMap<Index, HashMap<u32, Time>>,
+    known: FxHashMap<Index, FxHashMap<u32, Time>>,
     /// Lessons for the other hosts, and in how many beats they still go.
     untold: VecDeque<(Lesson, u8)>,
 }
--- a/elmstream_steer/tests/members.rs
+++ b/elmstream_steer/tests/members.rs
@@ -71,7 +71,7 @@
         fleet[0].tick(ms(at));
     }
     let lost = fleet[4].settings().host.peers;
-    let tried = (0..100).filter(|round| fleet[0].addresses(ms(hour), *round).contains(&lost));
+    let tried = (0..100).filter(|round| fleet[0].targets(ms(hour), *round).near.contains(&lost));
     let tried = tried.count();
     assert!((1..=5).contains(&tried), "tried in {tried} of 100 rounds");
 }
