--- a/elmctl/src/cli.rs
+++ b/elmctl/src/cli.rs
@@ -91,6 +91,10 @@
     /// Tell why a request went where it did
     #[bpaf(command)]
     Explain {
+        /// A host's log to look the request up in, instead of asking a host; - for
+        /// standard input
+        #[bpaf(argument("FILE"), optional)]
+        log: Option<PathBuf>,
         /// The value of elmstream-request in the answer
         #[bpaf(positional("REQUEST"))]
         request: String,
--- a/elmctl/src/command.rs
+++ b/elmctl/src/command.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, OpenOptions},
-    io::Write,
+    io::{self, Write},
     os::unix::fs::OpenOptionsExt,
     path::Path,
     time::{Duration, Instant},
@@ -24,13 +24,15 @@
     cli::{Command, Connection, Options},
     connection::{self, Client},
     error::{self, ConfigurationSnafu, Error, FileSnafu, IdentitySnafu},
-    output,
+    explain, output,
 };
 
 /// Time to wait for a change to be in force everywhere.
 const WAIT_MAX: Duration = Duration::from_secs(30);
 /// Pause between two looks.
 const WAIT_PAUSE: Duration = Duration::from_millis(100);
+/// Name of a log that is read from standard input.
+const STANDARD_INPUT: &str = "-";
 /// Mode of the key's file: for its owner only.
 const KEY_MODE: u32 = 0o600;
 /// Mode of the certificate's file.
@@ -45,6 +47,7 @@
             Ok(())
         }
         Command::NewKey { key, certificate } => new_key(&key, &certificate),
+        Command::Explain { log: Some(log), request } => explain_by_log(&log, &request),
         command => run_remote(&options.connection, command).await,
     }
 }
@@ -59,7 +62,7 @@
         Command::Drain { kind, name } => session.drain(kind, name, false).await,
         Command::Undrain { kind, name } => session.drain(kind, name, true).await,
         Command::Status { json } => session.print_status(json).await,
-        Command::Explain { request } => {
+        Command::Explain { request, .. } => {
             session.explain(ExplainRequest { request, ..Default::default() }).await
         }
         Command::Lookup { service, client } => {
@@ -197,6 +200,21 @@
     Configuration::parse(&text).context(ConfigurationSnafu)
 }
 
+/// Tells from a host's log why a request ended as it did.
+fn explain_by_log(log: &Path, request: &str) -> Result<(), Error> {
+    let text = match log == Path::new(STANDARD_INPUT) {
+        true => io::read_to_string(io::stdin()),
+        false => fs::read(log).map(|bytes| String::from_utf8_lossy(&bytes).into_owned()),
+    };
+    let text = text.context(FileSnafu { path: log })?;
+    let Some(told) = explain::explain(text.lines(), request) else {
+        let message = Code::NotFound.text().to_owned();
+        return Err(error::coded(u32::from(Code::NotFound.number()), message));
+    };
+    told.iter().for_each(|line| println!("{line}"));
+    Ok(())
+}
+
 fn new_key(key: &Path, certificate: &Path) -> Result<(), Error> {
     let key_pem = identity::new_key().context(IdentitySnafu)?;
     let certificate_pem = identity::authority_pem(&key_pem).context(IdentitySnafu)?;
--- /dev/null
+++ b/elmctl/src/explain.rs
@@ -0,0 +1,151 @@
+//! Tells from a host's log why a request ended as it did.
+//!
+//! A log holds JSON lines (docs/OPERATIONS.md lists them); whatever a collector of
+//! logs put before the brace of a line is left out. What the host wrote of the
+//! request comes first, then what it believed of the servers that it tried and of
+//! what it depends on, with the time before the request's end.
+
+use elmstream::code::Code;
+use serde_json::Value;
+
+/// How long before and after the end of a request a belief is of interest.
+const BEFORE_MS: i64 = 60_000;
+const AFTER_MS: i64 = 10_000;
+/// Beliefs that are printed at most; the last ones count.
+const BELIEFS: usize = 16;
+
+/// One line of a log.
+#[derive(Clone, Debug)]
+struct Line {
+    at: i64,
+    event: String,
+    fields: Value,
+}
+
+/// What the log says of a request; none if it does not know it.
+pub fn explain<'a>(log: impl Iterator<Item = &'a str>, request: &str) -> Option<Vec<String>> {
+    let lines: Vec<Line> = log.filter_map(parse).collect();
+    let own: Vec<&Line> = lines.iter().filter(|line| line.fields["id"] == request).collect();
+    let last = own.last()?;
+    let mut told = Vec::new();
+    for line in &own {
+        told.extend(of_request(line));
+    }
+    told.push(format!("cause: {}", cause(last)));
+    let servers = servers(last);
+    let beliefs = lines.iter().filter(|line| bears(line, last.at, &servers));
+    let beliefs: Vec<String> = beliefs.map(|line| belief(line, last.at)).collect();
+    let skipped = beliefs.len().saturating_sub(BELIEFS);
+    told.push(match beliefs.is_empty() {
+        true => "the log says nothing else that bears on it".to_owned(),
+        false => "what the host believed, and when against the request's end:".to_owned(),
+    });
+    told.extend(beliefs.into_iter().skip(skipped));
+    Some(told)
+}
+
+fn parse(text: &str) -> Option<Line> {
+    let fields: Value = serde_json::from_str(&text[text.find('{')?..]).ok()?;
+    let at = fields["unix_ms"].as_i64()?;
+    let event = fields["event"].as_str()?.to_owned();
+    Some(Line { at, event, fields })
+}
+
+/// The request's own line, in words.
+fn of_request(line: &Line) -> Vec<String> {
+    let fields = &line.fields;
+    let mut told = vec![format!(
+        "{} with status {} after {} ms ({})",
+        line.event,
+        fields["status"],
+        fields["took_ms"],
+        code(fields)
+    )];
+    told.push(format!(
+        "  route {}, service {}, configuration {}, the store confirmed {} ms before",
+        fields["route"], fields["service"], fields["version"], fields["stale_ms"]
+    ));
+    if let Some(servers) = fields["servers"].as_u64() {
+        let load = &fields["load_percent"];
+        told.push(format!("  {servers} servers weighed, {load}% of their slots occupied"));
+    }
+    for tried in fields["tried"].as_array().into_iter().flatten() {
+        told.push(format!(
+            "  sent to {}: {} after {} ms, {} requests there",
+            tried["server"], tried["outcome"], tried["ms"], tried["occupied"]
+        ));
+    }
+    told
+}
+
+fn code(fields: &Value) -> String {
+    let number = fields["code"].as_u64().and_then(|number| u16::try_from(number).ok());
+    match number.and_then(Code::from_number) {
+        Some(code) => format!("E{}: {}", code.number(), code.text()),
+        None => "no code".to_owned(),
+    }
+}
+
+/// The cause in one sentence.
+fn cause(line: &Line) -> String {
+    let fields = &line.fields;
+    let outcomes: Vec<&str> = fields["tried"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(|tried| tried["outcome"].as_str())
+        .collect();
+    let text = match (line.event.as_str(), outcomes.last().copied()) {
+        ("refused", _) if fields["reason"] == "NoServer" => {
+            "no server of the service may be used: all are gone, leaving, evacuated or unreachable"
+        }
+        ("refused", _) => {
+            "at each server that may take it the wait would have outlasted the route's objective"
+        }
+        ("no_route", _) => "no route of the configuration in force here fits",
+        ("left", _) => "the caller left before the answer came",
+        ("answered", _) => "a server answered; the status is its own",
+        ("unknown", Some("silent")) => "the server did not answer in the request's time",
+        ("unknown", Some("broken")) => {
+            "the connection broke, or the answer was cut or another request's; it may have run"
+        }
+        (_, Some("no_connection")) => "the server took no connection; it did not run",
+        (_, Some("full")) => "the server said that it is full; it did not run",
+        (_, Some("elsewhere")) => "another server has the address now; it did not run",
+        ("not_run_budget", _) => "servers did not run it, and the retry budget was used up",
+        _ => "its lines tell all that is known",
+    };
+    text.to_owned()
+}
+
+fn servers(line: &Line) -> Vec<String> {
+    let tried = line.fields["tried"].as_array().into_iter().flatten();
+    tried.filter_map(|tried| tried["server"].as_str().map(str::to_owned)).collect()
+}
+
+/// Whether a line tells what a request that ended at a time rested on.
+fn bears(line: &Line, at: i64, servers: &[String]) -> bool {
+    if line.at < at - BEFORE_MS || line.at > at + AFTER_MS {
+        return false;
+    }
+    let named = |value: &Value| value.as_str().is_some_and(|id| servers.iter().any(|s| s == id));
+    match line.event.as_str() {
+        "server" => named(&line.fields["server"]),
+        "servers" => line.fields["lost"].as_array().into_iter().flatten().any(named),
+        "host_heard" | "host_lost" | "refused" | "answered" | "unknown" | "left" | "no_route" => {
+            false
+        }
+        event => !event.starts_with("not_run"),
+    }
+}
+
+fn belief(line: &Line, at: i64) -> String {
+    let mut fields = line.fields.clone();
+    if let Some(fields) = fields.as_object_mut() {
+        for known in ["unix_ms", "event", "lost", "dropped"] {
+            fields.remove(known);
+        }
+    }
+    let seconds = (line.at - at) as f64 / 1_000.0;
+    format!("  {seconds:+.1} s {} {fields}", line.event)
+}
--- a/elmctl/src/lib.rs
+++ b/elmctl/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod command;
 pub mod connection;
 pub mod error;
+pub mod explain;
 pub mod output;
--- /dev/null
+++ b/elmctl/tests/explain.rs
@@ -0,0 +1,41 @@
+//! From a request's id to its cause.
+
+use elmctl::explain::explain;
+
+const LOG: &str = r#"
+  12.1 host-1 {"unix_ms":100000,"event":"server","server":"i-1","state":"ready","from":"store"}
+{"unix_ms":150000,"event":"server","server":"i-2","state":"silent","from":"time"}
+{"unix_ms":151000,"event":"servers","states":{"gone":20},"lost":["i-1"],"from":"10.0.0.1:7100"}
+{"unix_ms":151500,"event":"store_lost","table":"Servers","error":"no answer"}
+{"unix_ms":152000,"event":"refused","id":"a1","code":1102,"reason":"Full","status":503,"took_ms":0,
+not a line
+{"unix_ms":152000,"event":"refused","id":"a2","code":1102,"reason":"Full","status":503,"took_ms":0,"servers":19,"load_percent":70,"route":"r","service":"s","version":3,"stale_ms":393}
+{"unix_ms":153000,"event":"unknown","id":"a3","code":1201,"status":504,"took_ms":800,"route":"r","service":"s","version":3,"stale_ms":545,"tried":[{"server":"i-1","outcome":"no_connection","ms":3,"occupied":0},{"server":"i-2","outcome":"silent","ms":797,"occupied":7}]}
+{"unix_ms":300000,"event":"server","server":"i-2","state":"gone","from":"store"}
+"#;
+
+#[test]
+fn a_refusal_names_what_it_was_weighed_with() {
+    let told = explain(LOG.lines(), "a2").expect("the log knows it").join("\n");
+    assert!(told.contains("E1102"), "{told}");
+    assert!(told.contains("19 servers weighed, 70% of their slots occupied"), "{told}");
+    assert!(told.contains("outlasted the route's objective"), "{told}");
+    assert!(told.contains("-0.5 s store_lost"), "{told}");
+}
+
+#[test]
+fn an_unknown_outcome_names_each_try_and_what_was_believed_of_its_servers() {
+    let told = explain(LOG.lines(), "a3").expect("the log knows it").join("\n");
+    assert!(told.contains("sent to \"i-1\": \"no_connection\" after 3 ms"), "{told}");
+    assert!(told.contains("did not answer in the request's time"), "{told}");
+    assert!(told.contains("-53.0 s server {\"from\":\"store\",\"server\":\"i-1\""), "{told}");
+    assert!(told.contains("-3.0 s server"), "{told}");
+    assert!(told.contains("-2.0 s servers"), "{told}");
+    assert!(!told.contains("i-2\",\"state\":\"gone"), "a belief of long after: {told}");
+}
+
+#[test]
+fn an_unknown_id_or_a_cut_line_is_no_request() {
+    assert!(explain(LOG.lines(), "a1").is_none());
+    assert!(explain(LOG.lines(), "a9").is_none());
+}
--- a/elmstream/src/code.rs
+++ b/elmstream/src/code.rs
@@ -71,6 +71,7 @@
     BackendShed = 1113, 503, "the backend server refused the request";
     BackendConnect = 1114, 503, "no connection to the backend server";
     PeerUnreachable = 1115, 503, "the owning entry host could not be reached";
+    RetryBudget = 1116, 503, "the retry budget allows no further try";
     DeadlinePassed = 1201, 504, "the deadline passed while the request was running";
     BackendFailed = 1202, 502, "the backend server failed after the request was sent";
     PeerLost = 1203, 502, "contact with the owning entry host was lost after the request was sent";
--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -3,7 +3,10 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use elmstream::time::{MILLI, Time};
+use elmstream::{
+    code::Code,
+    time::{MILLI, Time},
+};
 use elmstream_http::{LocalBody, body, server::Cut};
 use elmstream_steer::{hash, model::Route, routes};
 use elmstreamd::clock;
@@ -57,14 +60,14 @@
     let (head, incoming) = request.into_parts();
     let route = match find(&edge, &head) {
         Ok(route) => route,
-        Err(Missing::Configuration) => return Ok(refuse(UNREADY_RETRY_MS)),
-        Err(Missing::Route) => return Ok(plain(StatusCode::NOT_FOUND)),
+        Err(Missing::Configuration) => return Ok(refuse(Code::NotReady, UNREADY_RETRY_MS)),
+        Err(Missing::Route) => return Ok(plain(Code::UnknownService, StatusCode::NOT_FOUND)),
     };
     let limits = edge.steer.borrow().limits();
     let body = match Limited::new(incoming, limits.body_bytes as usize).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => {
-            return Ok(plain(StatusCode::PAYLOAD_TOO_LARGE));
+            return Ok(plain(Code::BadRequest, StatusCode::PAYLOAD_TOO_LARGE));
         }
         // The caller broke off, so nobody reads an answer.
         Err(_) => return Err(Cut),
@@ -95,7 +98,7 @@
     let id = headers::text(&head.headers, &edge.settings.headers.request_id);
     let fields = json!({
         "id": id, "host": host, "path": head.uri.path(), "version": steer.version(),
-        "code": 1002, "status": 404,
+        "code": Code::UnknownService.number(), "status": 404,
     });
     edge.journal.request("no_route", fields);
     Err(Missing::Route)
@@ -119,16 +122,17 @@
     Call { id, service, key, keyed, method, uri, headers: kept, body, came, until, route }
 }
 
-/// An answer without a body.
-pub fn plain(status: StatusCode) -> Response<LocalBody> {
+/// An answer of the host's own, without a body.
+pub fn plain(code: Code, status: StatusCode) -> Response<LocalBody> {
     let mut response = Response::new(body::empty());
     *response.status_mut() = status;
+    response.headers_mut().insert(headers::CODE, code.number().into());
     response
 }
 
 /// The request was not run; the caller may come back after a time.
-pub fn refuse(retry_ms: u64) -> Response<LocalBody> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+pub fn refuse(code: Code, retry_ms: u64) -> Response<LocalBody> {
+    let mut response = plain(code, StatusCode::SERVICE_UNAVAILABLE);
     let seconds = format!("{:.2}", retry_ms as f64 / 1_000.0);
     if let Ok(value) = seconds.parse() {
         response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -1,13 +1,21 @@
 //! One host: its decisions and what they are connected to.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
 
-use elmstream_steer::{Steer, settings, steer::Change};
+use elmstream_steer::{
+    Steer, settings,
+    steer::{Change, State},
+};
 use elmstreamd::clock;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::{backend::Pool, journal::Journal, settings::Settings};
 
+/// More servers than these that change at once are written in one line.
+const SERVERS_EACH: usize = 12;
+/// Servers that such a line names at most.
+const SERVERS_NAMED: usize = 64;
+
 /// One host.
 #[derive(Debug)]
 pub struct Edge {
@@ -33,7 +41,7 @@
             },
             clock::now(),
         );
-        let journal = Journal::start(settings.logging.sample, settings.logging.lines_per_s);
+        let journal = Journal::start(&settings.logging);
         Rc::new(Edge { settings, steer: RefCell::new(steer), pool: Pool::default(), journal })
     }
 
@@ -54,8 +62,13 @@
         self.steer.borrow().lookup(clock::now(), name, domain, region)
     }
 
-    /// Writes down what the host has come to believe.
+    /// Writes down what the host has come to believe, and from whom.
     pub fn note(&self, from: &str, changes: &[Change]) {
+        let servers = changes.iter().filter(|change| matches!(change, Change::Server(..)));
+        let many = servers.count() > SERVERS_EACH;
+        if many {
+            self.journal.write("servers", servers_at_once(from, changes));
+        }
         for change in changes {
             match change {
                 Change::Configuration(version) => {
@@ -65,11 +78,30 @@
                     let fields = json!({"domain": domain, "begins": begins, "from": from});
                     self.journal.write("evacuation", fields);
                 }
+                Change::Server(..) if many => {}
                 Change::Server(id, state) => {
-                    let fields = json!({"server": id, "state": state, "from": from});
-                    self.journal.write("server", fields);
+                    let fields = json!({"server": id, "state": state.name(), "from": from});
+                    self.journal.belief("server", fields);
+                }
+                Change::HostLost(host) => {
+                    self.journal.belief("host_lost", json!({"host": host}));
                 }
             }
         }
     }
 }
+
+/// Many servers that changed at once in one line: how many by state, and which of
+/// them may no longer be used.
+fn servers_at_once(from: &str, changes: &[Change]) -> Value {
+    let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut lost: Vec<&str> = Vec::new();
+    for change in changes {
+        let Change::Server(id, state) = change else { continue };
+        *counts.entry(state.name()).or_default() += 1;
+        if !matches!(state, State::Ready | State::Answers) && lost.len() < SERVERS_NAMED {
+            lost.push(id);
+        }
+    }
+    json!({"from": from, "states": counts, "lost": lost})
+}
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use elmstream::time::MILLI;
+use elmstream::{code::Code, time::MILLI};
 use elmstream_http::{LocalBody, body};
 use elmstream_steer::{
     Ask, Choice, Refusal,
@@ -28,6 +28,14 @@
 /// When to come back if servers did not run a request that was sent to them.
 const AGAIN_MS: u64 = 300;
 
+/// Servers that a request was sent to, and what became of it there.
+#[derive(Debug, Default)]
+struct Tried {
+    servers: Vec<Index>,
+    /// Their ids, what they came to, and after how many microseconds.
+    notes: Vec<(String, Outcome, u64)>,
+}
+
 /// What a try came to.
 enum Try {
     /// The server answered; the answer goes to the caller.
@@ -43,25 +51,36 @@
 /// A request that counts as sent, until this is dropped.
 struct InFlight<'a> {
     edge: &'a Rc<Edge>,
+    call: &'a Call,
     index: Index,
     outcome: Outcome,
 }
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        self.edge.steer.borrow_mut().done(clock::now(), self.index, self.outcome);
+        let now = clock::now();
+        let mut steer = self.edge.steer.borrow_mut();
+        steer.done(now, self.index, self.outcome);
+        if self.outcome == Outcome::Left {
+            metrics::counter!("elmstream_requests", "outcome" => "left").increment(1);
+            let server = steer.servers().get(self.index).map(|entry| entry.id.as_str());
+            let took = now.since(self.call.came) / MILLI;
+            let fields = json!({"id": self.call.id, "server": server, "took_ms": took});
+            self.edge.journal.request("left", fields);
+        }
     }
 }
 
 /// Sends a request on, and gives its final answer.
 pub async fn run(edge: &Rc<Edge>, call: &Call) -> Response<LocalBody> {
     edge.steer.borrow_mut().earn(clock::now(), &call.service);
-    let mut tried: Vec<Index> = Vec::new();
+    let mut tried = Tried::default();
     let mut unknown = false;
     let mut failed = None;
-    while tried.len() < call.route.attempts.max(1) as usize && call.left() > LEAST {
-        let again = !tried.is_empty();
-        let ask = Ask { route: &call.route, service: &call.service, key: call.key, tried: &tried };
+    while tried.servers.len() < call.route.attempts.max(1) as usize && call.left() > LEAST {
+        let again = !tried.servers.is_empty();
+        let (route, service) = (&call.route, &call.service);
+        let ask = Ask { route, service, key: call.key, tried: &tried.servers };
         let index = match choose(edge, &ask, again) {
             Ok(index) => index,
             Err(refusal) if again => {
@@ -69,8 +88,7 @@
             }
             Err(refusal) => return refused(edge, call, refusal),
         };
-        tried.push(index);
-        match attempt(edge, call, index).await {
+        match attempt(edge, call, index, &mut tried).await {
             Try::Answer(parts, body) => return answer(edge, call, &tried, parts, body),
             Try::Failed(parts, body) if call.route.repeat == Repeat::Safe => {
                 failed = Some((parts, body));
@@ -101,8 +119,9 @@
 }
 
 /// Sends a request to one server.
-async fn attempt(edge: &Rc<Edge>, call: &Call, index: Index) -> Try {
-    let mut flight = InFlight { edge, index, outcome: Outcome::Left };
+async fn attempt(edge: &Rc<Edge>, call: &Call, index: Index, tried: &mut Tried) -> Try {
+    let mut flight = InFlight { edge, call, index, outcome: Outcome::Left };
+    tried.servers.push(index);
     let target = {
         let steer = edge.steer.borrow();
         let entry = steer.servers().get(index);
@@ -113,23 +132,19 @@
     let sent = clock::now();
     let knew = call.keyed && edge.steer.borrow_mut().learn(sent, index, call.key);
     let exchange = edge.pool.exchange(&id, address, request);
-    let exchange = match compio::time::timeout(call.left(), exchange).await {
-        Ok(exchange) => exchange,
-        Err(_) => {
-            flight.outcome = Outcome::Silent;
-            return Try::Unknown;
-        }
-    };
+    let exchange = compio::time::timeout(call.left(), exchange).await;
+    let micros = clock::now().since(sent);
     let (outcome, result) = match exchange {
-        Exchange::NoConnection => (Outcome::NoConnection, Try::NotRun),
-        Exchange::Broken => (Outcome::Unknown, Try::Unknown),
-        Exchange::Whole(parts, body) => {
+        Err(_) => (Outcome::Silent, Try::Unknown),
+        Ok(Exchange::NoConnection) => (Outcome::NoConnection, Try::NotRun),
+        Ok(Exchange::Broken) => (Outcome::Unknown, Try::Unknown),
+        Ok(Exchange::Whole(parts, body)) => {
             tell(edge, index, &parts);
             let (outcome, result) = judge(edge, call, &id, parts, body);
-            let micros = clock::now().since(sent);
             (outcome.unwrap_or(Outcome::Answered { micros, knew }), result)
         }
     };
+    tried.notes.push((id, outcome, micros));
     flight.outcome = outcome;
     result
 }
@@ -196,7 +211,7 @@
 fn answer(
     edge: &Edge,
     call: &Call,
-    tried: &[Index],
+    tried: &Tried,
     mut parts: response::Parts,
     bytes: Bytes,
 ) -> Response<LocalBody> {
@@ -204,7 +219,7 @@
     metrics::counter!("elmstream_requests", "outcome" => "answered").increment(1);
     metrics::histogram!("elmstream_request_seconds").record(took as f64 / 1e6);
     if !parts.status.is_success() || edge.journal.sampled() {
-        log(edge, call, tried, "answered", parts.status.as_u16(), took);
+        log(edge, call, tried, "answered", (Code::Ok, parts.status), took);
     }
     headers::strip(&mut parts.headers);
     Response::from_parts(parts, body::full(bytes))
@@ -215,21 +230,33 @@
     let took = clock::now().since(call.came);
     metrics::counter!("elmstream_requests", "outcome" => "refused").increment(1);
     let fields = json!({
-        "id": call.id, "route": call.route.name, "service": call.service, "status": 503,
+        "id": call.id, "code": code(refusal.reason, &Tried::default()).number(),
+        "route": call.route.name, "service": call.service, "status": 503,
         "reason": format!("{:?}", refusal.reason), "retry_ms": refusal.retry_ms,
         "servers": refusal.servers, "load_percent": refusal.load, "took_ms": took / MILLI,
         "version": edge.steer.borrow().version(),
         "stale_ms": edge.steer.borrow().staleness(clock::now()) / MILLI,
     });
     edge.journal.request("refused", fields);
-    callers::refuse(refusal.retry_ms)
+    callers::refuse(code(refusal.reason, &Tried::default()), refusal.retry_ms)
+}
+
+/// The result code of a request that no server ran.
+fn code(reason: Reason, tried: &Tried) -> Code {
+    let last = tried.notes.last().map(|(_, outcome, _)| *outcome);
+    match reason {
+        Reason::NoServer | Reason::Full => Code::NoCapacity,
+        Reason::Budget => Code::RetryBudget,
+        Reason::Tries if last == Some(Outcome::NoConnection) => Code::BackendConnect,
+        Reason::Tries => Code::BackendShed,
+    }
 }
 
 /// No further server is asked.
 fn give_up(
     edge: &Edge,
     call: &Call,
-    tried: &[Index],
+    tried: &Tried,
     unknown: bool,
     failed: Option<(response::Parts, Bytes)>,
     refusal: Refusal,
@@ -240,27 +267,42 @@
     let took = clock::now().since(call.came);
     if !unknown {
         metrics::counter!("elmstream_requests", "outcome" => "not_run").increment(1);
-        log(edge, call, tried, &format!("not_run_{:?}", refusal.reason).to_lowercase(), 503, took);
-        return callers::refuse(refusal.retry_ms);
+        let code = code(refusal.reason, tried);
+        let event = format!("not_run_{:?}", refusal.reason).to_lowercase();
+        log(edge, call, tried, &event, (code, StatusCode::SERVICE_UNAVAILABLE), took);
+        return callers::refuse(code, refusal.retry_ms);
     }
     metrics::counter!("elmstream_requests", "outcome" => "unknown").increment(1);
     let late = call.left() <= LEAST;
-    let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
-    log(edge, call, tried, "unknown", status.as_u16(), took);
-    callers::plain(status)
+    let (code, status) = match late {
+        true => (Code::DeadlinePassed, StatusCode::GATEWAY_TIMEOUT),
+        false => (Code::BackendFailed, StatusCode::BAD_GATEWAY),
+    };
+    log(edge, call, tried, "unknown", (code, status), took);
+    callers::plain(code, status)
 }
 
-fn log(edge: &Edge, call: &Call, tried: &[Index], event: &str, status: u16, took: u64) {
+fn log(
+    edge: &Edge,
+    call: &Call,
+    tried: &Tried,
+    event: &str,
+    answer: (Code, StatusCode),
+    took: u64,
+) {
+    let (code, status) = answer;
     let steer = edge.steer.borrow();
     let now = clock::now();
-    let servers: Vec<_> = tried
-        .iter()
-        .filter_map(|index| steer.servers().get(*index))
-        .map(|entry| json!({"server": entry.id, "occupied": entry.occupied(now)}))
-        .collect();
+    let tries = tried.notes.iter().map(|(id, outcome, micros)| {
+        let entry = steer.servers().find(id).and_then(|index| steer.servers().get(index));
+        let occupied = entry.map(|entry| entry.occupied(now));
+        json!({"server": id, "outcome": outcome.name(), "ms": micros / MILLI, "occupied": occupied})
+    });
+    let tries: Vec<_> = tries.collect();
     let fields = json!({
-        "id": call.id, "key": call.key % 10_000, "route": call.route.name, "service": call.service,
-        "status": status, "tried": servers, "took_ms": took / MILLI, "version": steer.version(),
+        "id": call.id, "code": code.number(), "key": call.key % 10_000,
+        "route": call.route.name, "service": call.service, "status": status.as_u16(),
+        "tried": tries, "took_ms": took / MILLI, "version": steer.version(),
         "stale_ms": steer.staleness(now) / MILLI,
     });
     edge.journal.request(event, fields);
--- a/elmstream_edge/src/headers.rs
+++ b/elmstream_edge/src/headers.rs
@@ -51,6 +51,9 @@
     }
 }
 
+/// The numbered result code of an answer that the host made itself.
+pub const CODE: HeaderName = HeaderName::from_static("elmstream-code");
+
 /// Headers that concern one connection, or are set anew for it.
 const CONNECTION: [HeaderName; 9] = [
     header::CONNECTION,
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -107,6 +107,7 @@
     let rest = Duration::from_millis(settings.grace_ms.saturating_sub(settings.notice_ms));
     let _ = compio::time::timeout(rest.saturating_sub(END_MARGIN), serving).await;
     edge.journal.write("stopped", json!({"host": host.name}));
+    edge.journal.close();
     Ok(())
 }
 
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -114,7 +114,7 @@
         let news = edge.steer.borrow_mut().hear(clock::now(), &beat);
         let Some(news) = news else { continue };
         if news.joined {
-            edge.journal.write("host_heard", json!({"host": beat.host.name}));
+            edge.journal.belief("host_heard", json!({"host": beat.host.name}));
         }
         for (table, version) in news.wanted {
             start_fetch(&edge, &fetching, beat.host.peers, table, version);
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -31,7 +31,7 @@
     /// The planned stop.
     #[serde(default)]
     pub stop: Stop,
-    /// What is written of requests.
+    /// What is written.
     #[serde(default)]
     pub logging: Logging,
 }
@@ -53,19 +53,21 @@
     }
 }
 
-/// What is written of requests.
+/// What is written.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Logging {
     /// One of this many served requests is written; 0 for none.
     pub sample: u64,
-    /// Lines a second at most; the rest is counted.
+    /// Lines about requests a second at most; the rest is counted.
     pub lines_per_s: u32,
+    /// The same for what the host believes of servers and hosts.
+    pub beliefs_per_s: u32,
 }
 
 impl Default for Logging {
     fn default() -> Logging {
-        Logging { sample: 256, lines_per_s: 20 }
+        Logging { sample: 256, lines_per_s: 20, beliefs_per_s: 50 }
     }
 }
 
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -9,7 +9,7 @@
     demand::{Division, Region},
     hash,
     members::Targets,
-    steer::{Change, Steer},
+    steer::{Change, State, Steer},
     view::{TABLES, Table},
 };
 
@@ -174,7 +174,7 @@
 
     /// What time alone brings about; called every 100 ms or so.
     pub fn tick(&mut self, now: Time) -> Vec<Change> {
-        self.members.expire(now);
+        let lost = self.members.expire(now);
         self.recount();
         self.count_hosts(now);
         self.divide(now);
@@ -185,7 +185,13 @@
         for id in &lapsed {
             self.remove(id);
         }
-        lapsed.into_iter().map(|id| Change::Server(id, "gone")).collect()
+        let mut changes: Vec<Change> = lost.into_iter().map(Change::HostLost).collect();
+        changes.extend(lapsed.into_iter().map(|id| Change::Server(id, State::Gone)));
+        let turned = self.servers.turned(now).into_iter();
+        changes.extend(turned.map(|(id, silent)| {
+            Change::Server(id, if silent { State::Silent } else { State::Answers })
+        }));
+        changes
     }
 }
 
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -55,6 +55,8 @@
     pub heard: Time,
     /// How long it is live after that.
     patience: u64,
+    /// Whether it was live when time was last looked at.
+    was_live: bool,
     /// Whether it serves callers.
     pub ready: bool,
     /// Whether it is about to stop.
@@ -134,6 +136,7 @@
             newest: newest.max(beat.number),
             heard: now,
             patience: self.patience(&beat.host.region),
+            was_live: true,
             ready: beat.ready,
             leaving: beat.leaving,
             store_ms: beat.store_ms,
@@ -195,8 +198,17 @@
         if all { LIVE } else { LIVE_IN_TURNS }
     }
 
-    /// Drops the loads of silent hosts, and forgets those that are long silent.
-    pub fn expire(&mut self, now: Time) {
+    /// Drops the loads of silent hosts, and forgets those that are long silent; names
+    /// of hosts that are no longer live.
+    pub fn expire(&mut self, now: Time) -> Vec<String> {
+        let mut lost = Vec::new();
+        for member in self.members.values_mut() {
+            let live = member.live(now);
+            if member.was_live && !live {
+                lost.push(member.host.name.clone());
+            }
+            member.was_live = live;
+        }
         for member in self.members.values_mut().filter(|member| now.since(member.told) >= LOADS) {
             member.loads.clear();
         }
@@ -207,6 +219,7 @@
         self.near = near.count();
         self.far = self.members.len() - self.near;
         self.tried.retain(|_, since| now.since(*since) < TRY);
+        lost
     }
 
     /// Hosts that were heard lately.
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -6,7 +6,7 @@
     beat::{Known, Reading},
     readers,
     routes::RouteTable,
-    steer::{Change, Steer},
+    steer::{Change, State, Steer},
     view::{Item, Key, Row, Table},
 };
 
@@ -118,9 +118,9 @@
                 let region = self.settings.domains.get(&server.domain);
                 let region = region.cloned().unwrap_or_default();
                 self.servers.put(now, id, &server, &region);
-                let what = if server.draining { "draining" } else { "ready" };
+                let state = if server.draining { State::Draining } else { State::Ready };
                 self.urgent |= server.draining;
-                changes.push(Change::Server(id.clone(), what));
+                changes.push(Change::Server(id.clone(), state));
             }
             (Key::Server(id), _) => {
                 if now < self.lenient_until
@@ -129,11 +129,11 @@
                     && !entry.server.draining
                 {
                     entry.lapses = Some(now + LAPSE);
-                    changes.push(Change::Server(id.clone(), "lapsed"));
+                    changes.push(Change::Server(id.clone(), State::Lapsed));
                 } else {
                     self.urgent = true;
                     self.remove(id);
-                    changes.push(Change::Server(id.clone(), "gone"));
+                    changes.push(Change::Server(id.clone(), State::Gone));
                 }
             }
             _ => {}
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -61,6 +61,8 @@
     pub answered: Option<Time>,
     /// Last trial of a silent server.
     tried: Time,
+    /// Whether it was silent, or took no connections, when this was last asked.
+    was_silent: bool,
     /// Failed connections in a row, and when the next one may be tried.
     failures: u32,
     down_until: Time,
@@ -102,6 +104,22 @@
     Left,
 }
 
+impl Outcome {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Answered { .. } => "answered",
+            Outcome::Failed => "failed",
+            Outcome::Full => "full",
+            Outcome::Elsewhere => "elsewhere",
+            Outcome::NoConnection => "no_connection",
+            Outcome::Unknown => "broken",
+            Outcome::Silent => "silent",
+            Outcome::Left => "left",
+        }
+    }
+}
+
 /// Answer times of one service.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
@@ -254,6 +272,20 @@
         self.paces.get(service).copied().unwrap_or_default()
     }
 
+    /// Servers that have fallen silent, or answer again, since this was last asked.
+    pub fn turned(&mut self, now: Time) -> Vec<(String, bool)> {
+        let mut turned = Vec::new();
+        for entry in self.entries.values_mut() {
+            let pace = self.paces.get(&entry.server.service).copied().unwrap_or_default();
+            let silent = entry.silent(now, pace) || entry.failures > 1;
+            if silent != entry.was_silent {
+                entry.was_silent = silent;
+                turned.push((entry.id.clone(), silent));
+            }
+        }
+        turned
+    }
+
     /// Takes a server in as the store has it now.
     pub fn put(&mut self, now: Time, id: &str, server: &Server, region: &str) -> Index {
         if let Some(index) = self.find(id)
@@ -279,6 +311,7 @@
             silent_since: None,
             answered: None,
             tried: Time(0),
+            was_silent: false,
             failures: 0,
             down_until: Time(0),
             refused_until: Time(0),
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -63,8 +63,41 @@
     Configuration(u64),
     /// A failure domain is evacuated, or taken back.
     Evacuation(String, bool),
-    /// A server came, changed or left.
-    Server(String, &'static str),
+    /// A server came, changed, left or fell silent.
+    Server(String, State),
+    /// A host is no longer heard of.
+    HostLost(String),
+}
+
+/// What a host believes of a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// The store lists it.
+    Ready,
+    /// It is about to leave.
+    Draining,
+    /// The store lost it while it was away itself; it is still used for a while.
+    Lapsed,
+    /// The store does not list it.
+    Gone,
+    /// It does not answer, or takes no connection.
+    Silent,
+    /// It answers again.
+    Answers,
+}
+
+impl State {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            State::Ready => "ready",
+            State::Draining => "draining",
+            State::Lapsed => "lapsed",
+            State::Gone => "gone",
+            State::Silent => "silent",
+            State::Answers => "answers",
+        }
+    }
 }
 
 impl Steer {
