Beat less often in large fleets, as urgent news no longer wait for a beat

Ruled out: fewer hosts a round (a host would take seconds to be heard by its own region).

Change: up to 900 ms between two beats instead of 300; the time still grows by 3 ms a host, so fleets up to 95 hosts beat as before.

Tests: the ones of large.rs with these times; a restart of all hosts of a large fleet keeps the bound on cold servers.

--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -10,7 +10,7 @@
 use elmstream_http::{LocalBody, body, client, server::Cut};
 use elmstream_steer::{
     beat::{Beat, Known},
-    members::Targets,
+    members::{self, Targets},
     view::{Row, TABLES, Table},
 };
 use elmstreamd::clock;
@@ -26,10 +26,8 @@
 const ROWS: &str = "/v1/rows";
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
-/// Time between two beats in a small fleet; more for each host beyond.
-const BEAT: Duration = Duration::from_millis(50);
-const BEAT_STEP: Duration = Duration::from_millis(3);
-const BEAT_MAX: Duration = Duration::from_millis(300);
+/// Time between two looks at whether a beat is due.
+const LOOK: Duration = Duration::from_millis(50);
 /// Least time between two beats if there is news that must not wait.
 const URGENT: Duration = Duration::from_millis(100);
 /// Hosts of other regions get each second beat.
@@ -62,10 +60,10 @@
     loop {
         round += 1;
         let hosts = beat(&edge, &socket, round).await;
-        let pause = (BEAT + BEAT_STEP * hosts.saturating_sub(12) as u32).min(BEAT_MAX);
+        let pause = Duration::from_micros(members::pause(hosts));
         let mut waited = Duration::ZERO;
         while waited < pause && (waited < URGENT || !edge.steer.borrow().urgent()) {
-            let step = BEAT.min(pause - waited);
+            let step = LOOK.min(pause - waited);
             compio::time::sleep(step).await;
             waited += step;
         }
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -26,6 +26,17 @@
 const FAR: usize = 24;
 /// Hosts that one beat says are live at most.
 const WORDS: usize = 24;
+/// Time between two beats of a host in a small fleet, and for each host beyond.
+const PAUSE: u64 = 50 * MILLI;
+const PAUSE_STEP: u64 = 3 * MILLI;
+const PAUSE_MAX: u64 = 900 * MILLI;
+/// Hosts of a small fleet.
+const SMALL: u64 = 12;
+
+/// Time between two beats of a host that knows so many others, in microseconds.
+pub fn pause(hosts: usize) -> u64 {
+    (PAUSE + PAUSE_STEP * (hosts as u64).saturating_sub(SMALL)).min(PAUSE_MAX)
+}
 /// A silent host is tried only now and then after this long.
 const LOST: u64 = 20 * SECOND;
 /// One of so many rounds of beats goes to hosts that are lost.
