--- a/elmstream_steer/src/lookup.rs
+++ b/elmstream_steer/src/lookup.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 
-/// Hosts of one failure domain that are enough for its callers.
-const ENOUGH: usize = 2;
+/// Hosts of one failure domain that are enough for its callers: with fewer, they are
+/// told those of the region too, so that a lost domain leaves them somewhere to go
+/// before they look up again.
+const ENOUGH: usize = 4;
 /// Addresses in one answer.
 const MOST: usize = 64;
 
