Ask less of the store at restarts, and pick senders of cold servers ahead

Cause: at a start each host wrote its row first, whether it was there or not: a restart of all 300 hosts is 300 writes to one part, which takes 200 a second; and hosts that the store turned away tried again every 0.7 s, however many they were. And each request looked at all hosts for each cold server (300 x 1,600 hashes after a failure domain came back cold).

Change: a host reads the list and writes its row only if it is not there; the pause grows with the fleet as that of readers does. Which cold servers a host may send to is found out with each tick and each change of the table.

Test: a_host_is_written_down_once_and_not_again_after_a_restart (failed before); the tests of the cold bound as they were.

--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -4,15 +4,13 @@
 
 use compio::net::{TcpListener, UdpSocket};
 use elmstream_http::{Stop, Stopper, server};
-use elmstream_steer::view::TABLES;
+use elmstream_steer::{readers, view::TABLES};
 use elmstreamd::{clock, telemetry};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
 
 use crate::{Edge, Source, callers, gate::Gate, peers, reader};
 
-/// Pause before the store is asked once more for what a start needs.
-const START_PAUSE: Duration = Duration::from_millis(700);
 /// A host ends this long before its grace time does.
 const END_MARGIN: Duration = Duration::from_millis(400);
 /// Time that a caller's connection may rest before it is closed.
@@ -111,24 +109,33 @@
     Ok(())
 }
 
-/// Writes down that this host is there, and learns which others are.
+/// Learns which other hosts are written down, and writes this one down if it is not.
+///
+/// A host that was killed is still written down, so a restart of all of them reads
+/// but does not write.
 async fn announce<S: Source>(edge: Rc<Edge>, source: Rc<S>) {
-    while source.announce(&edge.settings.host).await.is_err() {
-        compio::time::sleep(START_PAUSE).await;
-    }
-    loop {
-        if let Ok(hosts) = source.hosts().await {
-            let now = clock::now();
-            let mut steer = edge.steer.borrow_mut();
-            for host in hosts {
-                steer.suppose(now, host);
-            }
-            return;
+    let hosts = loop {
+        match source.hosts().await {
+            Ok(hosts) => break hosts,
+            Err(_) => start_pause(&edge).await,
         }
-        compio::time::sleep(START_PAUSE).await;
+    };
+    let host = &edge.settings.host;
+    let written = hosts.contains(&host.peers);
+    for address in hosts {
+        edge.steer.borrow_mut().suppose(clock::now(), address);
+    }
+    while !written && source.announce(host).await.is_err() {
+        start_pause(&edge).await;
     }
 }
 
+/// Waits before the store is asked once more, the longer the larger the fleet is.
+async fn start_pause(edge: &Edge) {
+    let hosts = edge.steer.borrow().members().live(clock::now()).count();
+    compio::time::sleep(Duration::from_micros(readers::pause(hosts + 1))).await;
+}
+
 fn spawn(task: impl Future<Output = ()> + 'static) {
     compio::runtime::spawn(task).detach();
 }
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -34,6 +34,27 @@
     });
 }
 
+#[test]
+fn a_host_is_written_down_once_and_not_again_after_a_restart() {
+    run(async || {
+        let store = support::Store::default();
+        store.put(Key::Configuration, Some(configuration(1, Repeat::Safe)));
+        // One host was killed and starts anew at its address; the other one is new.
+        let killed = ip();
+        store.hosts.borrow_mut().push(SocketAddr::new(killed, PEERS));
+        let again = start(killed, &store, &[]);
+        let new = start(ip(), &store, &[]);
+        let written = |host: &support::Running| {
+            let hosts = store.hosts.borrow();
+            hosts.iter().filter(|address| **address == host.edge.settings.host.peers).count()
+        };
+        assert!(until(Duration::from_secs(2), || written(&new) == 1).await);
+        assert!(until(Duration::from_secs(2), || again.edge.serves()).await);
+        compio::time::sleep(SOON).await;
+        assert_eq!((written(&again), written(&new)), (1, 1));
+    });
+}
+
 /// A host that shows news, and never tells them.
 async fn mute(to: SocketAddr) {
     let peers = SocketAddr::new(ip(), PEERS);
--- a/elmstream_edge/tests/support/mod.rs
+++ b/elmstream_edge/tests/support/mod.rs
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Store {
     rows: Rc<RefCell<BTreeMap<Key, Row>>>,
-    hosts: Rc<RefCell<Vec<SocketAddr>>>,
+    pub hosts: Rc<RefCell<Vec<SocketAddr>>>,
     version: Rc<Cell<u64>>,
     pub down: Rc<Cell<bool>>,
     pub calls: Rc<Cell<u64>>,
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -13,7 +13,6 @@
     hash,
     model::{Repeat, Route},
     servers::{Entry, Index, Pace, ServerTable},
-    settings::Bounds,
     warmth::Warmth,
 };
 
@@ -116,10 +115,6 @@
     pub servers: &'a ServerTable,
     /// Failure domains whose servers get nothing.
     pub evacuated: &'a std::collections::BTreeSet<String>,
-    /// Bounds of the fleet.
-    pub bounds: &'a Bounds,
-    /// Requests a second that a cold server of the service bears.
-    pub cold_per_s: f64,
     /// Hashes of the live hosts' names, with this one's first.
     pub hosts: &'a [u64],
     /// How the regions divide the requests of the service.
@@ -261,17 +256,8 @@
 
 /// Whether the bound on cold servers lets this host send there now.
 fn cold_allows(scene: &Scene<'_>, entry: &Entry) -> bool {
-    if !entry.cold(scene.now) {
-        return true;
-    }
-    if scene.now < crate::cold::next(scene.started, entry.cold_sent) {
-        return false;
-    }
-    let senders = crate::cold::senders(scene.bounds, scene.cold_per_s);
-    let Some((own, others)) = scene.hosts.split_first() else { return false };
-    let mine = hash::pair(*own, entry.hash);
-    let before = others.iter().filter(|host| hash::pair(**host, entry.hash) > mine).count();
-    before < senders
+    let due = scene.now >= crate::cold::next(scene.started, entry.cold_sent);
+    !entry.cold(scene.now) || (entry.cold_sender && due)
 }
 
 fn silent_now(scene: &Scene<'_>, entry: &Entry, pace: Pace) -> bool {
--- a/elmstream_steer/src/cold.rs
+++ b/elmstream_steer/src/cold.rs
@@ -8,7 +8,7 @@
 
 use elmstream::time::{MILLI, Time};
 
-use crate::settings::Bounds;
+use crate::{hash, settings::Bounds};
 
 /// Time between two requests of one sender to a cold backend server.
 pub const SPACING: u64 = 1_100 * MILLI;
@@ -19,6 +19,13 @@
     ((bound / 2.0) as usize).max(1)
 }
 
+/// Whether the first of `hosts` is among the senders of a server, by hashes.
+pub fn sends(hosts: &[u64], server: u64, senders: usize) -> bool {
+    let Some((own, others)) = hosts.split_first() else { return false };
+    let mine = hash::pair(*own, server);
+    others.iter().filter(|host| hash::pair(**host, server) > mine).count() < senders
+}
+
 /// When a sender may send again after a request at `last`, or its own start.
 pub fn next(started: Time, last: Option<Time>) -> Time {
     last.unwrap_or(started) + SPACING
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     beat::{Beat, Known, Load},
+    cold,
     demand::{Division, Region},
     hash,
     members::Targets,
@@ -172,11 +173,22 @@
         self.live.extend(self.members.live(now).map(|member| member.hash));
     }
 
+    /// Finds out which cold servers this host may send to. Not at each request, as it
+    /// takes a look at all hosts.
+    pub(crate) fn pick_cold(&mut self, now: Time) {
+        for entry in self.servers.all_mut().filter(|entry| entry.cold(now)) {
+            let per_s = self.cold.get(&entry.server.service).map_or(1.0, |(_, per_s)| *per_s);
+            let senders = cold::senders(&self.settings.bounds, per_s);
+            entry.cold_sender = cold::sends(&self.live, entry.hash, senders);
+        }
+    }
+
     /// What time alone brings about; called every 100 ms or so.
     pub fn tick(&mut self, now: Time) -> Vec<Change> {
         let lost = self.members.expire(now);
         self.recount();
         self.count_hosts(now);
+        self.pick_cold(now);
         self.divide(now);
         self.view.forget(now);
         let lapsed =
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -90,6 +90,7 @@
                 self.apply(now, &key, &mut changes);
             }
         }
+        self.pick_cold(now);
         changes
     }
 
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -53,6 +53,8 @@
     pub silent_elsewhere: u32,
     /// It counts as cold until then.
     pub cold_until: Time,
+    /// Whether this host is among those that may send to it while it is cold.
+    pub cold_sender: bool,
     /// Last request that was sent while it was cold.
     pub cold_sent: Option<Time>,
     /// Waiting for an answer since then, with none in between.
@@ -307,6 +309,7 @@
             others: 0,
             silent_elsewhere: 0,
             cold_until: Time(0),
+            cold_sender: false,
             cold_sent: None,
             silent_since: None,
             answered: None,
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -188,7 +188,6 @@
 
     /// Chooses the server of a request and counts it as sent.
     pub fn send(&mut self, now: Time, ask: &Ask<'_>) -> Choice {
-        let cold_per_s = self.cold.get(ask.service).map_or(1.0, |(_, per_s)| *per_s);
         let host = &self.settings.host;
         let empty = Division::default();
         let scene = Scene {
@@ -197,8 +196,6 @@
             place: (&host.domain, &host.region),
             servers: &self.servers,
             evacuated: &self.evacuated,
-            bounds: &self.settings.bounds,
-            cold_per_s,
             hosts: &self.live,
             division: self.divisions.get(ask.service).unwrap_or(&empty),
             warmth: &self.warmth,
--- a/elmstream_steer/tests/large.rs
+++ b/elmstream_steer/tests/large.rs
@@ -188,7 +188,7 @@
         }
     }
     let mut due = vec![0; hosts];
-    let mut rounds = vec![0; hosts];
+    let mut rounds = vec![0u64; hosts];
     let mut sent = Vec::new();
     for at in (0..8_000).step_by(20) {
         let now = ms(at);
@@ -199,7 +199,8 @@
             rounds[from] += 1;
             let beat = fleet[from].beat(now);
             let targets = fleet[from].targets(now, rounds[from]);
-            let far: &[SocketAddr] = if rounds[from] % 2 == 0 { &targets.far } else { &[] };
+            let far: &[SocketAddr] =
+                if rounds[from].is_multiple_of(2) { &targets.far } else { &[] };
             for to in targets.near.iter().chain(far) {
                 let place = (0..hosts).find(|n| address(2_000 + n) == *to);
                 fleet[place.expect("it is a host's")].hear(now, &beat);
