Let a late beat not undo what others said of newer ones

Change: what the highest number said stands.

Test: a_late_beat_does_not_undo_what_others_said_of_newer_ones, failed first.

--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -137,19 +137,23 @@
         }
         let joined = known.is_none_or(|known| !known.live(now));
         let restarted = known.is_none_or(|known| known.incarnation != beat.incarnation);
-        let newest = known.filter(|_| !restarted).map_or(0, |known| known.newest);
+        // Others may have told of a newer beat than this one, which then says more.
+        let newer = known.filter(|known| !restarted && known.newest > beat.number);
+        let newer = newer.map(|known| (known.newest, known.heard, known.ready, known.leaving));
+        let (newest, heard, ready, leaving) =
+            newer.unwrap_or((beat.number, now, beat.ready, beat.leaving));
         let member = Member {
             host: beat.host.clone(),
             hash: hash::of(&beat.host.name),
             incarnation: beat.incarnation,
             number: beat.number,
             told: now,
-            newest: newest.max(beat.number),
-            heard: now,
+            newest,
+            heard,
             patience: self.patience(&beat.host.region),
             was_live: true,
-            ready: beat.ready,
-            leaving: beat.leaving,
+            ready,
+            leaving,
             store_ms: beat.store_ms,
             loads: beat.loads.clone(),
             demand: beat.demand.clone(),
--- a/elmstream_steer/tests/members.rs
+++ b/elmstream_steer/tests/members.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use elmstream_steer::Steer;
+use elmstream_steer::{Steer, beat::Word, hash};
 use support::{address, beats, ms, ready, servers};
 
 fn fleet() -> Vec<Steer> {
@@ -74,6 +74,27 @@
     assert!(!fleet[0].lookup(ms(100), "shop.example", "a1", "a").contains(&address(1_004)));
 }
 
+#[test]
+fn a_late_beat_does_not_undo_what_others_said_of_newer_ones() {
+    let mut fleet = fleet();
+    let late = fleet[4].beat(ms(60));
+    fleet[4].leave();
+    let last = fleet[4].beat(ms(70));
+    let mut told = fleet[1].beat(ms(75));
+    told.words.push(Word {
+        host: hash::of(&last.host.name) as u32,
+        start: last.incarnation as u32,
+        number: last.number,
+        ready: last.ready,
+        leaving: last.leaving,
+    });
+    fleet[0].hear(ms(80), &told);
+    let named = |host: &Steer| host.lookup(ms(100), "shop.example", "a1", "a");
+    assert!(!named(&fleet[0]).contains(&address(1_004)));
+    fleet[0].hear(ms(90), &late);
+    assert!(!named(&fleet[0]).contains(&address(1_004)));
+}
+
 #[test]
 fn hosts_that_lost_each_other_for_an_hour_still_try_to_reach_each_other() {
     let mut fleet = fleet();
