Count only hosts that beats go to, and name no server that was never asked

And a request that could not be addressed, as its server had just gone, was written as one whose caller had left.

Change: hosts silent for over 20 s do not count; such a request counts as not connected.

Test: hosts_that_were_replaced_do_not_make_a_small_fleet_a_large_one (fails without the first change).

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -127,8 +127,14 @@
         let entry = steer.servers().get(index);
         entry.map(|entry| (entry.id.clone(), entry.server.address))
     };
-    let Some((id, address)) = target else { return Try::NotRun };
-    let Some(request) = request(edge, call, &id) else { return Try::NotRun };
+    let addressed = target.and_then(|(id, address)| {
+        let request = request(edge, call, &id)?;
+        Some((id, address, request))
+    });
+    let Some((id, address, request)) = addressed else {
+        flight.outcome = Outcome::NoConnection;
+        return Try::NotRun;
+    };
     let sent = clock::now();
     let knew = call.keyed && edge.steer.borrow_mut().learn(sent, index, call.key);
     let exchange = edge.pool.exchange(&id, address, request);
@@ -229,8 +235,9 @@
 fn refused(edge: &Edge, call: &Call, refusal: Refusal) -> Response<LocalBody> {
     let took = clock::now().since(call.came);
     metrics::counter!("elmstream_requests", "outcome" => "refused").increment(1);
+    let code = code(refusal.reason, &Tried::default());
     let fields = json!({
-        "id": call.id, "code": code(refusal.reason, &Tried::default()).number(),
+        "id": call.id, "code": code.number(),
         "route": call.route.name, "service": call.service, "status": 503,
         "reason": format!("{:?}", refusal.reason), "retry_ms": refusal.retry_ms,
         "servers": refusal.servers, "load_percent": refusal.load, "took_ms": took / MILLI,
@@ -238,7 +245,7 @@
         "stale_ms": edge.steer.borrow().staleness(clock::now()) / MILLI,
     });
     edge.journal.request("refused", fields);
-    callers::refuse(code(refusal.reason, &Tried::default()), refusal.retry_ms)
+    callers::refuse(code, refusal.retry_ms)
 }
 
 /// The result code of a request that no server ran.
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -75,7 +75,7 @@
     let now = clock::now();
     let (mut beat, targets, hosts) = {
         let mut steer = edge.steer.borrow_mut();
-        (steer.beat(now), steer.targets(now, round), steer.members().all().count())
+        (steer.beat(now), steer.targets(now, round), steer.members().count())
     };
     tell(socket, &beat, &targets.near).await;
     beat.lessons.clear();
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -37,10 +37,6 @@
 /// Hosts of a small fleet.
 const SMALL: u64 = 12;
 
-/// Time between two beats of a host that knows so many others, in microseconds.
-pub fn pause(hosts: usize) -> u64 {
-    (PAUSE + PAUSE_STEP * (hosts as u64).saturating_sub(SMALL)).min(PAUSE_MAX)
-}
 /// A silent host is tried only now and then after this long.
 const LOST: u64 = 20 * SECOND;
 /// One of so many rounds of beats goes to hosts that are lost.
@@ -51,6 +47,11 @@
 /// Known addresses that never answered are tried for this long.
 const TRY: u64 = 15 * SECOND;
 
+/// Time between two beats of a host that knows so many others, in microseconds.
+pub fn pause(hosts: usize) -> u64 {
+    (PAUSE + PAUSE_STEP * (hosts as u64).saturating_sub(SMALL)).min(PAUSE_MAX)
+}
+
 /// A host of the fleet other than this one.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -94,7 +95,7 @@
     members: BTreeMap<SocketAddr, Member>,
     by_hash: HashMap<u32, SocketAddr>,
     tried: BTreeMap<SocketAddr, Tried>,
-    /// Hosts of the own region, and of the others.
+    /// Hosts of the own region, and of the others, that beats go to.
     near: usize,
     far: usize,
     /// When the last beat's words were picked, and where the next one's begin.
@@ -252,9 +253,11 @@
         self.members.retain(|_, member| now.since(member.heard) < FORGET);
         let members = &self.members;
         self.by_hash.retain(|_, address| members.contains_key(address));
-        let near = self.members.values().filter(|member| member.host.region == self.region);
-        self.near = near.count();
-        self.far = self.members.len() - self.near;
+        // Hosts that were replaced are remembered for long, but count no more.
+        let due = self.members.values().filter(|member| now.since(member.heard) < LOST);
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            due.partition(|member| member.host.region == self.region);
+        (self.near, self.far) = (near.len(), far.len());
         self.tried.retain(|_, tried| now.since(tried.since) < TRY);
         lost
     }
@@ -264,6 +267,11 @@
         self.members.values().filter(move |member| member.live(now))
     }
 
+    /// Hosts that beats go to.
+    pub fn count(&self) -> usize {
+        self.near + self.far
+    }
+
     /// All hosts that are known.
     pub fn all(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/elmstream_steer/tests/large.rs
+++ b/elmstream_steer/tests/large.rs
@@ -203,7 +203,7 @@
                 let place = (0..hosts).find(|n| address(2_000 + n) == *to);
                 fleet[place.expect("it is a host's")].hear(now, &beat);
             }
-            due[from] = at + members::pause(fleet[from].members().all().count()) / MILLI;
+            due[from] = at + members::pause(fleet[from].members().count()) / MILLI;
         }
         for (n, host) in fleet.iter_mut().enumerate() {
             if at % 100 == 0 {
--- a/elmstream_steer/tests/members.rs
+++ b/elmstream_steer/tests/members.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use elmstream_steer::{Steer, beat::Word, hash};
-use support::{address, beats, ms, ready, servers};
+use support::{address, beats, host, ms, ready, servers};
 
 fn fleet() -> Vec<Steer> {
     fleet_of(8)
@@ -95,6 +95,26 @@
     assert!(!named(&fleet[0]).contains(&address(1_004)));
 }
 
+#[test]
+fn hosts_that_were_replaced_do_not_make_a_small_fleet_a_large_one() {
+    let mut fleet = fleet();
+    // Forty hosts of the region came and went in the last hours.
+    for number in 100..140 {
+        let mut gone = host(number * 4, ms(0));
+        let beat = gone.beat(ms(100));
+        fleet[0].hear(ms(100), &beat);
+    }
+    for at in (100..60_000).step_by(500) {
+        beats(ms(at), &mut fleet, |_, _| true);
+    }
+    assert_eq!(fleet[0].members().count(), 7);
+    for at in (60_000..61_600).step_by(50) {
+        beats(ms(at), &mut fleet, |from, _| from != 4);
+    }
+    let named = fleet[0].lookup(ms(61_600), "shop.example", "a1", "a");
+    assert!(!named.contains(&address(1_004)), "{named:?}");
+}
+
 #[test]
 fn hosts_that_lost_each_other_for_an_hour_still_try_to_reach_each_other() {
     let mut fleet = fleet();
