Let silence be evidence that fades, and ask several hosts before all leave a server

Cause: a request that timed out, or whose caller left, kept its server silent for good, as nothing was in flight there that could be answered. The host told the others, and one such word took the server from every host that had not heard of it in the last 300 ms. Trials came 500 ms x live hosts apart, from repeatable requests only.

Change: requests that were given up speak against a server for 1 s (doubled up to 4 s by each further one in a row), and after that it gets one request of the host at a time until it answers, of any kind. Three hosts (a quarter of small fleets) must wait in vain before the others leave it; a host to which most servers are silent is not believed; a host that gets answers says so while others wait, and that outweighs up to two unanswered requests. Answers that were lost while others came count as failures, as before. Beats keep their size.

Ruled out: telling how many requests each witness had open (more bytes, same order); a probe in place of a trial (the lost request is one in 1 to 4 s).

--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -11,8 +11,19 @@
     pub server: u32,
     /// Requests in flight.
     pub in_flight: u16,
-    /// Whether the host gets no answers from it.
-    pub silent: bool,
+    /// What the host hears of it.
+    pub hears: Hears,
+}
+
+/// What a host hears of a backend server.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Hears {
+    /// Nothing that others must know.
+    Nothing,
+    /// It waits for answers in vain.
+    Silence,
+    /// Answers, while others wait in vain.
+    Answers,
 }
 
 /// How far a table of the store is known to the sender.
@@ -72,7 +83,7 @@
     pub known: [Known; 2],
     /// Requests that it took lately, by hash of the service, cut to 32 bits.
     pub demand: Vec<(u32, u32)>,
-    /// Its requests in flight; servers without any are left out.
+    /// Its requests in flight; servers without any, and nothing to say of, are left out.
     pub loads: Vec<Load>,
     /// Keys that servers have lately worked on; told in the sender's region only.
     pub lessons: Vec<Lesson>,
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -227,7 +227,7 @@
         let weight = hash::pair(entry.hash, ask.key);
         let occupied = entry.occupied(scene.now);
         let candidate = Candidate { index, entry, place, weight, occupied };
-        if silent_now(scene, entry, pace) {
+        if entry.shunned(scene.now, pace, scene.hosts.len()) {
             silent.push(candidate);
         } else {
             field.add(candidate);
@@ -252,6 +252,7 @@
         && !scene.evacuated.contains(&entry.server.domain)
         && !ask.tried.contains(&index)
         && entry.reachable(scene.now)
+        && (entry.own == 0 || !entry.on_trial())
 }
 
 /// Whether the bound on cold servers lets this host send there now.
@@ -260,11 +261,6 @@
     !entry.cold(scene.now) || (entry.cold_sender && due)
 }
 
-fn silent_now(scene: &Scene<'_>, entry: &Entry, pace: Pace) -> bool {
-    let heard = entry.answered.is_some_and(|at| scene.now.since(at) < 300 * MILLI);
-    entry.silent(scene.now, pace) || (entry.silent_elsewhere > 0 && !heard)
-}
-
 /// Time until a slot is free, in milliseconds.
 fn wait_ms(candidate: &Candidate<'_>, pace: Pace) -> f64 {
     let slots = candidate.entry.server.slots.max(1);
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -5,17 +5,20 @@
 use elmstream::time::{SECOND, Time};
 
 use crate::{
-    beat::{Beat, Known, Load},
+    beat::{Beat, Hears, Known, Load},
     cold,
     demand::{Division, Region},
     hash,
     members::Targets,
+    servers::{Entry, Pace},
     steer::{Change, State, Steer},
     view::{TABLES, Table},
 };
 
 /// Time between two divisions of the requests among regions.
 const DIVIDE: u64 = SECOND;
+/// Silent servers of one host from which on it is asked whether most are.
+const DOUBTED: usize = 4;
 
 impl Steer {
     /// An address at which another host may be.
@@ -49,13 +52,13 @@
         self.urgent = false;
         self.ready = self.serves();
         let loads = self.servers.all().filter_map(|(_, entry)| {
-            let silent = entry.silent(now, self.servers.pace(&entry.server.service));
+            let hears = hears(now, entry, self.servers.pace(&entry.server.service));
             let load = Load {
                 server: entry.hash as u32,
                 in_flight: entry.own.min(u16::MAX as u32) as u16,
-                silent,
+                hears,
             };
-            (entry.own > 0 || silent).then_some(load)
+            (entry.own > 0 || hears != Hears::Nothing).then_some(load)
         });
         let loads = loads.collect();
         let known = self.known();
@@ -110,15 +113,20 @@
     }
 
     fn count(&mut self, loads: &[Load], add: bool) {
+        let believed = !hears_little(loads);
         for load in loads {
             let Some(entry) = self.servers.by_hash(load.server) else { continue };
-            let (in_flight, silent) = (u32::from(load.in_flight), u32::from(load.silent));
+            let in_flight = u32::from(load.in_flight);
+            let silent = u32::from(believed && load.hears == Hears::Silence);
+            let answers = u32::from(load.hears == Hears::Answers);
             if add {
                 entry.others += in_flight;
                 entry.silent_elsewhere += silent;
+                entry.answers_elsewhere += answers;
             } else {
                 entry.others = entry.others.saturating_sub(in_flight);
                 entry.silent_elsewhere = entry.silent_elsewhere.saturating_sub(silent);
+                entry.answers_elsewhere = entry.answers_elsewhere.saturating_sub(answers);
             }
         }
     }
@@ -128,6 +136,7 @@
         for entry in self.servers.all_mut() {
             entry.others = 0;
             entry.silent_elsewhere = 0;
+            entry.answers_elsewhere = 0;
         }
         let members = std::mem::take(&mut self.members);
         for member in members.all() {
@@ -207,6 +216,25 @@
     }
 }
 
+/// What a host tells the others of a server: its silence, or that it answers if
+/// others take it to be silent.
+fn hears(now: Time, entry: &Entry, pace: Pace) -> Hears {
+    if entry.silent(now, pace) {
+        return Hears::Silence;
+    }
+    match entry.silent_elsewhere > 0 && entry.well(now) {
+        true => Hears::Answers,
+        false => Hears::Nothing,
+    }
+}
+
+/// Whether most servers are silent to the host that told this: its own ways are
+/// more likely at fault than they are.
+fn hears_little(loads: &[Load]) -> bool {
+    let silent = loads.iter().filter(|load| load.hears == Hears::Silence).count();
+    silent >= DOUBTED && silent * 2 > loads.len()
+}
+
 /// What a beat calls for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct News {
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -17,6 +17,19 @@
 /// Bounds of the time after which a server is silent.
 const SILENT_MIN: u64 = 600 * MILLI;
 const SILENT_MAX: u64 = 1_500 * MILLI;
+/// How long a request that was not answered speaks against a server once nothing is
+/// in flight there; doubled by each further one, as long as no answer comes.
+const SUSPECT_FIRST: u64 = SECOND;
+const SUSPECT_MAX: u64 = 4 * SECOND;
+/// Unanswered requests in a row that outweigh other hosts' answers: the way from this
+/// host to the server may be cut.
+const CUT_OFF: u32 = 3;
+/// Hosts that must wait in vain for a server before the others leave it as well, and
+/// the part of a small fleet's hosts that is enough.
+const WITNESSES: u32 = 3;
+const WITNESS_PART: u32 = 4;
+/// How long an answer is taken to show that a server is well.
+const WELL: u64 = 300 * MILLI;
 /// Pause after a failed connection; doubled by each further one.
 const DOWN_FIRST: u64 = 200 * MILLI;
 const DOWN_MAX: u64 = 2 * SECOND;
@@ -44,16 +57,22 @@
     pub own: u32,
     /// The other hosts' requests in flight.
     pub others: u32,
-    /// Hosts that get no answers from it.
+    /// Other hosts that wait for its answers in vain.
     pub silent_elsewhere: u32,
+    /// Other hosts that it answers, told while some host waits in vain.
+    pub answers_elsewhere: u32,
     /// It counts as cold until then.
     pub cold_until: Time,
     /// Whether this host is among those that may send to it while it is cold.
     pub cold_sender: bool,
     /// Last request that was sent while it was cold.
     pub cold_sent: Option<Time>,
-    /// Waiting for an answer since then, with none in between.
-    silent_since: Option<Time>,
+    /// Requests in flight wait for an answer since then, with none in between.
+    waiting_since: Option<Time>,
+    /// Requests that were given up without an answer since the last one.
+    unanswered: u32,
+    /// When the last one of them was given up.
+    unanswered_at: Time,
     /// Last answer of any kind.
     pub answered: Option<Time>,
     /// Last trial of a silent server.
@@ -160,10 +179,13 @@
             own: 0,
             others: 0,
             silent_elsewhere: 0,
+            answers_elsewhere: 0,
             cold_until: Time(0),
             cold_sender: false,
             cold_sent: None,
-            silent_since: None,
+            waiting_since: None,
+            unanswered: 0,
+            unanswered_at: Time(0),
             answered: None,
             tried: Time(0),
             was_silent: false,
@@ -193,11 +215,43 @@
         now < self.cold_until
     }
 
-    /// Whether this host waits for answers of it in vain.
+    /// Whether this host waits for answers of it in vain, or lately did.
     pub fn silent(&self, now: Time, pace: Pace) -> bool {
         let patience = (pace.mean_ms * SILENT_MEANS) as u64 * MILLI;
         let patience = patience.clamp(SILENT_MIN, SILENT_MAX);
-        self.silent_since.is_some_and(|since| now.since(since) > patience)
+        self.waiting_since.is_some_and(|since| now.since(since) > patience) || self.suspect(now)
+    }
+
+    /// Whether requests that were given up still speak against it.
+    fn suspect(&self, now: Time) -> bool {
+        let doublings = self.unanswered.saturating_sub(1).min(4);
+        let span = (SUSPECT_FIRST << doublings).min(SUSPECT_MAX);
+        self.unanswered > 0 && now.since(self.unanswered_at) < span
+    }
+
+    /// Whether it answered this host just now.
+    pub fn well(&self, now: Time) -> bool {
+        self.answered.is_some_and(|at| now.since(at) < WELL)
+    }
+
+    /// Whether it is left alone for its silence, by what this host sees and what the
+    /// others of `hosts` live ones say.
+    ///
+    /// An answer to any host shows that the server runs, so one lost answer does not
+    /// take it from anybody. One host's word alone does not count either: the way from
+    /// that host may be cut.
+    pub fn shunned(&self, now: Time, pace: Pace, hosts: usize) -> bool {
+        if self.silent(now, pace) {
+            return self.answers_elsewhere == 0 || self.unanswered >= CUT_OFF;
+        }
+        let witnesses = (hosts as u32).div_ceil(WITNESS_PART).min(WITNESSES);
+        self.silent_elsewhere >= witnesses && self.answers_elsewhere == 0 && !self.well(now)
+    }
+
+    /// Whether it gets one request of this host at a time, as it has not answered since
+    /// it was given up.
+    pub fn on_trial(&self) -> bool {
+        self.unanswered > 0
     }
 
     /// Whether a connection may be tried and it has not just refused.
@@ -221,7 +275,7 @@
     pub fn sent(&mut self, now: Time) {
         self.own += 1;
         self.tried = now;
-        self.silent_since.get_or_insert(now);
+        self.waiting_since.get_or_insert(now);
         if self.cold(now) {
             self.cold_sent = Some(now);
         }
@@ -255,21 +309,31 @@
                 self.refused_until = now + DOWN_MAX;
             }
             Outcome::NoConnection => {
-                if self.own == 0 {
-                    self.silent_since = None;
-                }
                 let pause = DOWN_FIRST << self.failures.min(4);
                 self.failures += 1;
                 self.down_until = now + pause.min(DOWN_MAX);
             }
-            Outcome::Silent => self.fail(true),
+            // Others were answered meanwhile, so this one was lost.
+            Outcome::Silent if !self.unheard(now) => self.fail(true),
+            Outcome::Silent => {}
             Outcome::Left => {
-                let waited = self.silent_since.map(|since| now.since(since));
-                if self.own == 0 && waited.is_some_and(|waited| waited < SILENT_MIN) {
-                    self.silent_since = None;
-                }
+                self.unheard(now);
             }
         }
+        if self.own == 0 {
+            self.waiting_since = None;
+        }
+    }
+
+    /// A request was given up. It speaks for silence if nothing was answered while it
+    /// waited long enough; whether it does.
+    fn unheard(&mut self, now: Time) -> bool {
+        let unheard = self.waiting_since.is_some_and(|since| now.since(since) >= SILENT_MIN);
+        if unheard {
+            self.unanswered += 1;
+            self.unanswered_at = now;
+        }
+        unheard
     }
 
     /// Whether it has fallen silent, or takes no connections; some if that has turned
@@ -284,7 +348,12 @@
     fn heard(&mut self, now: Time) {
         self.answered = Some(now);
         self.failures = 0;
-        self.silent_since = (self.own > 0).then_some(now);
+        // It runs after all, so the answers that did not come were lost.
+        for _ in 0..self.unanswered.min(CUT_OFF) {
+            self.fail(true);
+        }
+        self.unanswered = 0;
+        self.waiting_since = (self.own > 0).then_some(now);
     }
 
     fn fail(&mut self, failed: bool) {
