Let what is believed of slow and failing servers fade

Cause: a server's failures and slowness were learned from answers alone, and a server that is left for them gives no answers: a state that holds itself. Change: both fade to a third in 5 s without new ones. Test: patience.rs, a_server_that_was_slow_or_failed_is_used_again_after_a_while, failed on the old code.

--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -188,7 +188,7 @@
     let mut step = 0.0;
     for candidate in field.ranks.iter().flatten() {
         let knows = scene.warmth.knows(scene.now, candidate.index, ask.key);
-        let wait = wait_ms(candidate, pace);
+        let wait = wait_ms(scene.now, candidate, pace);
         least_wait = least_wait.min(wait);
         let first = step == 0.0;
         let usable = if first || knows {
@@ -262,18 +262,18 @@
 }
 
 /// Time until a slot is free, in milliseconds.
-fn wait_ms(candidate: &Candidate<'_>, pace: Pace) -> f64 {
+fn wait_ms(now: Time, candidate: &Candidate<'_>, pace: Pace) -> f64 {
     let slots = candidate.entry.server.slots.max(1);
     let ahead = (candidate.occupied + 1).saturating_sub(slots);
-    ahead as f64 * pace.mean_ms * candidate.entry.slowness.max(1.0) / slots as f64
+    ahead as f64 * pace.mean_ms * candidate.entry.slowness(now).max(1.0) / slots as f64
 }
 
 /// Answer time without the wait, and what the place costs, in milliseconds.
 fn cost_ms(scene: &Scene<'_>, entry: &Entry, pace: Pace, knows: bool) -> f64 {
     let away = if entry.region == scene.place.1 { 0.0 } else { AWAY_MS };
     let work = if knows { pace.knowing_ms } else { pace.unknowing_ms };
-    let failing = 1.0 + FAILING * entry.failing;
-    away + work * entry.slowness.max(0.7) * failing
+    let failing = 1.0 + FAILING * entry.failing(scene.now);
+    away + work * entry.slowness(scene.now).max(0.7) * failing
 }
 
 /// Whether a server has room for a request of a key that it does not know.
@@ -292,7 +292,7 @@
     let objective = route.objective_ms as f64;
     let urgency = (1.0 - PRIORITY_STEP * route.priority as f64).max(WAIT_LEAST);
     let away = if entry.region == scene.place.1 { 0.0 } else { AWAY_MS };
-    let left = objective * AIM_PART - pace.knowing_ms * entry.slowness.max(1.0) - away;
+    let left = objective * AIM_PART - pace.knowing_ms * entry.slowness(scene.now).max(1.0) - away;
     (left * urgency).max(objective * WAIT_LEAST)
 }
 
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -28,6 +28,9 @@
 /// the part of a small fleet's hosts that is enough.
 const WITNESSES: u32 = 3;
 const WITNESS_PART: u32 = 4;
+/// Time in which what was learned of a server's failures and slowness fades to a third
+/// if nothing more is learned, in microseconds.
+const JUDGED: f64 = 5e6;
 /// How long an answer is taken to show that a server is well.
 const WELL: u64 = 300 * MILLI;
 /// Pause after a failed connection; doubled by each further one.
@@ -87,9 +90,11 @@
     /// Requests that it last said to have, and when.
     told: Option<(u32, Time)>,
     /// Part of lately answered requests that failed, 0 to 1.
-    pub failing: f64,
+    failing: f64,
     /// Mean answer time against the service's, 1 for alike.
-    pub slowness: f64,
+    slowness: f64,
+    /// When the two were last learned.
+    judged: Time,
     /// The store no longer lists it; it leaves the table then.
     pub lapses: Option<Time>,
 }
@@ -195,6 +200,7 @@
             told: None,
             failing: 0.0,
             slowness: 1.0,
+            judged: now,
             lapses: None,
         };
         entry.keep_cold(now, server.cold_ms);
@@ -229,6 +235,22 @@
         self.unanswered > 0 && now.since(self.unanswered_at) < span
     }
 
+    /// Part of lately answered requests that failed, 0 to 1. It fades, as a server that
+    /// is left for it is not judged anew.
+    pub fn failing(&self, now: Time) -> f64 {
+        self.failing * self.judgement(now)
+    }
+
+    /// Mean answer time against the service's, 1 for alike. It fades likewise.
+    pub fn slowness(&self, now: Time) -> f64 {
+        1.0 + (self.slowness - 1.0) * self.judgement(now)
+    }
+
+    /// How far what was learned still counts, 0 to 1.
+    fn judgement(&self, now: Time) -> f64 {
+        (-(now.since(self.judged) as f64) / JUDGED).exp()
+    }
+
     /// Whether it answered this host just now.
     pub fn well(&self, now: Time) -> bool {
         self.answered.is_some_and(|at| now.since(at) < WELL)
@@ -292,13 +314,13 @@
         match outcome {
             Outcome::Answered { micros, knew } => {
                 self.heard(now);
-                self.fail(false);
+                self.fail(now, false);
                 let ratio = pace.learn(micros as f64 / MILLI as f64, knew);
                 self.slowness += (ratio - self.slowness) * MEAN_WEIGHT;
             }
             Outcome::Failed | Outcome::Unknown => {
                 self.heard(now);
-                self.fail(true);
+                self.fail(now, true);
             }
             Outcome::Full => {
                 self.heard(now);
@@ -314,7 +336,7 @@
                 self.down_until = now + pause.min(DOWN_MAX);
             }
             // Others were answered meanwhile, so this one was lost.
-            Outcome::Silent if !self.unheard(now) => self.fail(true),
+            Outcome::Silent if !self.unheard(now) => self.fail(now, true),
             Outcome::Silent => {}
             Outcome::Left => {
                 self.unheard(now);
@@ -350,13 +372,15 @@
         self.failures = 0;
         // It runs after all, so the answers that did not come were lost.
         for _ in 0..self.unanswered.min(CUT_OFF) {
-            self.fail(true);
+            self.fail(now, true);
         }
         self.unanswered = 0;
         self.waiting_since = (self.own > 0).then_some(now);
     }
 
-    fn fail(&mut self, failed: bool) {
+    fn fail(&mut self, now: Time, failed: bool) {
+        (self.failing, self.slowness) = (self.failing(now), self.slowness(now));
+        self.judged = now;
         let value = if failed { 1.0 } else { 0.0 };
         self.failing += (value - self.failing) * FAILURE_WEIGHT;
     }
