Use a second server for a key up to 0.75 of the slots

Hypothesis: with longer waits allowed, queues at a full server cost more than a meeting with one that does not know the key, up to a higher load than before.

--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -37,9 +37,9 @@
 /// Occupied part of a service's slots beyond which requests go only to servers
 /// that know their key, or should: another would work longer on the request, and
 /// forget a key for it, just when nobody has time to spare.
-const SECOND_MAX: f64 = 0.6;
+const SECOND_MAX: f64 = 0.75;
 /// The same for any server but the first ones.
-const SPILL_MAX: f64 = 0.5;
+const SPILL_MAX: f64 = 0.65;
 /// Time between two trials of a silent server, for each host that may try.
 const TRIAL: u64 = 500 * MILLI;
 /// When to come back if no server may take the request.
--- a/elmstream_steer/tests/patience.rs
+++ b/elmstream_steer/tests/patience.rs
@@ -56,6 +56,28 @@
     assert_eq!(taken(&Route { priority: 3, ..once() }), taken(&once()));
 }
 
+#[test]
+fn a_full_servers_key_goes_to_another_one_at_two_thirds_of_the_slots() {
+    let names = ["full", "other-1", "other-2", "other-3"];
+    let rows: Vec<Row> = names.iter().map(|name| server(name, "a1", 10)).collect();
+    let mut host = ready(0, ms(0), rows);
+    let keys: Vec<u64> = names.iter().map(|name| key_of(&mut host, 5, name)).collect();
+    for key in &keys[1..] {
+        for _ in 0..3 {
+            to(&mut host, 10, *key).expect("three of six slots");
+        }
+    }
+    // The first of them goes elsewhere once another one would answer sooner.
+    let mut met = Vec::new();
+    while met.len() < 40 && met.iter().filter(|name| *name == "full").count() < 6 {
+        met.extend(to(&mut host, 10, keys[0]));
+    }
+    let elsewhere = to(&mut host, 10, keys[0]).expect("others have room");
+    let used = 9 + met.len();
+    assert!(used >= 15, "{used} of 24 slots");
+    assert_ne!(elsewhere, "full");
+}
+
 fn answers(host: &mut Steer, from: u64, index: Index, outcome: Outcome) {
     for at in (from..from + 400).step_by(10) {
         let Choice::Send(sent) = send(host, ms(at), &once(), at) else { continue };
