Count on a cold server to take twice as long, and send it nothing hopeless

Change: a cold server's cost is doubled, and one that would not answer within 0.9 of the time-out gets no request of a key that it does not know. Ruled out: more senders for a cold server: what they would send would time out. Test failed first.

--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -20,6 +20,11 @@
 const AWAY_MS: f64 = 30.0;
 /// Added answer time of a server all of whose answers fail, as a multiple.
 const FAILING: f64 = 6.0;
+/// Answer time of a cold server, as a multiple; on the users' sites it takes twice as
+/// long.
+const COLD: f64 = 2.0;
+/// Part of a route's time-out in which a cold server must be expected to answer.
+const TIMEOUT_PART: f64 = 0.9;
 /// Multiple of the objective in which an answer must be expected. An answer that comes
 /// a little late still serves its caller better than a refusal, whose second try comes
 /// 250 ms later at least and may be refused again. Measured in docs/DECISIONS.md: at
@@ -197,6 +202,7 @@
         } else {
             load < SECOND_MAX && spare(candidate)
         };
+        let usable = usable && !hopeless(scene, ask.route, candidate.entry, pace, knows, wait);
         let cost = cost_ms(scene, candidate.entry, pace, knows) + wait;
         let cost = if knows { cost } else { cost + step };
         if usable && best.is_none_or(|(least, _)| cost < least) {
@@ -274,7 +280,21 @@
     let away = if entry.region == scene.place.1 { 0.0 } else { AWAY_MS };
     let work = if knows { pace.knowing_ms } else { pace.unknowing_ms };
     let failing = 1.0 + FAILING * entry.failing(scene.now);
-    away + work * entry.slowness(scene.now).max(0.7) * failing
+    let cold = if entry.cold(scene.now) { COLD } else { 1.0 };
+    away + work * entry.slowness(scene.now).max(0.7) * failing * cold
+}
+
+/// Whether a cold server would most likely not answer before the route's time-out.
+fn hopeless(
+    scene: &Scene<'_>,
+    route: &Route,
+    entry: &Entry,
+    pace: Pace,
+    knows: bool,
+    wait: f64,
+) -> bool {
+    let work = if knows { pace.knowing_ms } else { pace.unknowing_ms };
+    entry.cold(scene.now) && work * COLD + wait > route.timeout_ms as f64 * TIMEOUT_PART
 }
 
 /// Whether a server has room for a request of a key that it does not know.
--- a/elmstream_steer/tests/patience.rs
+++ b/elmstream_steer/tests/patience.rs
@@ -78,6 +78,32 @@
     assert_ne!(elsewhere, "full");
 }
 
+#[test]
+fn a_cold_server_gets_no_request_that_it_would_not_answer_in_time() {
+    let rows = vec![server("cold", "a1", 10), server("well", "a1", 10)];
+    let mut host = ready(0, ms(0), rows);
+    let unknown = key_of(&mut host, 5, "cold");
+    let row = with(server("cold", "a1", 10), 20, |server| server.cold_ms = 5_000);
+    host.read(ms(100), Table::Servers, vec![row]);
+    host.tick(ms(1_200));
+    // 450 ms of work for a key that it does not know, twice that while it is cold; the
+    // route's time-out is 800 ms.
+    assert_eq!(to(&mut host, 1_300, unknown).as_deref(), Some("well"));
+}
+
+#[test]
+fn a_cold_server_gets_requests_of_keys_that_it_knows() {
+    let rows = vec![server("cold", "a1", 10), server("well", "a1", 10)];
+    let mut host = ready(0, ms(0), rows);
+    let known = key_of(&mut host, 5, "cold");
+    let cold = host.servers().find("cold").expect("it is known");
+    host.learn(ms(50), cold, known);
+    let row = with(server("cold", "a1", 10), 20, |server| server.cold_ms = 5_000);
+    host.read(ms(100), Table::Servers, vec![row]);
+    host.tick(ms(1_200));
+    assert_eq!(to(&mut host, 1_300, known).as_deref(), Some("cold"));
+}
+
 fn answers(host: &mut Steer, from: u64, index: Index, outcome: Outcome) {
     for at in (from..from + 400).step_by(10) {
         let Choice::Send(sent) = send(host, ms(at), &once(), at) else { continue };
