Mend the test of second servers, which took one queue for another

Now it asks for what the change is about: with 15 of 24 slots occupied some requests of a full server's key go elsewhere.

--- a/elmstream_steer/tests/patience.rs
+++ b/elmstream_steer/tests/patience.rs
@@ -67,15 +67,13 @@
             to(&mut host, 10, *key).expect("three of six slots");
         }
     }
-    // The first of them goes elsewhere once another one would answer sooner.
-    let mut met = Vec::new();
-    while met.len() < 40 && met.iter().filter(|name| *name == "full").count() < 6 {
-        met.extend(to(&mut host, 10, keys[0]));
+    // With those, 15 of 24 slots are occupied.
+    for _ in 0..6 {
+        assert_eq!(to(&mut host, 10, keys[0]).as_deref(), Some("full"));
     }
-    let elsewhere = to(&mut host, 10, keys[0]).expect("others have room");
-    let used = 9 + met.len();
-    assert!(used >= 15, "{used} of 24 slots");
-    assert_ne!(elsewhere, "full");
+    let later: Vec<Option<String>> = (0..6).map(|_| to(&mut host, 10, keys[0])).collect();
+    let elsewhere = |name: &Option<String>| name.as_ref().is_some_and(|name| name != "full");
+    assert!(later.iter().any(elsewhere), "{later:?}");
 }
 
 #[test]
