Let callers who come back wait longer than newcomers

Newcomers and those who came back met the same bound. So who came first gets the next slot, and newcomers are told when to come back.

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -45,6 +45,8 @@
     pub came: Time,
     /// When it must have its final answer.
     pub until: Time,
+    /// Whether its caller has most likely been refused before.
+    pub returning: bool,
 }
 
 impl Call {
@@ -118,8 +120,9 @@
     let uri = path.parse().unwrap_or(head.uri);
     let service = routes::service(&route, draw).to_owned();
     let until = came + waits.min(route.timeout_ms) * MILLI;
-    let method = head.method;
-    Call { id, service, key, keyed, method, uri, headers: kept, body, came, until, route }
+    let returning = edge.steer.borrow_mut().returns(came, &route.name, waits);
+    let (method, headers) = (head.method, kept);
+    Call { id, service, key, keyed, method, uri, headers, body, came, until, returning, route }
 }
 
 /// An answer of the host's own, without a body.
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -80,7 +80,8 @@
     while tried.servers.len() < call.route.attempts.max(1) as usize && call.left() > LEAST {
         let again = !tried.servers.is_empty();
         let (route, service) = (&call.route, &call.service);
-        let ask = Ask { route, service, key: call.key, tried: &tried.servers };
+        let (key, returning) = (call.key, call.returning);
+        let ask = Ask { route, service, key, tried: &tried.servers, returning };
         let index = match choose(edge, &ask, again) {
             Ok(index) => index,
             Err(refusal) if again => {
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -30,6 +30,8 @@
 /// 250 ms later at least and may be refused again. Measured in docs/DECISIONS.md: at
 /// 0.85, 1 and 1.4 ever fewer are lost; at 2 and 2.8 queues make most answers late.
 const AIM_PART: f64 = 1.4;
+/// The same for a caller who was refused before, and would be lost if refused again.
+const RETURN_PART: f64 = 2.0;
 /// Least part of the objective that a wait may take.
 const WAIT_LEAST: f64 = 0.1;
 /// Servers of the first region, and of each further one, that are considered.
@@ -64,6 +66,8 @@
     pub key: u64,
     /// Servers that it was sent to before.
     pub tried: &'a [Index],
+    /// Whether its caller has most likely been refused before.
+    pub returning: bool,
 }
 
 /// Where a request goes.
@@ -198,7 +202,7 @@
         least_wait = least_wait.min(wait);
         let first = step == 0.0;
         let usable = if first || knows {
-            wait <= patience_ms(scene, ask.route, candidate.entry, pace)
+            wait <= patience_ms(scene, ask, candidate.entry, pace)
         } else {
             load < SECOND_MAX && spare(candidate)
         };
@@ -309,10 +313,11 @@
 }
 
 /// The longest wait that a request of the route is sent into, in milliseconds.
-fn patience_ms(scene: &Scene<'_>, route: &Route, entry: &Entry, pace: Pace) -> f64 {
-    let objective = route.objective_ms as f64;
+fn patience_ms(scene: &Scene<'_>, ask: &Ask<'_>, entry: &Entry, pace: Pace) -> f64 {
+    let objective = ask.route.objective_ms as f64;
+    let part = if ask.returning { RETURN_PART } else { AIM_PART };
     let away = if entry.region == scene.place.1 { 0.0 } else { AWAY_MS };
-    let left = objective * AIM_PART - pace.knowing_ms * entry.slowness(scene.now).max(1.0) - away;
+    let left = objective * part - pace.knowing_ms * entry.slowness(scene.now).max(1.0) - away;
     left.max(objective * WAIT_LEAST)
 }
 
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod model;
 pub mod readers;
 pub mod reading;
+pub mod returns;
 pub mod routes;
 pub mod server;
 pub mod servers;
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -19,6 +19,7 @@
     members::Members,
     model::{Limits, Route},
     readers::FAR_MS,
+    returns::Returns,
     routes::RouteTable,
     servers::{Index, Outcome, ServerTable},
     settings::{Bounds, Settings},
@@ -45,6 +46,7 @@
     pub(crate) warmth: Warmth,
     pub(crate) members: Members,
     pub(crate) budgets: Budgets,
+    pub(crate) returns: Returns,
     pub(crate) number: u64,
     pub(crate) store: bool,
     pub(crate) store_ms: u16,
@@ -122,6 +124,7 @@
             warmth: Warmth::default(),
             members,
             budgets: Budgets::default(),
+            returns: Returns::default(),
             number: 0,
             store: true,
             store_ms: FAR_MS,
@@ -249,6 +252,12 @@
         self.budgets.earn(service, bounds.retry_ratio, bounds.retry_slack, self.live.len());
     }
 
+    /// Whether a request of a route, whose caller waits so many milliseconds, most
+    /// likely comes from one who was refused before.
+    pub fn returns(&mut self, now: Time, route: &str, left_ms: u64) -> bool {
+        self.returns.returns(now, route, left_ms)
+    }
+
     /// Whether the budget has a repeat left for a service.
     pub fn affords(&self, service: &str) -> bool {
         self.budgets.affords(service)
--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -134,7 +134,7 @@
 
 /// Sends a request of a key.
 pub fn send(steer: &mut Steer, now: Time, route: &Route, key: u64) -> Choice {
-    steer.send(now, &Ask { route, service: SERVICE, key, tried: &[] })
+    steer.send(now, &Ask { route, service: SERVICE, key, tried: &[], returning: false })
 }
 
 /// The id of a server.
