Tell in the lines whether a server was taken to know the key, and who had slots free

Cause: what binds could be seen only with lines added by hand: whether an answer met a server that knew its key, and how many servers had a slot free when an attempt was refused as full. Change: `knew` at each try, `free` and `returning` at refusals; as many lines as before.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -247,7 +247,8 @@
         "id": call.id, "code": code.number(),
         "route": call.route.name, "service": call.service, "status": 503,
         "reason": format!("{:?}", refusal.reason), "retry_ms": refusal.retry_ms,
-        "servers": refusal.servers, "load_percent": refusal.load, "took_ms": took / MILLI,
+        "servers": refusal.servers, "free": refusal.free, "load_percent": refusal.load,
+        "took_ms": took / MILLI, "returning": call.returning,
         "version": edge.steer.borrow().version(),
         "stale_ms": edge.steer.borrow().staleness(clock::now()) / MILLI,
     });
@@ -310,7 +311,10 @@
     let tries = tried.notes.iter().map(|(id, outcome, micros)| {
         let entry = steer.servers().find(id).and_then(|index| steer.servers().get(index));
         let occupied = entry.map(|entry| entry.occupied(now));
-        json!({"server": id, "outcome": outcome.name(), "ms": micros / MILLI, "occupied": occupied})
+        json!({
+            "server": id, "outcome": outcome.name(), "ms": micros / MILLI,
+            "occupied": occupied, "knew": outcome.knew(),
+        })
     });
     let tries: Vec<_> = tries.collect();
     let fields = json!({
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -88,6 +88,8 @@
     pub retry_ms: u64,
     /// Servers that were considered.
     pub servers: u32,
+    /// Those of them with a slot free.
+    pub free: u32,
     /// Occupied part of their slots, in hundredths.
     pub load: u32,
 }
@@ -95,7 +97,7 @@
 impl Refusal {
     /// A refusal for which no server was considered.
     pub fn of(reason: Reason, retry_ms: u64) -> Refusal {
-        Refusal { reason, retry_ms, servers: 0, load: 0 }
+        Refusal { reason, retry_ms, servers: 0, free: 0, load: 0 }
     }
 }
 
@@ -153,18 +155,21 @@
     /// The emptiest server with room to spare.
     emptiest: Option<Candidate<'a>>,
     count: u32,
+    free: u32,
     slots: u32,
     used: u32,
 }
 
 impl<'a> Field<'a> {
     fn new(regions: usize) -> Field<'a> {
-        Field { ranks: vec![Vec::new(); regions], emptiest: None, count: 0, slots: 0, used: 0 }
+        let ranks = vec![Vec::new(); regions];
+        Field { ranks, emptiest: None, count: 0, free: 0, slots: 0, used: 0 }
     }
 
     fn add(&mut self, candidate: Candidate<'a>) {
         let slots = candidate.entry.server.slots;
         self.count += 1;
+        self.free += u32::from(candidate.occupied < slots);
         self.slots += slots;
         self.used += candidate.occupied.min(slots);
         if spare(&candidate) && self.emptiest.is_none_or(|best| emptier(&candidate, &best)) {
@@ -219,6 +224,7 @@
         Some(index) => Choice::Send(index),
         None => Choice::Refuse(Refusal {
             servers: field.count,
+            free: field.free,
             load: (load * 100.0) as u32,
             ..Refusal::of(Reason::Full, retry_ms(least_wait))
         }),
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -126,6 +126,14 @@
 }
 
 impl Outcome {
+    /// Whether the server was taken to know the key; none if it did not answer.
+    pub fn knew(self) -> Option<bool> {
+        match self {
+            Outcome::Answered { knew, .. } => Some(knew),
+            _ => None,
+        }
+    }
+
     /// Its name in logs.
     pub fn name(self) -> &'static str {
         match self {
