Tell what binds from hosts' lines: elmstream_bench analyze FILES

Now a command tells by window and service what became of requests and tries, what refusals rested on (load by tenths, slots free, callers who came back), how long answers of servers that were taken to know the key took, and the longest silences with who said so. Text only; no drawing yet. The tool is no part of the deployed program.

--- a/elmstream_bench/src/cli.rs
+++ b/elmstream_bench/src/cli.rs
@@ -38,6 +38,13 @@
     /// Run the guided trial: the whole path in one process, with a report
     #[bpaf(command)]
     Trial,
+    /// Tell what binds, from the JSON lines that hosts wrote
+    #[bpaf(command)]
+    Analyze {
+        /// Files of lines, of any hosts
+        #[bpaf(positional("FILE"), some("name a file of lines"))]
+        files: Vec<String>,
+    },
     /// Print the capacity slopes
     #[bpaf(command)]
     Slope,
--- a/elmstream_bench/src/lib.rs
+++ b/elmstream_bench/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
 
+pub mod analyze;
 pub mod cli;
 pub mod experiment;
 pub mod fleet;
--- a/elmstream_bench/src/main.rs
+++ b/elmstream_bench/src/main.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, process::ExitCode};
 
 use elmstream_bench::{
+    analyze,
     cli::{self, Command},
     experiment,
     sizes::{KLOOFSIG, LEOBENTAL, User},
@@ -12,6 +13,9 @@
 fn main() -> ExitCode {
     let result = match cli::command().run() {
         Command::Trial => trial::run(),
+        Command::Analyze { files } => analyze::files(&files)
+            .map(|report| print!("{}", report.text()))
+            .map_err(|error| error.to_string()),
         Command::Slope => {
             slope::run();
             Ok(())
