--- a/elmstream_bench/src/analyze.rs
+++ b/elmstream_bench/src/analyze.rs
@@ -52,9 +52,21 @@
     tried: Vec<Tried>,
     server: Option<String>,
     state: Option<String>,
-    from: Option<String>,
     #[serde(default)]
     dropped: u64,
+    /// What stands before the line: the host's name, if lines of several are put together.
+    #[serde(skip)]
+    host: String,
+}
+
+impl Line {
+    /// A line of a host; none if it is something else.
+    fn parse(text: &str) -> Option<Line> {
+        let at = text.find('{')?;
+        let mut line: Line = serde_json::from_str(&text[at..]).ok()?;
+        line.host = text[..at].split_whitespace().last().unwrap_or_default().to_owned();
+        Some(line)
+    }
 }
 
 /// A try at a server.
@@ -93,13 +105,16 @@
     tenths: [u32; 11],
 }
 
+/// Since when servers have been silent, by server and host.
+type Silent = BTreeMap<(String, String), u64>;
+
 /// What lines tell.
 #[derive(Debug, Default)]
 pub struct Report {
     begin: u64,
     windows: BTreeMap<(String, u64), Window>,
     refusals: BTreeMap<(String, String), Refusals>,
-    /// Spans of silence: length in milliseconds, server, who said so, when it began.
+    /// Spans of silence: length in milliseconds, server, host that said so, when it began.
     silences: Vec<(u64, String, String, u64)>,
     dropped: u64,
 }
@@ -118,22 +133,21 @@
     /// What a text of lines tells; none if it holds none. What stands before the first
     /// brace of a line, and lines that are not a host's, are passed over.
     pub fn of(text: &str) -> Option<Report> {
-        let json = text.lines().filter_map(|line| line.find('{').map(|at| &line[at..]));
-        let mut lines: Vec<Line> =
-            json.filter_map(|json| serde_json::from_str(json).ok()).collect();
+        let mut lines: Vec<Line> = text.lines().filter_map(Line::parse).collect();
         lines.sort_by_key(|line| line.unix_ms);
         let mut report = Report { begin: lines.first()?.unix_ms, ..Report::default() };
-        let mut silent: BTreeMap<(String, String), u64> = BTreeMap::new();
+        let mut silent = Silent::new();
         for line in &lines {
             report.dropped += line.dropped;
             match &line.service {
                 Some(service) => report.request(service, line),
+                None if line.event == "start" => silent.retain(|(_, host), _| *host != line.host),
                 None => report.belief(&mut silent, line),
             }
         }
         let end = lines.last()?.unix_ms;
-        for ((server, from), since) in silent {
-            report.silences.push((end - since, server, from, since));
+        for ((server, host), since) in silent {
+            report.silences.push((end - since, server, host, since));
         }
         report.silences.sort_by(|a, b| b.cmp(a));
         Some(report)
@@ -156,12 +170,9 @@
         }
     }
 
-    fn belief(&mut self, silent: &mut BTreeMap<(String, String), u64>, line: &Line) {
-        let (Some(server), Some(state), Some(from)) = (&line.server, &line.state, &line.from)
-        else {
-            return;
-        };
-        let key = (server.clone(), from.clone());
+    fn belief(&mut self, silent: &mut Silent, line: &Line) {
+        let (Some(server), Some(state)) = (&line.server, &line.state) else { return };
+        let key = (server.clone(), line.host.clone());
         if state == "silent" {
             silent.entry(key).or_insert(line.unix_ms);
         } else if let Some(since) = silent.remove(&key) {
@@ -204,10 +215,10 @@
 
     fn silent(&self, text: &mut String) {
         let _ = writeln!(text, "longest silences, as each host saw them");
-        for (length, server, from, since) in self.silences.iter().take(SPANS) {
+        for (length, server, host, since) in self.silences.iter().take(SPANS) {
             let at = (since - self.begin) as f64 / 1_000.0;
             let _ =
-                writeln!(text, "  {server} for {length} ms from second {at:.1}, said by {from}");
+                writeln!(text, "  {server} for {length} ms from second {at:.1}, said by {host}");
         }
     }
 }
--- a/elmstream_bench/tests/analyze.rs
+++ b/elmstream_bench/tests/analyze.rs
@@ -8,8 +8,11 @@
 {"unix_ms":1200,"event":"answered","service":"shop","tried":[{"server":"s2","outcome":"full","ms":3,"knew":null},{"server":"s1","outcome":"answered","ms":300,"knew":false}],"dropped":7}
 {"unix_ms":3500,"event":"refused","service":"shop","reason":"Full","load_percent":73,"free":4,"returning":true}
 {"unix_ms":3600,"event":"refused","service":"shop","reason":"Full","load_percent":100,"free":0,"returning":false}
-{"unix_ms":2000,"event":"server","server":"s2","state":"silent","from":"time"}
-{"unix_ms":4500,"event":"server","server":"s2","state":"answers","from":"time"}
+  1.0 host-1 {"unix_ms":2000,"event":"server","server":"s2","state":"silent","from":"time"}
+  1.5 host-2 {"unix_ms":2500,"event":"server","server":"s2","state":"answers","from":"time"}
+  3.5 host-1 {"unix_ms":4500,"event":"server","server":"s2","state":"answers","from":"time"}
+  1.0 host-3 {"unix_ms":2000,"event":"server","server":"s3","state":"silent","from":"time"}
+  1.0 host-3 {"unix_ms":2010,"event":"start","host":"host-3"}
 not a line
 {"unix_ms":5000,"event":"server","server":"s1","state":"silent","from":"time"}
 "#;
@@ -22,11 +25,12 @@
         "refused, Full: 2, of them 1 with a slot free, 1 came back; by tenth of the load [0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 1]",
         "   0: answered 2; answered 2, full 1; 80 (1), 300 (1); 1 servers",
         "   2: refused 2; ; -, -; 0 servers",
-        "s2 for 2500 ms from second 1.0, said by time",
+        "s2 for 2500 ms from second 1.0, said by host-1",
         "left out by the hosts: 7",
     ] {
         assert!(text.contains(told), "{told}\n{text}");
     }
+    assert!(!text.contains("s3 for"), "a host that started anew waits for nothing\n{text}");
 }
 
 #[test]
