Reproduce late news after a short silence of the store in virtual time (red)

Cause, as far as it is traced: hosts ask a silent store nearly together, fail together, and pause for 0.5 s + 60 ms a host. Ruled out by it: anything of the network, processors or the adapter; the test has none of them.

--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -146,3 +146,20 @@
 pub fn ms(millis: u64) -> Time {
     Time(1_000_000 * MILLI + millis * MILLI)
 }
+
+/// What becomes of a host's calls to the store.
+pub mod store {
+    use super::*;
+
+    /// The store answered with these rows.
+    pub fn answered(host: &mut Steer, now: Time, table: Table, rows: Vec<Row>) {
+        host.store_serves(true);
+        host.read(now, table, rows);
+    }
+
+    /// A call failed; how long the host pauses, in microseconds.
+    pub fn failed(host: &mut Steer, now: Time, _: Table) -> u64 {
+        host.store_serves(false);
+        elmstream_steer::readers::pause(host.members().live(now).count() + 1)
+    }
+}
