Tell a silent store from a silent connection, and how late its loss was seen

Cause: store_lost named the table and the transport's word only. A common pause, a kept connection that had fallen silent and news that do not spread looked alike. Change: store_lost says whether the connection had been kept, how long the call took, how old the table had become, and how many hosts were live; store_regained says after how long. Conclusion: sight only; nothing is decided differently.

--- a/elmstream_edge/src/reader.rs
+++ b/elmstream_edge/src/reader.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use elmstream::time::MILLI;
+use elmstream::time::{MILLI, Time};
 use elmstream_steer::{readers, steer::Change, view::Table};
 use elmstreamd::clock;
 use serde_json::json;
@@ -17,8 +17,9 @@
 /// Reads a table until the process ends.
 pub async fn run<S: Source>(edge: Rc<Edge>, source: Rc<S>, table: Table) {
     let mut cursor = None;
-    let mut failing = false;
+    let mut lost: Option<Time> = None;
     loop {
+        let asked = clock::now();
         if !edge.steer.borrow().must_read(clock::now(), table) {
             compio::time::sleep(LOOK).await;
             continue;
@@ -27,18 +28,16 @@
             Ok(version) => {
                 cursor = version;
                 edge.steer.borrow_mut().store_serves(true);
-                if failing {
-                    edge.journal.write("store_regained", json!({"table": format!("{table:?}")}));
+                if let Some(since) = lost.take() {
+                    regained(&edge, table, since);
                 }
-                failing = false;
             }
             Err(error) => {
                 edge.steer.borrow_mut().store_serves(false);
-                if !failing {
-                    let fields = json!({"table": format!("{table:?}"), "error": error.to_string()});
-                    edge.journal.write("store_lost", fields);
+                if lost.is_none() {
+                    lost_store(&edge, table, asked, &error);
+                    lost = Some(clock::now());
                 }
-                failing = true;
                 let hosts = edge.steer.borrow().members().live(clock::now()).count();
                 compio::time::sleep(Duration::from_micros(readers::pause(hosts + 1))).await;
             }
@@ -46,6 +45,26 @@
     }
 }
 
+/// Writes that the store served this host's calls again, and for how long it had not.
+fn regained(edge: &Rc<Edge>, table: Table, since: Time) {
+    let after = clock::now().since(since) / MILLI;
+    edge.journal.write("store_regained", json!({"table": format!("{table:?}"), "after_ms": after}));
+}
+
+/// Writes that a call failed, how long it took, and how old what is known of the table
+/// has become meanwhile.
+fn lost_store(edge: &Rc<Edge>, table: Table, asked: Time, error: &SourceError) {
+    let now = clock::now();
+    let steer = edge.steer.borrow();
+    let age = steer.view().age(now, table).map(|age| age / MILLI);
+    let fields = json!({
+        "table": format!("{table:?}"), "error": error.to_string(), "kept": error.kept(),
+        "took_ms": now.since(asked) / MILLI, "age_ms": age,
+        "hosts": steer.members().live(now).count() + 1,
+    });
+    edge.journal.write("store_lost", fields);
+}
+
 /// One call; the version to go on from, or none to read all.
 async fn read<S: Source>(
     edge: &Rc<Edge>,
--- a/elmstream_edge/src/source.rs
+++ b/elmstream_edge/src/source.rs
@@ -16,6 +16,8 @@
     Unreachable {
         /// What the transport said.
         cause: String,
+        /// Whether the connection had been kept from an earlier call.
+        kept: bool,
     },
     /// The store refused.
     #[snafu(display("refused with {status}"))]
@@ -31,6 +33,14 @@
     },
 }
 
+impl SourceError {
+    /// Whether the call was made over a connection that had been kept, which may have
+    /// fallen silent while new ones work.
+    pub fn kept(&self) -> bool {
+        matches!(self, SourceError::Unreachable { kept: true, .. })
+    }
+}
+
 /// Rows of a table, and the store's version that they are of.
 #[derive(Debug)]
 pub struct Rows {
--- a/elmstream_soak/src/host.rs
+++ b/elmstream_soak/src/host.rs
@@ -35,7 +35,7 @@
         path: String,
         wait: Duration,
     ) -> Result<T, SourceError> {
-        let lost = |cause: String| SourceError::Unreachable { cause };
+        let lost = |cause: String| SourceError::Unreachable { cause, kept: false };
         let exchange = async {
             let mut sender =
                 client::connect(self.address, ANSWER).await.map_err(|e| lost(e.to_string()))?;
