Let a fleet of any size find the store back within a few tenths of a second

Cause: time-outs and back-offs in series with no bound on their sum. All hosts beyond the fifth rank asked a silent store at the same moment, failed together after 0.6 s, and each paused for 0.5 s + 60 ms a host. So nobody asked for 3.1 s after the store was back (74 hosts), while a configuration is due in 3 s. Ruled out: the network and the adapter, by the test in virtual time; a fleet of 12 pauses 1.2 s and was never late. Change: - Five ranks take over as before. All others, and those whose call failed, ask at times of their own, spread so that the fleet asks for a table once in 100 ms. - Who was told of news and cannot fetch them for 0.5 s asks the store itself. - Hosts that lost the store find out by turns that it serves them again, so that there are ranks to take over; before, only the reader was left after an outage. - The second host takes over at 0.35 of the bound (0.4), and the reader's call waits 0.12 of it (0.3), so that the second host is silent while the first reads. - A call that fails over a kept connection is made anew at once; a connection that rested for 2 s is not used again; an old version is not gone on from, as the changes after it are more than the table; changes are read to their last page.

--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -4,7 +4,7 @@
 
 use compio::net::{TcpListener, UdpSocket};
 use elmstream_http::{Stop, Stopper, server};
-use elmstream_steer::{readers, view::TABLES};
+use elmstream_steer::view::TABLES;
 use elmstreamd::{clock, telemetry};
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
@@ -130,10 +130,10 @@
     }
 }
 
-/// Waits before the store is asked once more, the longer the larger the fleet is.
+/// Waits before the store is asked once more.
 async fn start_pause(edge: &Edge) {
-    let hosts = edge.steer.borrow().members().live(clock::now()).count();
-    compio::time::sleep(Duration::from_micros(readers::pause(hosts + 1))).await;
+    let pause = edge.steer.borrow().store_pause(clock::now());
+    compio::time::sleep(Duration::from_micros(pause)).await;
 }
 
 fn spawn(task: impl Future<Output = ()> + 'static) {
--- a/elmstream_edge/src/reader.rs
+++ b/elmstream_edge/src/reader.rs
@@ -2,79 +2,131 @@
 
 use std::{rc::Rc, time::Duration};
 
-use elmstream::time::{MILLI, Time};
-use elmstream_steer::{readers, steer::Change, view::Table};
+use elmstream::time::{MILLI, SECOND, Time};
+use elmstream_steer::{
+    readers::{self, Why},
+    view::Table,
+};
 use elmstreamd::clock;
 use serde_json::json;
 
 use crate::{Source, SourceError, edge::Edge, source::Rows};
 
 /// Pause between two looks at whether it is this host's turn.
-const LOOK: Duration = Duration::from_millis(60);
-/// Part of the bound on configurations that a call waits for changes.
-const WAIT_PART: f64 = 0.3;
+pub const LOOK: Duration = Duration::from_millis(60);
+/// How long a version may have rested for changes after it to be asked for.
+///
+/// Backend servers write every second or two, each time as a change, so after that
+/// long the changes are more than the whole table, and may not come in time.
+const CURSOR_KEEP: u64 = 2 * SECOND;
+
+/// How far a host has read a table.
+#[derive(Clone, Copy, Debug)]
+struct Cursor {
+    version: u64,
+    at: Time,
+}
 
 /// Reads a table until the process ends.
 pub async fn run<S: Source>(edge: Rc<Edge>, source: Rc<S>, table: Table) {
-    let mut cursor = None;
+    let mut cursor: Option<Cursor> = None;
     let mut lost: Option<Time> = None;
     loop {
-        let asked = clock::now();
-        if !edge.steer.borrow().must_read(clock::now(), table) {
+        let now = clock::now();
+        let Some(why) = edge.steer.borrow().must_read(now, table) else {
             compio::time::sleep(LOOK).await;
             continue;
-        }
-        match read(&edge, &*source, table, cursor).await {
+        };
+        let labels = [("table", name(table)), ("why", why.name())];
+        metrics::counter!("elmstream_store_calls", &labels).increment(1);
+        let after = cursor.filter(|cursor| now.since(cursor.at) < CURSOR_KEEP);
+        match read(&edge, &*source, table, after.map(|cursor| cursor.version)).await {
             Ok(version) => {
-                cursor = version;
-                edge.steer.borrow_mut().store_serves(true);
+                let version = version.inspect(|version| {
+                    edge.steer.borrow_mut().store_answered(table, why, *version);
+                });
+                cursor = version.map(|version| Cursor { version, at: clock::now() });
                 if let Some(since) = lost.take() {
-                    regained(&edge, table, since);
+                    regained(&edge, table, why, since);
                 }
             }
             Err(error) => {
-                edge.steer.borrow_mut().store_serves(false);
+                metrics::counter!("elmstream_store_calls_failed", &labels).increment(1);
                 if lost.is_none() {
-                    lost_store(&edge, table, asked, &error);
+                    lost_store(&edge, table, why, now, &error);
                     lost = Some(clock::now());
                 }
-                let hosts = edge.steer.borrow().members().live(clock::now()).count();
-                compio::time::sleep(Duration::from_micros(readers::pause(hosts + 1))).await;
+                edge.steer.borrow_mut().store_failed(clock::now(), table);
             }
         }
     }
 }
 
+/// The name of a table in logs and metrics.
+fn name(table: Table) -> &'static str {
+    match table {
+        Table::Rules => "Rules",
+        Table::Servers => "Servers",
+    }
+}
+
 /// Writes that the store served this host's calls again, and for how long it had not.
-fn regained(edge: &Rc<Edge>, table: Table, since: Time) {
-    let after = clock::now().since(since) / MILLI;
-    edge.journal.write("store_regained", json!({"table": format!("{table:?}"), "after_ms": after}));
+fn regained(edge: &Rc<Edge>, table: Table, why: Why, since: Time) {
+    let fields = json!({
+        "table": name(table), "why": why.name(),
+        "after_ms": clock::now().since(since) / MILLI,
+    });
+    edge.journal.write("store_regained", fields);
 }
 
-/// Writes that a call failed, how long it took, and how old what is known of the table
-/// has become meanwhile.
-fn lost_store(edge: &Rc<Edge>, table: Table, asked: Time, error: &SourceError) {
+/// Writes that a call failed: why it was made, how long it took, and how old what is
+/// known of the table has become meanwhile.
+fn lost_store(edge: &Rc<Edge>, table: Table, why: Why, asked: Time, error: &SourceError) {
     let now = clock::now();
     let steer = edge.steer.borrow();
     let age = steer.view().age(now, table).map(|age| age / MILLI);
     let fields = json!({
-        "table": format!("{table:?}"), "error": error.to_string(), "kept": error.kept(),
+        "table": name(table), "error": error.to_string(), "why": why.name(),
+        "kept": error.kept(),
         "took_ms": now.since(asked) / MILLI, "age_ms": age,
         "hosts": steer.members().live(now).count() + 1,
     });
     edge.journal.write("store_lost", fields);
 }
 
-/// One call; the version to go on from, or none to read all.
+/// Reads what is new; the version to go on from, or none to read all.
+///
+/// A kept connection may have fallen silent for good while new ones work, on all hosts
+/// at once. So a call that fails over one is made anew at once, and only the failure of
+/// that one speaks of the store.
 async fn read<S: Source>(
     edge: &Rc<Edge>,
     source: &S,
     table: Table,
-    cursor: Option<u64>,
+    after: Option<u64>,
+) -> Result<Option<u64>, SourceError> {
+    let bound = edge.settings.bounds.configuration_ms as f64;
+    let wait = Duration::from_micros((bound * readers::WAIT_PART) as u64 * MILLI);
+    match call(edge, source, table, (after, wait)).await {
+        Err(SourceError::Unreachable { cause, kept: true }) => {
+            metrics::counter!("elmstream_store_connections_lost").increment(1);
+            let fields = json!({"table": name(table), "error": cause});
+            edge.journal.write("store_connection_lost", fields);
+            call(edge, source, table, (after, Duration::ZERO)).await
+        }
+        read => read,
+    }
+}
+
+/// One call: changes after a version, for which the store may wait, or all rows.
+async fn call<S: Source>(
+    edge: &Rc<Edge>,
+    source: &S,
+    table: Table,
+    (after, wait): (Option<u64>, Duration),
 ) -> Result<Option<u64>, SourceError> {
-    metrics::counter!("elmstream_store_calls", "table" => format!("{table:?}")).increment(1);
-    let Some(after) = cursor else {
-        let asked = clock::now();
+    let asked = clock::now();
+    let Some(after) = after else {
         let Rows { version, rows } = source.all(table).await?;
         let now = clock::now();
         let mut steer = edge.steer.borrow_mut();
@@ -83,21 +135,14 @@
         }
         let changes = steer.read_all(now, table, version, rows);
         drop(steer);
-        learned(edge, &changes);
+        edge.note("store", &changes);
         return Ok(Some(version));
     };
-    let bound = edge.settings.bounds.configuration_ms as f64;
-    let wait = Duration::from_micros((bound * WAIT_PART) as u64 * MILLI);
     let Some(Rows { version, rows }) = source.changes(table, after, wait).await? else {
-        edge.journal.write("store_history_gone", json!({"table": format!("{table:?}")}));
+        edge.journal.write("store_history_gone", json!({"table": name(table)}));
         return Ok(None);
     };
-    let now = clock::now();
-    let changes = edge.steer.borrow_mut().read(now, table, rows);
-    learned(edge, &changes);
+    let changes = edge.steer.borrow_mut().read(clock::now(), table, rows);
+    edge.note("store", &changes);
     Ok(Some(version))
 }
-
-fn learned(edge: &Rc<Edge>, changes: &[Change]) {
-    edge.note("store", changes);
-}
--- a/elmstream_edge/src/source.rs
+++ b/elmstream_edge/src/source.rs
@@ -8,6 +8,11 @@
 };
 use snafu::Snafu;
 
+/// Time in which an answer of the store must come, beyond the wait that was asked for.
+///
+/// A store that takes fifty times its usual few milliseconds still answers within it.
+pub const ANSWER: Duration = Duration::from_millis(600);
+
 /// Why a call to the store gave nothing.
 #[derive(Debug, Snafu)]
 pub enum SourceError {
@@ -51,6 +56,9 @@
 }
 
 /// A store with rules, servers and hosts.
+///
+/// A call ends within its wait and [`ANSWER`] for each page. After one that failed no
+/// kept connection is used.
 pub trait Source: 'static {
     /// All rows of a table.
     fn all(&self, table: Table) -> impl Future<Output = Result<Rows, SourceError>>;
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -11,7 +11,7 @@
     hash,
     members::Targets,
     servers::{Entry, Pace},
-    steer::{Change, State, Steer},
+    steer::{Change, State, Steer, Told},
     view::{TABLES, Table},
 };
 
@@ -72,7 +72,7 @@
             number: self.number,
             ready: self.ready,
             leaving: self.leaving,
-            store_ms: self.store.then_some(self.store_ms),
+            store_ms: self.calls.served().then_some(self.store_ms),
             known,
             loads,
             lessons: self.warmth.tell(),
@@ -105,6 +105,7 @@
             let Some(reading) = known.reading else { continue };
             if mark.fresh.is_none() || known.version > mark.version {
                 wanted.push((table, mark.version));
+                self.lacks(now, table, known.version);
             } else if known.version == mark.version {
                 self.view.confirm(now, table, known.version, reading);
             }
@@ -112,6 +113,15 @@
         Some(News { joined: heard.joined, wanted })
     }
 
+    /// Remembers since when others have known more, until this host knows as much.
+    fn lacks(&mut self, now: Time, table: Table, version: u64) {
+        let own = self.knows_up_to(table);
+        let behind = &mut self.behind[table as usize];
+        if version > own && behind.is_none_or(|told| told.version <= own) {
+            *behind = Some(Told { version, at: now });
+        }
+    }
+
     fn count(&mut self, loads: &[Load], add: bool) {
         let believed = !hears_little(loads);
         for load in loads {
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -4,7 +4,8 @@
 
 use crate::{
     beat::{Known, Reading},
-    readers,
+    hash,
+    readers::{self, Scene, Why},
     routes::RouteTable,
     steer::{Change, State, Steer},
     view::{Item, Key, Row, Table},
@@ -20,19 +21,58 @@
 const RETURN_MARGIN_MS: u64 = 1_000;
 
 impl Steer {
-    /// Whether this host has to ask the store for a table now.
-    pub fn must_read(&self, now: Time, table: Table) -> bool {
-        let live = self.members.live(now);
-        let served = live.filter_map(|member| Some((member.hash, member.store_ms?)));
-        let rank = readers::rank((self.hash, self.store_ms), served);
-        let rank = if self.store { rank } else { rank + 1 };
-        let patience = readers::patience(table, rank, self.settings.bounds.configuration_ms);
-        readers::due(now, self.view.mark(table).fresh, patience)
+    /// Whether this host has to ask the store for a table now, and why.
+    pub fn must_read(&self, now: Time, table: Table) -> Option<Why> {
+        self.calls.due(now, table, &self.scene(now, table))
     }
 
-    /// Whether the store served this host's last call.
-    pub fn store_serves(&mut self, serves: bool) {
-        self.store = serves;
+    fn scene(&self, now: Time, table: Table) -> Scene {
+        let served =
+            self.members.live(now).filter_map(|member| Some((member.hash, member.store_ms?)));
+        let ahead = match self.calls.served() {
+            true => readers::rank((self.hash, self.store_ms), served),
+            false => served.count() as u64,
+        };
+        let mark = self.view.mark(table);
+        let known = self.knows_up_to(table);
+        let behind = self.behind[table as usize].filter(|told| told.version > known);
+        let stamp = mark.reading.map_or(0, |reading| reading.stamp);
+        Scene {
+            fresh: mark.fresh,
+            draw: hash::unit(hash::pair(self.reader, stamp)),
+            ahead,
+            hosts: self.members.live(now).count() as u64 + 1,
+            behind: behind.map(|told| told.at),
+            bound_ms: self.settings.bounds.configuration_ms,
+        }
+    }
+
+    /// The store answered this host's call for a table, with all up to `version`.
+    pub fn store_answered(&mut self, table: Table, why: Why, version: u64) {
+        self.calls.answered(table, why == Why::Check);
+        let covered = &mut self.covered[table as usize];
+        *covered = version.max(*covered);
+    }
+
+    /// A call of this host for a table failed.
+    pub fn store_failed(&mut self, now: Time, table: Table) {
+        let draw = self.draw(now);
+        self.calls.failed(now, table, draw);
+    }
+
+    /// How long this host waits before it asks the store once more, in microseconds.
+    pub fn store_pause(&self, now: Time) -> u64 {
+        readers::pause(self.members.live(now).count() as u64 + 1, self.draw(now))
+    }
+
+    /// A number from 0 up to 1 that differs by host and time.
+    fn draw(&self, now: Time) -> f64 {
+        hash::unit(hash::pair(self.reader, now.0))
+    }
+
+    /// Version of a table up to which this host knows all that matters.
+    pub(crate) fn knows_up_to(&self, table: Table) -> u64 {
+        self.view.mark(table).version.max(self.covered[table as usize])
     }
 
     /// All servers were read in this time.
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -18,7 +18,7 @@
     lookup::{self, Ready},
     members::Members,
     model::{Limits, Route},
-    readers::FAR_MS,
+    readers::{Calls, FAR_MS},
     returns::Returns,
     routes::RouteTable,
     servers::{Index, Outcome, ServerTable},
@@ -48,7 +48,11 @@
     pub(crate) budgets: Budgets,
     pub(crate) returns: Returns,
     pub(crate) number: u64,
-    pub(crate) store: bool,
+    pub(crate) calls: Calls,
+    /// News of each table that others know and this host lacks.
+    pub(crate) behind: [Option<Told>; 2],
+    /// Version of each table that this host has itself read the store up to.
+    pub(crate) covered: [u64; 2],
     pub(crate) store_ms: u16,
     pub(crate) ready: bool,
     /// News that hosts must not wait for have come since the last beat.
@@ -58,6 +62,15 @@
     pub(crate) live: Vec<u64>,
 }
 
+/// News that another host told of.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Told {
+    /// Version of the table that the other host knows.
+    pub(crate) version: u64,
+    /// When it was first told.
+    pub(crate) at: Time,
+}
+
 /// What a change of the view brought about, for logs.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -126,7 +139,9 @@
             budgets: Budgets::default(),
             returns: Returns::default(),
             number: 0,
-            store: true,
+            calls: Calls::default(),
+            behind: [None; 2],
+            covered: [0; 2],
             store_ms: FAR_MS,
             ready: false,
             urgent: false,
--- a/elmstream_steer/tests/large.rs
+++ b/elmstream_steer/tests/large.rs
@@ -14,7 +14,9 @@
     servers::Outcome,
     view::{TABLES, Table},
 };
-use support::{COLD_PER_S, address, configuration, ms, ready, route, send, server, servers, with};
+use support::{
+    COLD_PER_S, address, configuration, ms, ready, route, send, server, servers, store, with,
+};
 
 const HOSTS: usize = 240;
 /// Least time between two beats of a host with urgent news, in milliseconds.
@@ -164,9 +166,9 @@
         let now = ms(fleet.at);
         for host in &mut fleet.hosts {
             for table in TABLES {
-                if host.must_read(now, table) {
+                if let Some(why) = host.must_read(now, table) {
                     calls += usize::from(fleet.at > 6_000);
-                    host.read(now, table, Vec::new());
+                    store::answered(host, now, (table, why), Vec::new());
                 }
             }
         }
--- a/elmstream_steer/tests/outage.rs
+++ b/elmstream_steer/tests/outage.rs
@@ -17,7 +17,8 @@
 
 use elmstream::time::MILLI;
 use elmstream_steer::{
-    Steer, members,
+    Steer, hash, members,
+    readers::Why,
     view::{Row, TABLES, Table},
 };
 use support::{address, configuration, ms, ready, servers, store};
@@ -31,12 +32,15 @@
 /// Time that a beat takes, and a fetch of rows from another host.
 const WAY: u64 = 40;
 const FETCH: u64 = 120;
+/// Least time between two beats of a host with urgent news.
+const URGENT: u64 = 100;
 /// When the store falls silent first.
 const SILENT: u64 = 6_000;
 
 /// A call to the store.
 #[derive(Clone, Copy)]
 struct Call {
+    why: Why,
     ends: u64,
     answered: bool,
 }
@@ -52,15 +56,18 @@
 struct Fleet {
     hosts: Vec<Steer>,
     places: BTreeMap<SocketAddr, usize>,
-    /// When each host beats next, and its rounds so far.
+    /// When each host beat last, and its rounds so far.
     due: Vec<(u64, u64)>,
     calls: Vec<[Option<Call>; 2]>,
-    paused: Vec<[u64; 2]>,
     on_the_way: BTreeMap<u64, Vec<(usize, usize, Message)>>,
     /// Configuration in the store, and the store's version of its row.
     stored: (u64, u64),
     /// Times at which calls began.
     begun: Vec<u64>,
+    /// A host that neither beats nor reads any more.
+    dead: Option<usize>,
+    /// A host whose fetches from other hosts fail.
+    without_fetches: Option<usize>,
 }
 
 impl Fleet {
@@ -74,10 +81,11 @@
             places: (0..hosts).map(|n| (address(2_000 + n), n)).collect(),
             due: (0..hosts).map(|n| ((n as u64 * 37) % 240, 0)).collect(),
             calls: vec![[None; 2]; hosts],
-            paused: vec![[0; 2]; hosts],
             on_the_way: BTreeMap::new(),
             stored: (1, 10),
             begun: Vec::new(),
+            dead: None,
+            without_fetches: None,
         }
     }
 
@@ -86,8 +94,11 @@
         for (from, to, message) in self.on_the_way.remove(&at).unwrap_or_default() {
             self.take(at, from, to, message);
         }
-        for n in 0..self.hosts.len() {
-            if self.due[n].0 <= at {
+        let dead = self.dead;
+        for n in (0..self.hosts.len()).filter(|n| Some(*n) != dead) {
+            let pause = members::pause(self.hosts[n].members().count()) / MILLI;
+            let pause = if self.hosts[n].urgent() { pause.min(URGENT) } else { pause };
+            if self.due[n].0 + pause <= at {
                 self.beat(at, n);
             }
             if at.is_multiple_of(100) {
@@ -99,6 +110,12 @@
         }
     }
 
+    /// Hash by which a host's readings are known.
+    fn reads_as(&self, n: usize) -> Option<u64> {
+        let host = &self.hosts[n].settings().host;
+        Some(hash::pair(hash::of(&host.name), self.hosts[n].settings().incarnation))
+    }
+
     fn beat(&mut self, at: u64, n: usize) {
         let (_, round) = self.due[n];
         let beat = Box::new(self.hosts[n].beat(ms(at)));
@@ -107,15 +124,15 @@
         for to in targets.near.iter().chain(&targets.far) {
             arrives.push((n, self.places[to], Message::Beat(beat.clone())));
         }
-        let pause = members::pause(self.hosts[n].members().count()) / MILLI;
-        self.due[n] = (at + pause, round + 1);
+        self.due[n] = (at, round + 1);
     }
 
     fn take(&mut self, at: u64, from: usize, to: usize, message: Message) {
         match message {
             Message::Beat(beat) => {
                 let Some(news) = self.hosts[to].hear(ms(at), &beat) else { return };
-                for (table, version) in news.wanted {
+                let fetches = Some(to) != self.without_fetches && Some(from) != self.dead;
+                for (table, version) in news.wanted.into_iter().filter(|_| fetches) {
                     let rows = self.hosts[from].view().since(table, version);
                     let known = self.hosts[from].known()[table as usize];
                     let message = Message::Rows(table, known, rows);
@@ -140,17 +157,14 @@
                 Table::Servers => Vec::new(),
             };
             match call.answered {
-                true => store::answered(&mut self.hosts[n], ms(at), table, rows),
-                false => {
-                    let pause = store::failed(&mut self.hosts[n], ms(at), table);
-                    self.paused[n][place] = at + pause / MILLI;
-                }
+                true => store::answered(&mut self.hosts[n], ms(at), (table, call.why), rows),
+                false => store::failed(&mut self.hosts[n], ms(at), table),
             }
         }
-        if self.paused[n][place] <= at && self.hosts[n].must_read(ms(at), table) {
+        if let Some(why) = self.hosts[n].must_read(ms(at), table) {
             self.begun.push(at);
             let ends = at + if well { ANSWER } else { LOST };
-            self.calls[n][place] = Some(Call { ends, answered: well });
+            self.calls[n][place] = Some(Call { why, ends, answered: well });
         }
     }
 }
@@ -176,10 +190,83 @@
 
 #[test]
 fn news_are_known_soon_after_a_silence_whatever_the_size_of_the_fleet() {
-    for hosts in [12, 74, 89] {
-        for length in (1_200..=3_000).step_by(600) {
-            let (took, _) = silence(hosts, length);
-            assert!(took <= 2_000, "{hosts} hosts, silent for {length} ms: known after {took} ms");
+    let short = [1_200, 1_800, 2_400, 3_000].map(|length| (12, length));
+    let large = [1_800, 2_400, 3_000].map(|length| (89, length));
+    for (hosts, length) in [&short[..], &large[..], &[(74, 2_400), (240, 2_400)]].concat() {
+        let (took, _) = silence(hosts, length);
+        assert!(took <= 1_500, "{hosts} hosts, silent for {length} ms: known after {took} ms");
+    }
+}
+
+#[test]
+fn a_store_that_is_away_is_asked_no_more_often_by_a_large_fleet() {
+    for hosts in [12, 89] {
+        let (_, calls) = silence(hosts, 8_000);
+        // Two tables, ten calls a second each, and those that ended the waiting before.
+        assert!((80..=200).contains(&calls), "{calls} calls of {hosts} hosts in 8 s");
+    }
+}
+
+/// How long a configuration takes to the last host if the host that reads falls silent
+/// just before it is stored.
+fn without_the_reader(hosts: usize, died: u64) -> u64 {
+    let mut fleet = Fleet::new(hosts);
+    let mut reader = None;
+    for at in (0..died + 10_000).step_by(STEP as usize) {
+        if at == died {
+            let last = fleet.hosts[0].view().mark(Table::Rules).reading;
+            let wrote = |n: &usize| fleet.reads_as(*n) == last.map(|reading| reading.reader);
+            reader = (0..hosts).find(wrote);
+            assert!(reader.is_some(), "somebody read last");
+            fleet.dead = reader;
+            fleet.stored = (2, 20);
+        }
+        fleet.step(at, true);
+        let knows = |n: usize| Some(n) == reader || fleet.hosts[n].version() == Some(2);
+        if at > died && (0..hosts).all(knows) {
+            return at - died;
+        }
+    }
+    panic!("some of {hosts} hosts still do not know it after 10 s");
+}
+
+#[test]
+fn news_are_in_time_though_the_host_that_reads_has_just_died() {
+    for hosts in [12, 89] {
+        for died in [6_000, 6_140, 6_320, 6_500] {
+            let took = without_the_reader(hosts, died);
+            assert!(took <= 1_900, "{hosts} hosts, died at {died} ms: known after {took} ms");
         }
     }
 }
+
+#[test]
+fn a_host_that_cannot_fetch_what_others_know_asks_the_store_itself() {
+    let mut fleet = Fleet::new(12);
+    let cut_off = 7;
+    for at in (0..12_000).step_by(STEP as usize) {
+        if at == SILENT {
+            fleet.stored = (2, 20);
+            fleet.without_fetches = Some(cut_off);
+        }
+        fleet.step(at, true);
+        let knows = |n: usize| fleet.hosts[n].version() == Some(2);
+        if at > SILENT && knows(cut_off) {
+            assert!((0..12).all(knows), "it need not be the first one");
+            assert!((500..=1_200).contains(&(at - SILENT)), "after {} ms", at - SILENT);
+            return;
+        }
+    }
+    panic!("it was never told");
+}
+
+#[test]
+fn hosts_that_lost_the_store_find_out_that_it_serves_them_again() {
+    let mut fleet = Fleet::new(12);
+    for at in (0..25_000).step_by(STEP as usize) {
+        fleet.step(at, !(SILENT..SILENT + 3_000).contains(&at));
+    }
+    let members = fleet.hosts[0].members();
+    let served = members.live(ms(25_000)).filter(|member| member.store_ms.is_some()).count();
+    assert_eq!(served, 11, "of the 11 others");
+}
--- a/elmstream_steer/tests/readers.rs
+++ b/elmstream_steer/tests/readers.rs
@@ -4,7 +4,7 @@
 
 use elmstream::time::MILLI;
 use elmstream_steer::{Steer, view::Table};
-use support::{beats, ms, ready, servers};
+use support::{beats, ms, ready, servers, store};
 
 const HOSTS: usize = 12;
 
@@ -17,7 +17,6 @@
     watched: impl Fn(usize) -> bool,
 ) -> (usize, u64) {
     let mut fleet: Vec<Steer> = (0..HOSTS).map(|n| ready(n, ms(0), servers(2))).collect();
-    let mut paused = [0u64; HOSTS];
     let (mut calls, mut oldest) = (0, 0);
     for at in (0..until).step_by(20) {
         if at % 60 == 0 {
@@ -26,16 +25,12 @@
         for (n, host) in fleet.iter_mut().enumerate() {
             let tables = [Table::Rules, Table::Servers];
             for table in tables {
-                if paused[n] > at || !host.must_read(ms(at), table) {
-                    continue;
-                }
+                let Some(why) = host.must_read(ms(at), table) else { continue };
                 calls += 1;
                 if served(n, at) {
-                    host.store_serves(true);
-                    host.read(ms(at), table, Vec::new());
+                    store::answered(host, ms(at), (table, why), Vec::new());
                 } else {
-                    host.store_serves(false);
-                    paused[n] = at + 1_000;
+                    store::failed(host, ms(at), table);
                 }
             }
             if at > 3_000 && watched(n) {
@@ -86,7 +81,7 @@
             host.store_read_in(if n == near { 4 } else { 75 });
         }
         beats(ms(50), &mut fleet, |_, _| true);
-        let reads = |n: &usize| fleet[*n].must_read(ms(700), Table::Servers);
+        let reads = |n: &usize| fleet[*n].must_read(ms(700), Table::Servers).is_some();
         assert_eq!((0..HOSTS).filter(reads).collect::<Vec<_>>(), [near]);
     }
 }
--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use elmstream_steer::{
     Ask, Bounds, Choice, Host, Settings, Steer,
     model::{Configuration, Limits, Part, Repeat, Route, Server, Service},
+    readers::Why,
     servers::Index,
     view::{Item, Key, Row, Table},
 };
@@ -152,14 +153,14 @@
     use super::*;
 
     /// The store answered with these rows.
-    pub fn answered(host: &mut Steer, now: Time, table: Table, rows: Vec<Row>) {
-        host.store_serves(true);
+    pub fn answered(host: &mut Steer, now: Time, (table, why): (Table, Why), rows: Vec<Row>) {
+        let version = rows.iter().map(|row| row.version).max().unwrap_or_default();
         host.read(now, table, rows);
+        host.store_answered(table, why, version);
     }
 
-    /// A call failed; how long the host pauses, in microseconds.
-    pub fn failed(host: &mut Steer, now: Time, _: Table) -> u64 {
-        host.store_serves(false);
-        elmstream_steer::readers::pause(host.members().live(now).count() + 1)
+    /// A call failed.
+    pub fn failed(host: &mut Steer, now: Time, table: Table) {
+        host.store_failed(now, table);
     }
 }
