Say that a route is not there only while what is known of the routes is young

Cause: a host answered 404 by whatever configuration it knew, however old. Callers take a 404 for the last word, so each host that was behind turned proper requests away for good. Ruled out: refusing all requests while knowledge is old; hosts serve on through long outages of the store. Change: beyond 0.6 of the bound on configurations, or if another host has told of news that are still lacking, such a request is refused with 503, code 1117 and a time to come back. Conclusion: a host that is behind costs a caller a second try, not the request.

--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -102,6 +102,9 @@
         ("refused", _) => {
             "at each server that may take it the wait would have outlasted the route's objective"
         }
+        ("no_route", _) if fields["status"] == 503 => {
+            "no route fits, but what this host knew was old, so it said that it cannot tell"
+        }
         ("no_route", _) => "no route of the configuration in force here fits",
         ("left", _) => "the caller left before the answer came",
         ("answered", _) => "a server answered; the status is its own",
--- a/elmstream/src/code.rs
+++ b/elmstream/src/code.rs
@@ -72,6 +72,7 @@
     BackendConnect = 1114, 503, "no connection to the backend server";
     PeerUnreachable = 1115, 503, "the owning entry host could not be reached";
     RetryBudget = 1116, 503, "the retry budget allows no further try";
+    RoutesStale = 1117, 503, "no route fits, but what is known of the routes may be out of date";
     DeadlinePassed = 1201, 504, "the deadline passed while the request was running";
     BackendFailed = 1202, 502, "the backend server failed after the request was sent";
     PeerLost = 1203, 502, "contact with the owning entry host was lost after the request was sent";
--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -17,7 +17,7 @@
 
 use crate::{edge::Edge, forward, headers};
 
-/// When to come back to a host that knows no configuration yet.
+/// When to come back to a host that knows no configuration yet, or an old one.
 const UNREADY_RETRY_MS: u64 = 300;
 
 /// A caller's request that may be sent on.
@@ -63,6 +63,7 @@
     let route = match find(&edge, &head) {
         Ok(route) => route,
         Err(Missing::Configuration) => return Ok(refuse(Code::NotReady, UNREADY_RETRY_MS)),
+        Err(Missing::Unsure) => return Ok(refuse(Code::RoutesStale, UNREADY_RETRY_MS)),
         Err(Missing::Route) => return Ok(plain(Code::UnknownService, StatusCode::NOT_FOUND)),
     };
     let limits = edge.steer.borrow().limits();
@@ -84,6 +85,8 @@
     Configuration,
     /// No route of the configuration fits.
     Route,
+    /// The same, but a newer configuration may have one.
+    Unsure,
 }
 
 /// The route of a request, or why there is none.
@@ -97,13 +100,18 @@
     if let Some(route) = steer.route(host, head.uri.path()) {
         return Ok(route);
     }
+    let now = clock::now();
+    let (missing, code) = match steer.vouches(now) {
+        true => (Missing::Route, Code::UnknownService),
+        false => (Missing::Unsure, Code::RoutesStale),
+    };
     let id = headers::text(&head.headers, &edge.settings.headers.request_id);
     let fields = json!({
         "id": id, "host": host, "path": head.uri.path(), "version": steer.version(),
-        "code": Code::UnknownService.number(), "status": 404,
+        "stale_ms": steer.staleness(now) / MILLI, "code": code.number(), "status": code.http_status(),
     });
     edge.journal.request("no_route", fields);
-    Err(Missing::Route)
+    Err(missing)
 }
 
 fn call(edge: &Edge, head: request::Parts, route: Rc<Route>, body: Bytes, came: Time) -> Call {
--- a/elmstream_edge/tests/once.rs
+++ b/elmstream_edge/tests/once.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use elmstream_steer::model::Repeat;
 use support::{CLOSE, ask, ask_within, backend, good, header, ip, run, serving, until};
@@ -97,16 +97,36 @@
     });
 }
 
+/// The status, and whether the caller is asked to come back, of a request that no
+/// route fits.
+async fn unknown(host: SocketAddr) -> (u16, bool) {
+    let sender = elmstream_http::client::connect(host, Duration::from_secs(1)).await;
+    let request = http::Request::builder().uri("/").header("host", "nobody.example");
+    let request = request.body(elmstream_http::body::empty()).expect("a request");
+    let answer = sender.expect("a connection").send_request(request).await.expect("an answer");
+    (answer.status().as_u16(), answer.headers().contains_key("retry-after"))
+}
+
 #[test]
 fn a_route_that_is_not_there_is_told() {
     run(async || {
         let (_store, host) = serving(Repeat::Once, &[]).await;
-        let mut sender = elmstream_http::client::connect(host.callers, Duration::from_secs(1))
-            .await
-            .expect("a connection");
-        let request = http::Request::builder().uri("/").header("host", "nobody.example");
-        let request = request.body(elmstream_http::body::empty()).expect("a request");
-        assert_eq!(sender.send_request(request).await.expect("an answer").status(), 404);
+        assert_eq!(unknown(host.callers).await, (404, false));
+    });
+}
+
+#[test]
+fn a_host_whose_knowledge_is_old_does_not_say_that_a_route_is_not_there() {
+    run(async || {
+        let (store, host) = serving(Repeat::Once, &[]).await;
+        store.down.set(true);
+        // Three fifths of the bound on configurations, and what a call takes.
+        compio::time::sleep(Duration::from_millis(1_900)).await;
+        assert_eq!(unknown(host.callers).await, (503, true));
+        store.down.set(false);
+        let told = || host.edge.steer.borrow().vouches(elmstreamd::clock::now());
+        assert!(until(Duration::from_secs(2), told).await, "the store is found back");
+        assert_eq!(unknown(host.callers).await, (404, false));
     });
 }
 
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -7,7 +7,7 @@
     hash,
     readers::{self, Scene, Why},
     routes::RouteTable,
-    steer::{Change, State, Steer},
+    steer::{Change, State, Steer, Told},
     view::{Item, Key, Row, Table},
 };
 
@@ -17,6 +17,10 @@
 const OUTAGE: u64 = 2_500 * MILLI;
 /// How long a server that lapsed around an outage is still used.
 const LAPSE: u64 = 2_200 * MILLI;
+/// Part of the bound on configurations for which a host can say that a route is not
+/// there. News reach all hosts in a fleet that is well within half of it, and take up to
+/// a quarter on their way.
+const VOUCH_PART: f64 = 0.6;
 /// Added to the cold time of servers whose evacuation ends.
 const RETURN_MARGIN_MS: u64 = 1_000;
 
@@ -34,8 +38,7 @@
             false => served.count() as u64,
         };
         let mark = self.view.mark(table);
-        let known = self.knows_up_to(table);
-        let behind = self.behind[table as usize].filter(|told| told.version > known);
+        let behind = self.behind(table);
         let stamp = mark.reading.map_or(0, |reading| reading.stamp);
         Scene {
             fresh: mark.fresh,
@@ -47,6 +50,22 @@
         }
     }
 
+    /// Whether this host can say that a route is not there.
+    ///
+    /// A caller takes that for the last word. So a host says it only while its own
+    /// knowledge is young, and none has told it of more.
+    pub fn vouches(&self, now: Time) -> bool {
+        let bound = self.settings.bounds.configuration_ms * MILLI;
+        let most = (bound as f64 * VOUCH_PART) as u64;
+        let young = self.view.age(now, Table::Rules).is_some_and(|age| age < most);
+        young && self.behind(Table::Rules).is_none()
+    }
+
+    /// News of a table that this host was told of and still lacks.
+    fn behind(&self, table: Table) -> Option<Told> {
+        self.behind[table as usize].filter(|told| told.version > self.knows_up_to(table))
+    }
+
     /// The store answered this host's call for a table, with all up to `version`.
     pub fn store_answered(&mut self, table: Table, why: Why, version: u64) {
         self.calls.answered(table, why == Why::Check);
