Test: three hosts that never tell their news hold up nobody else's

Cause: a beat with news begins a fetch, three at once a table, 700 ms each; nothing is remembered of one that failed, so three hosts whose beats come and whose connections lead nowhere take all places again and again. Ruled out: that the sound host is late itself; the test waits until it has the news.

--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -116,3 +116,42 @@
         assert!(worst.get() < SOON, "it took {:?}", worst.get());
     });
 }
+
+/// Time to news that one sound host offers beside three that never tell theirs, from
+/// the moment at which it has them: three hedges of 150 ms, a beat, and the fetch.
+const DESPITE_THREE: Duration = Duration::from_millis(900);
+
+/// What users saw: requests refused by a configuration that was no longer in force,
+/// and requests at servers that were about to leave, at hosts that heard of either
+/// later than the bound. Beats came from hosts whose connections led nowhere; each of
+/// three fetches from them waited for its whole time, nothing was remembered of that,
+/// and the next beats began the same three again, so that a sound host was not asked.
+#[test]
+fn three_hosts_that_never_tell_their_news_hold_up_nobody_elses() {
+    run(async || {
+        let store = support::Store::default();
+        store.put(Key::Configuration, Some(configuration(1, Repeat::Safe)));
+        let first = start(ip(), &store, &[]);
+        let away = support::Store::default();
+        away.down.set(true);
+        let second = start(ip(), &away, &[first.edge.settings.host.peers]);
+        assert!(until(Duration::from_secs(3), || second.edge.serves()).await);
+
+        for _ in 0..3 {
+            mute(second.edge.settings.host.peers).await;
+        }
+        compio::time::sleep(Duration::from_millis(50)).await;
+        let mut took = Vec::new();
+        for version in 2..6 {
+            store.put(Key::Configuration, Some(configuration(version, Repeat::Safe)));
+            let known = || first.edge.steer.borrow().version() == Some(version);
+            assert!(until(Duration::from_secs(2), known).await, "the reader learns it");
+            let began = std::time::Instant::now();
+            let told = || second.edge.steer.borrow().version() == Some(version);
+            until(Duration::from_secs(4), told).await;
+            took.push(began.elapsed());
+        }
+        let worst = took.iter().max().expect("there are some");
+        assert!(*worst < DESPITE_THREE, "it took {took:?}");
+    });
+}
