Ask for rows in a bounded time, whatever a few mute hosts do

Cause: three fetches at once, 700 ms each, and nothing remembered of one that failed. Ruled out: a larger number at once alone, which as many mute hosts fill again. Change: `fetches` (pure) says whom to ask and when: the host whose beat came last; a further one after 150 ms, four at once at most; one whose fetch failed not while others offer news, for 5 s, and then only beside the others until it tells again; one whose gate refused after 100 to 300 ms, other at each host, and others at once. Offers are remembered for 3 s, so nothing waits for a next beat. `fetch` carries it out, writes `fetch_failed` and counts `elmstream_fetches`; both were swallowed before. Budget: with m mute hosts that nothing is known of (3 at most) m x 150 ms and a beat, once; then a beat. More than three that fall mute at once cost up to 700 ms, once.

--- /dev/null
+++ b/elmstream_edge/src/fetch.rs
@@ -0,0 +1,123 @@
+//! Fetches the rows of the view from other hosts by HTTP.
+//!
+//! [`Fetches`] says whom to ask and when; this carries it out.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use elmstream::time::Time;
+use elmstream_http::{body, client};
+use elmstream_steer::{hash, view::Table};
+use elmstreamd::clock;
+use http::{Request, StatusCode};
+use http_body_util::BodyExt;
+use serde_json::json;
+
+use crate::{
+    edge::Edge,
+    fetches::{End, Fetches, HEDGE},
+    peers::{ROWS, Rows},
+};
+
+/// Time in which rows must have come.
+const FETCH: Duration = Duration::from_millis(700);
+
+/// Asks other hosts for what they know better.
+#[derive(Clone, Debug)]
+pub(crate) struct Asking {
+    edge: Rc<Edge>,
+    fetches: Rc<RefCell<Fetches>>,
+}
+
+impl Asking {
+    /// Nobody has offered anything yet.
+    pub(crate) fn new(edge: Rc<Edge>) -> Asking {
+        let seed = hash::of(&edge.settings.host.name);
+        Asking { edge, fetches: Rc::new(RefCell::new(Fetches::new(seed))) }
+    }
+
+    /// A host's beat shows that it knows a table up to a version, which is news.
+    pub(crate) fn offer(&self, table: Table, host: SocketAddr, version: u64) {
+        self.fetches.borrow_mut().offer(clock::now(), table, host, version);
+        self.go_on(table);
+    }
+
+    /// Asks whoever is to be asked now.
+    fn go_on(&self, table: Table) {
+        loop {
+            let mark = self.edge.steer.borrow().view().mark(table);
+            let known = mark.fresh.map(|_| mark.version);
+            let next = self.fetches.borrow_mut().next(clock::now(), table, known);
+            let Some(host) = next else { return };
+            let asking = self.clone();
+            compio::runtime::spawn(async move { asking.ask(host, table, mark.version).await })
+                .detach();
+            self.go_on_at(table, clock::now() + HEDGE);
+        }
+    }
+
+    /// The same at a later time, as no beat may come then.
+    fn go_on_at(&self, table: Table, at: Time) {
+        let asking = self.clone();
+        let pause = Duration::from_micros(at.since(clock::now()));
+        compio::runtime::spawn(async move {
+            compio::time::sleep(pause).await;
+            asking.go_on(table);
+        })
+        .detach();
+    }
+
+    async fn ask(&self, host: SocketAddr, table: Table, after: u64) {
+        let fetched = fetch(&self.edge, host, table, after).await;
+        let end = match &fetched {
+            Ok(()) => End::Told,
+            Err(error) if error.kind() == io::ErrorKind::ResourceBusy => End::Refused,
+            Err(_) => End::Failed,
+        };
+        metrics::counter!("elmstream_fetches", "end" => end.name()).increment(1);
+        if let (End::Failed, Err(error)) = (end, &fetched) {
+            let error = error.to_string();
+            let fields = json!({"host": host, "table": table, "error": error});
+            self.edge.journal.belief("fetch_failed", fields);
+        }
+        let again = self.fetches.borrow_mut().ended(clock::now(), table, host, end);
+        self.go_on(table);
+        if end != End::Told {
+            self.go_on_at(table, again);
+        }
+    }
+}
+
+/// Fetches the rows of a table after a version, and the addresses of hosts.
+async fn fetch(edge: &Edge, address: SocketAddr, table: Table, after: u64) -> io::Result<()> {
+    let fetched = compio::time::timeout(FETCH, get(address, table, after)).await;
+    let fetched = fetched.map_err(|_| io::ErrorKind::TimedOut)??;
+    let now = clock::now();
+    let known = fetched.known[table as usize];
+    let changes = {
+        let mut steer = edge.steer.borrow_mut();
+        for host in fetched.hosts {
+            steer.suppose(now, host);
+        }
+        if known.reading.is_none() {
+            return Ok(());
+        }
+        steer.told(now, table, known, fetched.rows)
+    };
+    edge.note(&address.to_string(), &changes);
+    Ok(())
+}
+
+async fn get(address: SocketAddr, table: Table, after: u64) -> io::Result<Rows> {
+    let mut sender = client::connect(address, FETCH).await?;
+    let uri = format!("{ROWS}?table={}&after={after}", table as usize);
+    let request = Request::builder().uri(uri).header("host", address.to_string());
+    let request = request.body(body::empty()).map_err(io::Error::other)?;
+    let response = sender.send_request(request).await.map_err(io::Error::other)?;
+    match response.status() {
+        StatusCode::SERVICE_UNAVAILABLE => return Err(io::ErrorKind::ResourceBusy.into()),
+        status if !status.is_success() => return Err(io::Error::other(format!("status {status}"))),
+        _ => {}
+    }
+    let whole = response.into_body().collect().await.map_err(io::Error::other)?;
+    postcard::from_bytes(&whole.to_bytes()).map_err(io::Error::other)
+}
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod backend;
 pub mod callers;
 pub mod edge;
+mod fetch;
+pub mod fetches;
 pub mod forward;
 pub mod gate;
 pub mod headers;
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -3,35 +3,32 @@
 //! Beats are small and many, and a lost one does not matter, so they go by UDP.
 //! A beat that shows news makes its receiver fetch the rows that it lacks.
 
-use std::{cell::RefCell, collections::BTreeSet, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::{buf::BufResult, net::UdpSocket};
 use elmstream::time::MILLI;
-use elmstream_http::{LocalBody, body, client, server::Cut};
+use elmstream_http::{LocalBody, body, server::Cut};
 use elmstream_steer::{
     beat::{Beat, Known},
     members,
-    view::{Row, TABLES, Table},
+    view::{Row, TABLES},
 };
 use elmstreamd::clock;
 use http::{Request, Response, StatusCode};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::{edge::Edge, gate::Gate};
+use crate::{edge::Edge, fetch::Asking, gate::Gate};
 
 /// Path of the view's rows.
-const ROWS: &str = "/v1/rows";
+pub(crate) const ROWS: &str = "/v1/rows";
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
 /// Time between two looks at whether a beat is due.
 const LOOK: Duration = Duration::from_millis(50);
 /// Least time between two beats if there is news that must not wait.
 const URGENT: Duration = Duration::from_millis(100);
-/// Time in which rows must have come.
-const FETCH: Duration = Duration::from_millis(700);
 /// Addresses of hosts that go with rows.
 const HOSTS_TOLD: usize = 48;
 /// Requests for rows that are served at once.
@@ -39,8 +36,6 @@
 /// Time that a served request keeps its place for each byte, as what was handed to
 /// the connection is not yet on its way: together they use 8 Mbit/s at most.
 const MICROS_A_BYTE: u64 = 4;
-/// Hosts that are asked for a table at once.
-const FETCHES: usize = 3;
 /// Seeds are tried again after this many ticks, as all may have been away at first.
 const SEEDS_EVERY: u64 = 100;
 /// Time between two ticks of the decisions.
@@ -48,10 +43,13 @@
 
 /// What a host knows beyond a version, and which hosts it knows.
 #[derive(Debug, Deserialize, Serialize)]
-struct Rows {
-    known: [Known; 2],
-    rows: Vec<Row>,
-    hosts: Vec<SocketAddr>,
+pub(crate) struct Rows {
+    /// How far the sender knows the tables.
+    pub known: [Known; 2],
+    /// The rows of the table that was asked for.
+    pub rows: Vec<Row>,
+    /// Addresses of hosts.
+    pub hosts: Vec<SocketAddr>,
 }
 
 /// Sends beats until the process ends.
@@ -92,12 +90,9 @@
     }
 }
 
-/// Fetches under way, by host and table.
-type Fetching = Rc<RefCell<BTreeSet<(Table, SocketAddr)>>>;
-
 /// Takes beats in until the process ends.
 pub async fn receive(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
-    let fetching = Fetching::default();
+    let asking = Asking::new(edge.clone());
     let mut buffer = Vec::with_capacity(DATAGRAM);
     loop {
         buffer.clear();
@@ -112,67 +107,10 @@
         if news.joined {
             edge.journal.belief("host_heard", json!({"host": beat.host.name}));
         }
-        for (table, version) in news.wanted {
-            start_fetch(&edge, &fetching, beat.host.peers, table, version);
-        }
-    }
-}
-
-/// Starts a fetch, unless this host or enough others are being asked.
-///
-/// Several are asked at once, as one that does not answer must not hold up what
-/// another one knows.
-fn start_fetch(
-    edge: &Rc<Edge>,
-    fetching: &Fetching,
-    address: SocketAddr,
-    table: Table,
-    after: u64,
-) {
-    let mut under_way = fetching.borrow_mut();
-    let asked = under_way.iter().filter(|(asked, _)| *asked == table).count();
-    if asked >= FETCHES || !under_way.insert((table, address)) {
-        return;
-    }
-    let (edge, fetching) = (edge.clone(), fetching.clone());
-    compio::runtime::spawn(async move {
-        let _ = fetch(&edge, address, table, after).await;
-        fetching.borrow_mut().remove(&(table, address));
-    })
-    .detach();
-}
-
-/// Fetches the rows of a table after a version, and the addresses of hosts.
-pub async fn fetch(edge: &Edge, address: SocketAddr, table: Table, after: u64) -> io::Result<()> {
-    let fetched = compio::time::timeout(FETCH, get(address, table, after)).await;
-    let fetched = fetched.map_err(|_| io::ErrorKind::TimedOut)??;
-    let now = clock::now();
-    let known = fetched.known[table as usize];
-    let changes = {
-        let mut steer = edge.steer.borrow_mut();
-        for host in fetched.hosts {
-            steer.suppose(now, host);
-        }
-        if known.reading.is_none() {
-            return Ok(());
+        for (table, _) in news.wanted {
+            asking.offer(table, beat.host.peers, beat.known[table as usize].version);
         }
-        steer.told(now, table, known, fetched.rows)
-    };
-    edge.note(&address.to_string(), &changes);
-    Ok(())
-}
-
-async fn get(address: SocketAddr, table: Table, after: u64) -> io::Result<Rows> {
-    let mut sender = client::connect(address, FETCH).await?;
-    let uri = format!("{ROWS}?table={}&after={after}", table as usize);
-    let request = Request::builder().uri(uri).header("host", address.to_string());
-    let request = request.body(body::empty()).map_err(io::Error::other)?;
-    let response = sender.send_request(request).await.map_err(io::Error::other)?;
-    if !response.status().is_success() {
-        return Err(io::ErrorKind::ResourceBusy.into());
     }
-    let whole = response.into_body().collect().await.map_err(io::Error::other)?;
-    postcard::from_bytes(&whole.to_bytes()).map_err(io::Error::other)
 }
 
 /// Serves another host's request for rows.
