Break connections to backend servers that go silent, and those that rest beside them

Cause: nothing bounds how long sent bytes wait to be acknowledged, and connections that rest to the same server are used although one of them has just gone silent. Ruled out: half a second in place of one: with 3 packets in 100 lost each way only two sendings fit, so 4 in 1,000 requests would break on a way that works (computed). Change: `TCP_USER_TIMEOUT` of 1 s on connections to backend servers, and of the fetch's own 0.7 s between hosts (`client::connect_bounded`, `client::bound_silence`); a refusal of the option is written once (`silence_unbounded`) and breaks nothing. A request that ends broken, or is given up after 0.4 s without an answer, takes the resting connections to its server with it that have not answered since it was sent. Conclusion: mended where a peer does not take bytes in; lost packets are not imitated.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -1,7 +1,7 @@
 //! Connections to backend servers, and one exchange over one of them.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     io,
     net::SocketAddr,
@@ -11,13 +11,22 @@
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle};
 use cyper_core::HyperStream;
-use elmstream_http::{LocalBody, body};
+use elmstream_http::{LocalBody, body, client};
 use http::{HeaderMap, Request, header, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 
 /// Time in which a connection must come up.
 const CONNECT: Duration = Duration::from_millis(400);
+/// A connection breaks if what was sent is not acknowledged for so long.
+///
+/// A packet and its acknowledgement are lost by 6 in 100 where single ones are by 3.
+/// The kernel sends after 0, 200 and 600 ms on a short way, so a way that works breaks
+/// a connection by 0.06^3, 2 in 10,000; with half of this time it would be 4 in 1,000.
+pub const SILENCE: Duration = Duration::from_secs(1);
+/// A request that was given up after this long without an answer speaks against the
+/// connections that rested meanwhile: a new one must come up in the same time.
+pub const DOUBT: Duration = CONNECT;
 /// Idle connections that are kept to one server.
 const IDLE_MAX: usize = 16;
 /// How long an idle connection is kept, if the server does not say.
@@ -34,12 +43,38 @@
     /// Drives the connection; ends with it.
     _driver: JoinHandle<()>,
     until: Instant,
+    /// When its last answer was whole.
+    answered: Instant,
+}
+
+/// A request that was sent and has no answer yet, until this is dropped.
+///
+/// Connections to one server mostly go silent together, so one that ends without an
+/// answer takes those with it that have not answered since. Else each of them would
+/// cost a request its whole time.
+struct Unanswered<'a> {
+    pool: &'a Pool,
+    id: &'a str,
+    sent: Instant,
+    broken: bool,
+    answered: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.answered && (self.broken || self.sent.elapsed() >= DOUBT) {
+            self.pool.doubt(self.id, self.sent);
+        }
+    }
 }
 
 /// Idle connections by server.
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<HashMap<String, Vec<Connection>>>,
+    /// Why connections have no bound on silence, until it is told.
+    unbounded: RefCell<Option<io::Error>>,
+    told: Cell<bool>,
 }
 
 /// What an exchange came to.
@@ -61,9 +96,24 @@
         address: SocketAddr,
         request: Request<LocalBody>,
     ) -> Exchange {
-        let Some(mut connection) = self.take(id, address).await else {
+        let Some(connection) = self.take(id, address).await else {
             return Exchange::NoConnection;
         };
+        let sent = Instant::now();
+        let mut waits = Unanswered { pool: self, id, sent, broken: false, answered: false };
+        let exchange = self.exchange_over(connection, id, address, request).await;
+        waits.broken = matches!(exchange, Exchange::Broken);
+        waits.answered = matches!(exchange, Exchange::Whole(..));
+        exchange
+    }
+
+    async fn exchange_over(
+        &self,
+        mut connection: Connection,
+        id: &str,
+        address: SocketAddr,
+        request: Request<LocalBody>,
+    ) -> Exchange {
         let answer = match connection.sender.try_send_request(request).await {
             Ok(answer) => answer,
             Err(mut error) => {
@@ -80,7 +130,7 @@
 
     /// The same over a new connection, whose end is not waited for.
     async fn exchange_anew(&self, address: SocketAddr, request: Request<LocalBody>) -> Exchange {
-        let Ok(mut connection) = connect(address).await else { return Exchange::NoConnection };
+        let Ok(mut connection) = self.connect(address).await else { return Exchange::NoConnection };
         match connection.sender.try_send_request(request).await {
             Ok(answer) => self.read("", connection, answer).await,
             Err(_) => Exchange::Broken,
@@ -98,7 +148,8 @@
             return Exchange::Broken;
         };
         if let Some(rest) = rest(&parts.headers) {
-            connection.until = Instant::now() + rest;
+            connection.answered = Instant::now();
+            connection.until = connection.answered + rest;
             self.give(id, connection);
         }
         Exchange::Whole(parts, whole.to_bytes())
@@ -108,7 +159,7 @@
     async fn take(&self, id: &str, address: SocketAddr) -> Option<Connection> {
         loop {
             let idle = self.idle.borrow_mut().get_mut(id).and_then(Vec::pop);
-            let Some(mut connection) = idle else { return connect(address).await.ok() };
+            let Some(mut connection) = idle else { return self.connect(address).await.ok() };
             let fresh = Instant::now() < connection.until && !connection.sender.is_closed();
             if fresh && connection.sender.is_ready() && connection.sender.ready().await.is_ok() {
                 return Some(connection);
@@ -139,6 +190,29 @@
         });
     }
 
+    async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
+        metrics::counter!("elmstream_backend_connections").increment(1);
+        let (stream, bounded) = stream(address).await?;
+        if let Err(error) = bounded
+            && !self.told.replace(true)
+        {
+            self.unbounded.replace(Some(error));
+        }
+        start(stream).await
+    }
+
+    /// Why connections that go silent do not break, the first time this is so.
+    pub fn unbounded(&self) -> Option<io::Error> {
+        self.unbounded.take()
+    }
+
+    /// Drops the connections to a server that have not answered since.
+    fn doubt(&self, id: &str, since: Instant) {
+        if let Some(connections) = self.idle.borrow_mut().get_mut(id) {
+            connections.retain(|connection| connection.answered > since);
+        }
+    }
+
     /// Drops the connections to a server that sent what it should not.
     pub fn distrust(&self, id: &str) {
         self.idle.borrow_mut().remove(id);
@@ -162,18 +236,25 @@
     told.checked_sub(IDLE_MARGIN).filter(|rest| !rest.is_zero())
 }
 
-async fn connect(address: SocketAddr) -> io::Result<Connection> {
-    metrics::counter!("elmstream_backend_connections").increment(1);
+/// Opens a connection to a backend server, and tells whether it breaks if it goes
+/// silent.
+pub async fn stream(address: SocketAddr) -> io::Result<(TcpStream, io::Result<()>)> {
     let connecting = compio::time::timeout(CONNECT, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
+    let bounded = client::bound_silence(&stream, SILENCE);
+    Ok((stream, bounded))
+}
+
+async fn start(stream: TcpStream) -> io::Result<Connection> {
     let shaken = handshake(HyperStream::new_plain(stream)).await;
     let (sender, connection) = shaken.map_err(io::Error::other)?;
     let driver = compio::runtime::spawn(async move {
         // The request's own future tells of an error.
         let _ = connection.await;
     });
-    Ok(Connection { sender, _driver: driver, until: Instant::now() + IDLE })
+    let now = Instant::now();
+    Ok(Connection { sender, _driver: driver, until: now + IDLE, answered: now })
 }
 
 /// A body to send.
--- a/elmstream_edge/src/fetch.rs
+++ b/elmstream_edge/src/fetch.rs
@@ -108,7 +108,7 @@
 }
 
 async fn get(address: SocketAddr, table: Table, after: u64) -> io::Result<Rows> {
-    let mut sender = client::connect(address, FETCH).await?;
+    let mut sender = client::connect_bounded(address, FETCH, FETCH).await?;
     let uri = format!("{ROWS}?table={}&after={after}", table as usize);
     let request = Request::builder().uri(uri).header("host", address.to_string());
     let request = request.body(body::empty()).map_err(io::Error::other)?;
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -167,6 +167,9 @@
                 edge.steer.borrow_mut().suppose(clock::now(), *seed);
             }
         }
+        if let Some(error) = edge.pool.unbounded() {
+            edge.journal.write("silence_unbounded", json!({"error": error.to_string()}));
+        }
         let changes = edge.steer.borrow_mut().tick(clock::now());
         edge.note("time", &changes);
         let steer = edge.steer.borrow();
--- a/elmstream_edge/tests/backend.rs
+++ b/elmstream_edge/tests/backend.rs
@@ -8,20 +8,17 @@
 };
 
 use compio::net::TcpListener;
-use elmstream_edge::backend::{Exchange, Pool, sendable};
+use elmstream_edge::backend::{DOUBT, Exchange, Pool, SILENCE, sendable, stream};
 use elmstream_http::LocalBody;
 use futures_util::future::join_all;
 use http::Request;
+use socket2::SockRef;
 use support::{CLOSE, Got, backend, good, ip, run};
 
 /// More than the buffers of both ends of a connection hold while nobody reads.
 const LARGE: usize = 32 << 20;
 /// Connections that rest after [`warm`].
 const RESTING: usize = 3;
-/// Time after which what is not acknowledged must end a connection.
-const SILENCE: Duration = Duration::from_secs(1);
-/// Time after which a request without an answer speaks against other connections.
-const DOUBT: Duration = Duration::from_millis(400);
 /// The server's id.
 const ID: &str = "s-0";
 
@@ -50,6 +47,17 @@
     (address, got)
 }
 
+#[test]
+fn a_connection_has_a_bound_on_silence() {
+    run(async || {
+        let (address, _) = backend(ip(), moody).await;
+        let (stream, bounded) = stream(address).await.expect("a connection");
+        bounded.expect("the option");
+        let bound = SockRef::from(&stream).tcp_user_timeout().expect("the option");
+        assert_eq!(bound, Some(SILENCE));
+    });
+}
+
 /// What users saw: requests over connections that had gone silent waited for their
 /// whole time and were answered as unknown, one after the other, although new
 /// connections to the same servers worked.
