Let one reading of the store settle what other hosts told of before

Cause: a host that was told of news asks the store itself if it cannot fetch them; if the store does not have them either, it would ask at each look. Change: a reading that began after the telling covers it. Conclusion: whatever a host claims costs one call.

--- a/elmstream_edge/src/reader.rs
+++ b/elmstream_edge/src/reader.rs
@@ -43,7 +43,7 @@
         match read(&edge, &*source, table, after.map(|cursor| cursor.version)).await {
             Ok(version) => {
                 let version = version.inspect(|version| {
-                    edge.steer.borrow_mut().store_answered(table, why, *version);
+                    edge.steer.borrow_mut().store_answered(table, why, now, *version);
                 });
                 cursor = version.map(|version| Cursor { version, at: clock::now() });
                 if let Some(since) = lost.take() {
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -66,11 +66,15 @@
         self.behind[table as usize].filter(|told| told.version > self.knows_up_to(table))
     }
 
-    /// The store answered this host's call for a table, with all up to `version`.
-    pub fn store_answered(&mut self, table: Table, why: Why, version: u64) {
+    /// The store answered this host's call for a table, which began at `asked`, with all
+    /// up to `version`.
+    ///
+    /// That covers whatever other hosts told of before: they have it from the store.
+    pub fn store_answered(&mut self, table: Table, why: Why, asked: Time, version: u64) {
         self.calls.answered(table, why == Why::Check);
+        let told = self.behind(table).filter(|told| told.at <= asked);
         let covered = &mut self.covered[table as usize];
-        *covered = version.max(*covered);
+        *covered = version.max(*covered).max(told.map_or(0, |told| told.version));
     }
 
     /// A call of this host for a table failed.
--- a/elmstream_steer/tests/readers.rs
+++ b/elmstream_steer/tests/readers.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use elmstream::time::MILLI;
-use elmstream_steer::{Steer, view::Table};
-use support::{beats, ms, ready, servers, store};
+use elmstream_steer::{Steer, readers::Why, view::Table};
+use support::{beats, configuration, ms, ready, servers, store};
 
 const HOSTS: usize = 12;
 
@@ -116,3 +116,21 @@
         assert!(age + 2 * delay + 100 >= 3_000, "{age} ms old after 3 s, with {delay} ms of delay");
     }
 }
+
+#[test]
+fn a_host_that_claims_news_which_the_store_does_not_have_is_believed_once() {
+    let mut host = ready(0, ms(0), servers(2));
+    let mut other = ready(1, ms(0), servers(2));
+    other.store_read_in(4);
+    other.read_all(ms(0), Table::Rules, 900, vec![configuration(7, 900)]);
+    let mut calls = 0;
+    for at in (20..20_000).step_by(20) {
+        if at % 60 == 0 {
+            host.hear(ms(at), &other.beat(ms(at)));
+        }
+        let Some(why) = host.must_read(ms(at), Table::Rules) else { continue };
+        calls += usize::from(why == Why::Behind);
+        store::answered(&mut host, ms(at), (Table::Rules, why), Vec::new());
+    }
+    assert_eq!(calls, 1, "calls for news that are not there");
+}
--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -156,7 +156,7 @@
     pub fn answered(host: &mut Steer, now: Time, (table, why): (Table, Why), rows: Vec<Row>) {
         let version = rows.iter().map(|row| row.version).max().unwrap_or_default();
         host.read(now, table, rows);
-        host.store_answered(table, why, version);
+        host.store_answered(table, why, now, version);
     }
 
     /// A call failed.
