Add up what may delay news, and hold it against their bounds

Change: a test sums the named constants for each kind of news and trouble, in fleets of 10 to 2,900 hosts.

--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -26,9 +26,9 @@
 /// Largest datagram.
 const DATAGRAM: usize = 16 << 10;
 /// Time between two looks at whether a beat is due.
-const LOOK: Duration = Duration::from_millis(50);
+pub const LOOK: Duration = Duration::from_millis(50);
 /// Least time between two beats if there is news that must not wait.
-const URGENT: Duration = Duration::from_millis(100);
+pub const URGENT: Duration = Duration::from_millis(100);
 /// Addresses of hosts that go with rows.
 const HOSTS_TOLD: usize = 48;
 /// Requests for rows that are served at once.
--- /dev/null
+++ b/elmstream_edge/tests/delays.rs
@@ -0,0 +1,132 @@
+//! News must reach all hosts within their bound: the sum of all that may delay them.
+//!
+//! A configuration was once late by a sum that nobody had written down: a wait for
+//! changes, the time for an answer, the turns of those who take over, their own time
+//! for an answer, and a pause that grew with the fleet. Each was reasonable; together
+//! they came to 6 s at 74 hosts, where 3 s are allowed. This test adds up what the
+//! constants say, for each kind of news and trouble and for fleets of any size.
+
+use std::time::Duration;
+
+use elmstream::time::MILLI;
+use elmstream_edge::{fetches, peers, reader, source::ANSWER};
+use elmstream_steer::{
+    members, readers,
+    view::{TABLES, Table},
+};
+
+/// To another region and back.
+const WAY: u64 = 70;
+/// A whole reading of a well store: two pages over such a way, 200 KB at 10 Mbit/s.
+const READ: u64 = 300;
+/// Slots in which no host of a fleet happens to ask, at most: a draw of e^-10.
+const EMPTY_SLOTS: u64 = 10;
+
+/// A fleet and what it has to keep, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct Fleet {
+    hosts: usize,
+    /// From the acknowledgement of the store until all hosts act on it.
+    bound: u64,
+    /// From the end of the store's trouble until bounds hold again.
+    contact: u64,
+}
+
+const FLEETS: [Fleet; 6] = [
+    Fleet { hosts: 12, bound: 2_000, contact: 3_000 },
+    Fleet { hosts: 10, bound: 2_500, contact: 4_000 },
+    Fleet { hosts: 74, bound: 3_000, contact: 4_000 },
+    Fleet { hosts: 89, bound: 3_000, contact: 4_000 },
+    Fleet { hosts: 300, bound: 3_000, contact: 4_000 },
+    Fleet { hosts: 2_900, bound: 3_000, contact: 4_000 },
+];
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
+
+impl Fleet {
+    /// Until the reader asks again, if it is well: the store answers at once.
+    fn noticed(self, table: Table) -> u64 {
+        readers::patience(table, 0, self.bound) / MILLI + millis(reader::LOOK) + WAY
+    }
+
+    /// Until another host has heard of urgent news.
+    fn told(self) -> u64 {
+        millis(peers::LOOK) + millis(peers::URGENT) + WAY / 2
+    }
+
+    /// Until all have fetched them from hand to hand; who is slow is not waited for.
+    fn spread(self) -> u64 {
+        let reached = (members::NEAR + members::FAR) as f64;
+        let hops = (self.hosts as f64).log(reached).ceil().max(1.0) as u64;
+        hops * (self.told() + fetches::HEDGE / MILLI)
+    }
+
+    /// Until a host that cannot fetch them has read them itself.
+    fn fallback(self) -> u64 {
+        let apart =
+            (self.hosts as u64 * readers::BEHIND_SLOT / MILLI).min(readers::BEHIND_SPREAD / MILLI);
+        readers::BEHIND / MILLI + apart + millis(reader::LOOK) + READ
+    }
+
+    /// Until another host asks in place of a reader that has just died; it heard of the
+    /// last reading up to a round of beats late.
+    fn taken_over(self, table: Table) -> u64 {
+        let round = members::pause(self.hosts - 1) / MILLI;
+        round + readers::patience(table, 1, self.bound) / MILLI + millis(reader::LOOK)
+    }
+
+    /// Until somebody asks a store that is back.
+    fn found_back(self) -> u64 {
+        EMPTY_SLOTS * readers::SLOT / MILLI + millis(reader::LOOK)
+    }
+
+    /// Until a reader whose kept connection has fallen silent asks over a new one.
+    fn renewed(self) -> u64 {
+        (self.bound as f64 * readers::WAIT_PART) as u64 + millis(ANSWER)
+    }
+}
+
+fn check(fleet: Fleet, what: &str, sum: u64, most: u64) {
+    println!("{:>5} hosts  {what:<46} {sum:>5} of {most} ms", fleet.hosts);
+    assert!(sum <= most, "{fleet:?}: {what}: {sum} ms, allowed are {most}");
+}
+
+#[test]
+fn news_are_in_time_whoever_fails() {
+    for fleet in FLEETS {
+        for table in TABLES {
+            let noticed = fleet.noticed(table);
+            check(fleet, "all are well", noticed + fleet.spread(), fleet.bound);
+            let alone = noticed + fleet.spread() + fleet.fallback();
+            check(fleet, "a host cannot fetch them", alone, fleet.bound);
+            let after_death = fleet.taken_over(table) + READ + fleet.spread();
+            check(fleet, "the reader has just died", after_death, fleet.bound);
+            let renewed = fleet.renewed() + READ + fleet.spread();
+            check(fleet, "the reader's connection is silent", renewed, fleet.bound);
+        }
+    }
+}
+
+#[test]
+fn news_are_in_time_after_an_outage_of_the_store() {
+    for fleet in FLEETS {
+        let found = fleet.found_back() + READ + fleet.spread();
+        check(fleet, "the store is back", found, fleet.contact);
+        check(fleet, "and a host cannot fetch them", found + fleet.fallback(), fleet.contact);
+    }
+}
+
+#[test]
+fn the_second_host_is_silent_while_the_first_one_reads() {
+    // In large fleets news of readings pass through hosts and come later; there some of
+    // the next ranks ask as well.
+    for fleet in FLEETS.into_iter().filter(|fleet| fleet.hosts <= 89) {
+        let asks = readers::patience(Table::Rules, 0, fleet.bound) / MILLI + millis(reader::LOOK);
+        let waits = (fleet.bound as f64 * readers::WAIT_PART) as u64;
+        let round = members::pause(fleet.hosts - 1) / MILLI;
+        let second = readers::patience(Table::Rules, 1, fleet.bound) / MILLI;
+        check(fleet, "a round of readings", asks + waits + round + WAY / 2, second);
+    }
+}
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -24,9 +24,9 @@
 /// How long the requests that a host told of count.
 const LOADS: u64 = 1_200 * MILLI;
 /// Hosts of the own region that a round of beats goes to at most.
-const NEAR: usize = 32;
+pub const NEAR: usize = 32;
 /// Hosts of other regions that a round of beats goes to at most, and how often.
-const FAR: usize = 24;
+pub const FAR: usize = 24;
 const FAR_EVERY: u64 = 2;
 /// Hosts that one beat says are live at most.
 const WORDS: usize = 24;
--- a/elmstream_steer/src/readers.rs
+++ b/elmstream_steer/src/readers.rs
@@ -42,8 +42,8 @@
 /// others, asks the store itself.
 pub const BEHIND: u64 = 500 * MILLI;
 /// Such hosts ask this far apart, within a time that does not grow with the fleet.
-const BEHIND_SLOT: u64 = 5 * MILLI;
-const BEHIND_SPREAD: u64 = 500 * MILLI;
+pub const BEHIND_SLOT: u64 = 5 * MILLI;
+pub const BEHIND_SPREAD: u64 = 500 * MILLI;
 
 /// Age at which a host of this rank asks the store for a table.
 pub fn patience(table: Table, rank: u64, bound_ms: u64) -> u64 {
