--- a/elmstream_steer/src/readers.rs
+++ b/elmstream_steer/src/readers.rs
@@ -43,6 +43,7 @@
 pub const BEHIND: u64 = 500 * MILLI;
 /// Such hosts ask this far apart, within a time that does not grow with the fleet.
 pub const BEHIND_SLOT: u64 = 5 * MILLI;
+/// Longest time by which they are apart.
 pub const BEHIND_SPREAD: u64 = 500 * MILLI;
 
 /// Age at which a host of this rank asks the store for a table.
