--- a/elmstream_edge/tests/support/mod.rs
+++ b/elmstream_edge/tests/support/mod.rs
@@ -141,7 +141,12 @@
 
 /// Starts a host.
 pub fn start(ip: IpAddr, store: &Store, seeds: &[SocketAddr]) -> Running {
-    let edge = Edge::new(settings(ip, seeds));
+    start_with(ip, settings(ip, seeds), store)
+}
+
+/// Starts a host with settings.
+pub fn start_with(ip: IpAddr, settings: Settings, store: &Store) -> Running {
+    let edge = Edge::new(settings);
     let (terminate, terminated) = Stopper::new();
     let (stopper, stop) = Stopper::new();
     let ended = Rc::new(Cell::new(false));
