A planned stop answers whole requests that it finds unread or in flight

Cause: at the end of the notice time the server dropped its listener with the connections in its queue, and hyper's graceful shutdown closes each connection on which it knows of no request: a new one that it has not read, and a kept one that rests, although a request, or a part of its head, had come. A host with a tenth of a core is some 200 ms behind, so such requests are there. What was in flight when the grace time ended was cut by the end of the process.

Ruled out: reloading the settings by SIGHUP touches no connection. The listeners for other hosts, look-ups, readiness and metrics are never stopped before the process is. elmstreamd's callers and operators use the same server and get the same mend. elmstream_standin never stops its listeners. Duplicating the listener's descriptor was left: the plain accept on the same one does it.

Change: the listener's queue is emptied by accepts that do not block, and the listener is closed at once after the last; before that, the runtime's cancelled accept gives up its hold, which would have left the queue open for as long as a host is behind. A connection is shut down only when no request has begun on it and a peek finds nothing unread in its socket; a new one that has sent nothing has 0.5 s, a head that has begun 1 s. From the notice on answers carry `connection: close`. 0.5 s before the grace time ends what is in flight gets 503 and 1108 if it was sent to no server, else 504 and the new code 1205; the process ends within the same time as before. A line `stop_connections` and a metric of that name tell what the stop found. Connections rest 5 s longer than the configuration's limit, as a fixed 20 s would cross requests under a limit of more than 25 s.

Not run: a stop over TLS with a request that lies unread.

--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -104,6 +104,7 @@
         }
         ("no_route", _) => "no route of the configuration in force here fits",
         ("left", _) => "the caller left before the answer came",
+        ("ended", _) => "the host was stopped, and its grace time was over before the request was",
         ("answered", _) => "a server answered; the status is its own",
         ("unknown", Some("silent")) => "the server did not answer in the request's time",
         ("unknown", Some("broken")) => {
@@ -132,9 +133,8 @@
     match line.event.as_str() {
         "server" => named(&line.fields["server"]),
         "servers" => line.fields["lost"].as_array().into_iter().flatten().any(named),
-        "host_heard" | "host_lost" | "refused" | "answered" | "unknown" | "left" | "no_route" => {
-            false
-        }
+        "host_heard" | "host_lost" | "refused" | "answered" | "unknown" | "left" | "ended"
+        | "no_route" => false,
         event => !event.starts_with("not_run"),
     }
 }
--- a/elmstream/src/code.rs
+++ b/elmstream/src/code.rs
@@ -76,6 +76,7 @@
     BackendFailed = 1202, 502, "the backend server failed after the request was sent";
     PeerLost = 1203, 502, "contact with the owning entry host was lost after the request was sent";
     CallerAborted = 1204, 400, "the caller cut its request short";
+    StoppedRunning = 1205, 504, "the entry host ended while the request was running";
     TicketBad = 1301, 400, "the ticket is forged, expired or for another service";
     TicketNeeded = 1302, 428, "the service runs this request only with a ticket";
     TicketRunning = 1303, 409, "the first try with this ticket is still running";
@@ -127,6 +128,7 @@
             | Code::BackendFailed
             | Code::PeerLost
             | Code::CallerAborted
+            | Code::StoppedRunning
             | Code::TicketBad
             | Code::TicketRunning
             | Code::TicketHostGone
--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -1,16 +1,17 @@
 //! Takes callers' requests: finds the route, checks bounds, reads the body.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use elmstream::{
     code::Code,
     time::{MILLI, Time},
 };
-use elmstream_http::{LocalBody, body, server::Cut};
+use elmstream_http::{LocalBody, Stop, body, server::Cut};
 use elmstream_steer::{hash, model::Route, routes};
 use elmstreamd::clock;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header, request};
+use futures_util::future::{Either, select};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use serde_json::json;
@@ -19,6 +20,17 @@
 
 /// When to come back to a host that knows no configuration yet.
 const UNREADY_RETRY_MS: u64 = 300;
+/// When to come back to the name of a host that has ended: another one serves it now.
+const STOPPING_RETRY_MS: u64 = 50;
+
+/// How far a request has come, for the answer that it gets if its host ends.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Whether a server may have run it.
+    pub may_have_run: Cell<bool>,
+    /// Whether the host has ended it.
+    pub ended: Cell<bool>,
+}
 
 /// A caller's request that may be sent on.
 #[derive(Debug)]
@@ -47,6 +59,8 @@
     pub until: Time,
     /// Whether its caller has most likely been refused before.
     pub returning: bool,
+    /// How far it has come.
+    pub progress: Rc<Progress>,
 }
 
 impl Call {
@@ -56,11 +70,64 @@
     }
 }
 
-/// Serves a caller's request.
-pub async fn serve(edge: Rc<Edge>, request: Request<Incoming>) -> Result<Response<LocalBody>, Cut> {
+/// Serves a caller's request; `ending` resolves when the host gives its last answers.
+///
+/// The end of the process would cut the connection, and the caller would not know
+/// whether its request can be sent again.
+pub async fn serve(
+    edge: Rc<Edge>,
+    ending: Stop,
+    request: Request<Incoming>,
+) -> Result<Response<LocalBody>, Cut> {
     let came = clock::now();
+    let id = request.headers().get(&edge.settings.headers.request_id).cloned();
+    let progress = Rc::new(Progress::default());
+    let answering = {
+        let serving = pin!(answer(&edge, request, came, progress.clone()));
+        match select(serving, ending).await {
+            Either::Left((answer, _)) => Some(answer),
+            Either::Right(_) => {
+                progress.ended.set(true);
+                None
+            }
+        }
+    };
+    answering.unwrap_or_else(|| Ok(ended(&edge, id.as_ref(), came, &progress)))
+}
+
+/// The answer to a request that the host's end breaks off.
+fn ended(
+    edge: &Edge,
+    id: Option<&HeaderValue>,
+    came: Time,
+    progress: &Progress,
+) -> Response<LocalBody> {
+    let code = match progress.may_have_run.get() {
+        true => Code::StoppedRunning,
+        false => Code::Stopping,
+    };
+    metrics::counter!("elmstream_requests", "outcome" => "ended").increment(1);
+    let id = id.and_then(|id| id.to_str().ok());
+    let took = clock::now().since(came) / MILLI;
+    let fields = json!({
+        "id": id, "code": code.number(), "status": code.http_status(), "took_ms": took,
+    });
+    edge.journal.request("ended", fields);
+    match progress.may_have_run.get() {
+        true => plain(code, StatusCode::GATEWAY_TIMEOUT),
+        false => refuse(code, STOPPING_RETRY_MS),
+    }
+}
+
+/// Finds the route, reads the body and sends the request on.
+async fn answer(
+    edge: &Rc<Edge>,
+    request: Request<Incoming>,
+    came: Time,
+    progress: Rc<Progress>,
+) -> Result<Response<LocalBody>, Cut> {
     let (head, incoming) = request.into_parts();
-    let route = match find(&edge, &head) {
+    let route = match find(edge, &head) {
         Ok(route) => route,
         Err(Missing::Configuration) => return Ok(refuse(Code::NotReady, UNREADY_RETRY_MS)),
         Err(Missing::Route) => return Ok(plain(Code::UnknownService, StatusCode::NOT_FOUND)),
@@ -74,8 +141,8 @@
         // The caller broke off, so nobody reads an answer.
         Err(_) => return Err(Cut),
     };
-    let call = call(&edge, head, route, body, came);
-    Ok(forward::run(&edge, &call).await)
+    let call = call(edge, head, route, body, came, progress);
+    Ok(forward::run(edge, &call).await)
 }
 
 /// Why a request has no route.
@@ -106,7 +173,14 @@
     Err(Missing::Route)
 }
 
-fn call(edge: &Edge, head: request::Parts, route: Rc<Route>, body: Bytes, came: Time) -> Call {
+fn call(
+    edge: &Edge,
+    head: request::Parts,
+    route: Rc<Route>,
+    body: Bytes,
+    came: Time,
+    progress: Rc<Progress>,
+) -> Call {
     let names = &edge.settings.headers;
     let mut kept = head.headers;
     let id = headers::text(&kept, &names.request_id).unwrap_or_default().to_owned();
@@ -122,7 +196,21 @@
     let until = came + waits.min(route.timeout_ms) * MILLI;
     let returning = edge.steer.borrow_mut().returns(came, &route.name, waits);
     let (method, headers) = (head.method, kept);
-    Call { id, service, key, keyed, method, uri, headers, body, came, until, returning, route }
+    Call {
+        id,
+        route,
+        service,
+        key,
+        keyed,
+        method,
+        uri,
+        headers,
+        body,
+        came,
+        until,
+        returning,
+        progress,
+    }
 }
 
 /// An answer of the host's own, without a body.
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -61,7 +61,7 @@
         let now = clock::now();
         let mut steer = self.edge.steer.borrow_mut();
         steer.done(now, self.index, self.outcome);
-        if self.outcome == Outcome::Left {
+        if self.outcome == Outcome::Left && !self.call.progress.ended.get() {
             metrics::counter!("elmstream_requests", "outcome" => "left").increment(1);
             let server = steer.servers().get(self.index).map(|entry| entry.id.as_str());
             let took = now.since(self.call.came) / MILLI;
@@ -144,6 +144,7 @@
     };
     let sent = clock::now();
     let knew = call.keyed && edge.steer.borrow_mut().learn(sent, index, call.key);
+    let had_run = call.progress.may_have_run.replace(true);
     let exchange = edge.pool.exchange(&id, address, request);
     let exchange = compio::time::timeout(call.left(), exchange).await;
     let micros = clock::now().since(sent);
@@ -157,6 +158,9 @@
             (outcome.unwrap_or(Outcome::Answered { micros, knew }), result)
         }
     };
+    if matches!(result, Try::NotRun) {
+        call.progress.may_have_run.set(had_run);
+    }
     tried.notes.push((id, outcome, micros));
     flight.outcome = outcome;
     result
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -1,20 +1,34 @@
 //! Start and planned stop of a host.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 
 use compio::net::{TcpListener, UdpSocket};
-use elmstream_http::{Stop, Stopper, server};
+use elmstream_http::{Notice, Stop, Stopper, server};
 use elmstream_steer::{readers, view::TABLES};
 use elmstreamd::{clock, telemetry};
-use serde_json::json;
+use serde_json::{Value, json};
 use snafu::{ResultExt, Snafu};
 
 use crate::{Edge, Source, callers, gate::Gate, peers, reader};
 
 /// A host ends this long before its grace time does.
 const END_MARGIN: Duration = Duration::from_millis(400);
-/// Time that a caller's connection may rest before it is closed.
+/// Time before the end of the host in which requests still in flight get an answer of
+/// its own; as long as a host with a tenth of a core waits for its next slice.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+/// Time that a caller's connection may rest at least before it is closed.
 const REST: Duration = Duration::from_secs(20);
+/// A connection rests this much longer than the configuration's limit, so that no
+/// request of a caller who keeps to the limit crosses the close.
+const REST_MARGIN: Duration = Duration::from_secs(5);
 
 /// Why a host cannot start.
 #[derive(Debug, Snafu)]
@@ -72,11 +86,13 @@
         let _ = server::serve(peers_listener, None, never, peer).await;
     });
     let served = edge.clone();
-    let caller = move |_, request| callers::serve(served.clone(), request);
-    let options =
-        server::Options { http2: false, head_timeout: REST, ..server::Options::default() };
+    let (ends, ending) = Stopper::new();
+    let caller = move |_, request| callers::serve(served.clone(), ending.clone(), request);
+    let notice = Notice::default();
+    let open = Rc::new(Open::default());
+    let options = caller_options(&edge, &notice, &open);
     let serving = server::serve_with(callers_listener, options, stop, caller);
-    let serving = compio::runtime::spawn(serving);
+    let mut serving = pin!(compio::runtime::spawn(serving));
 
     if let Some(address) = edge.settings.metrics {
         let listener = listen("metrics", address).await?;
@@ -88,6 +104,7 @@
     }
 
     terminated.await;
+    notice.give();
     edge.steer.borrow_mut().leave();
     edge.journal.write("stop", json!({"host": host.name}));
     // The others hear of it at once, so that they name this host no more.
@@ -103,12 +120,55 @@
     compio::time::sleep(Duration::from_millis(settings.notice_ms)).await;
     stopper.stop();
     let rest = Duration::from_millis(settings.grace_ms.saturating_sub(settings.notice_ms));
-    let _ = compio::time::timeout(rest.saturating_sub(END_MARGIN), serving).await;
+    let rest = rest.saturating_sub(END_MARGIN + LAST_ANSWERS);
+    let whole = compio::time::timeout(rest, serving.as_mut()).await.is_ok();
+    ends.stop();
+    let closed = whole || compio::time::timeout(LAST_ANSWERS, serving).await.is_ok();
+    edge.journal.write("stop_connections", open.told(closed));
     edge.journal.write("stopped", json!({"host": host.name}));
     edge.journal.close();
     Ok(())
 }
 
+/// Callers' connections as the stop found them.
+#[derive(Debug, Default)]
+struct Open {
+    states: RefCell<BTreeMap<&'static str, u32>>,
+    queued: Cell<u32>,
+}
+
+impl Open {
+    fn add(&self, stopped: server::Stopped) {
+        let state = stopped.state.name();
+        metrics::counter!("elmstream_stop_connections", "state" => state).increment(1);
+        *self.states.borrow_mut().entry(state).or_default() += 1;
+        self.queued.set(self.queued.get() + u32::from(stopped.queued));
+    }
+
+    /// Fields of their line; `closed` says whether all have ended by themselves.
+    fn told(&self, closed: bool) -> Value {
+        json!({"states": *self.states.borrow(), "queued": self.queued.get(), "closed": closed})
+    }
+}
+
+/// Time for which a caller's connection may rest, by the configuration's limit.
+pub fn rest(limit: Duration) -> Duration {
+    REST.max(limit.saturating_add(REST_MARGIN))
+}
+
+/// How callers are served.
+fn caller_options(edge: &Rc<Edge>, notice: &Notice, open: &Rc<Open>) -> server::Options {
+    let (edge, open) = (edge.clone(), open.clone());
+    let rest = move || rest(Duration::from_millis(edge.steer.borrow().limits().idle_timeout_ms));
+    server::Options {
+        tls: None,
+        http2: false,
+        head_timeout: Rc::new(rest),
+        notice: notice.clone(),
+        observe: Rc::new(move |stopped| open.add(stopped)),
+    }
+}
+
 /// Learns which other hosts are written down, and writes this one down if it is not.
 ///
 /// A host that was killed is still written down, so a restart of all of them reads
--- a/elmstream_edge/tests/stop.rs
+++ b/elmstream_edge/tests/stop.rs
@@ -14,6 +14,7 @@
     io::{AsyncRead, AsyncWriteExt},
     net::TcpStream,
 };
+use elmstream_edge::lifecycle;
 use elmstream_steer::{model::Repeat, view::Key};
 use support::{
     CALLERS, Store, ask, ask_within, backend, configuration, good, ip, run, server, serving,
@@ -61,9 +62,20 @@
         assert!(until(Duration::from_millis(100), || !host.edge.serves()).await);
         let answer = ask(host.callers, "id-0", "/thing").await.expect("an answer");
         assert_eq!(answer.status, 200);
+        assert_eq!(answer.headers["connection"], "close", "callers leave by themselves");
     });
 }
 
+/// A fixed time would close connections that callers still take up by a longer limit,
+/// and cut what they send just then.
+#[test]
+fn a_connection_rests_longer_than_its_limit() {
+    for limit in [0, 2, 15, 20, 60, 600].map(Duration::from_secs) {
+        let rest = lifecycle::rest(limit);
+        assert!(rest >= limit + Duration::from_secs(5), "{limit:?}: {rest:?}");
+    }
+}
+
 /// Runs a host on a thread of its own until it is told to stop, and ends its runtime
 /// with it, as the end of a process does.
 fn host_alone(ip: IpAddr, backend: SocketAddr) -> (Sender<()>, JoinHandle<()>) {
--- a/elmstream_http/src/lib.rs
+++ b/elmstream_http/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod executor;
 pub mod server;
 pub mod stop;
+pub mod watched;
 
 pub use body::{BoxError, LocalBody};
 pub use executor::LocalExecutor;
-pub use stop::{Stop, Stopper};
+pub use stop::{Notice, Stop, Stopper};
+pub use watched::State;
--- a/elmstream_http/src/stop.rs
+++ b/elmstream_http/src/stop.rs
@@ -1,6 +1,9 @@
 //! A signal to stop that many tasks can wait for.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use futures_channel::oneshot;
 use futures_util::{FutureExt, future::Shared};
@@ -30,3 +33,19 @@
         self.0.borrow_mut().take();
     }
 }
+
+/// Tells a server that its stop will come; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct Notice(Rc<Cell<bool>>);
+
+impl Notice {
+    /// Gives the notice; once is enough.
+    pub fn give(&self) {
+        self.0.set(true);
+    }
+
+    /// Whether it was given.
+    pub fn given(&self) -> bool {
+        self.0.get()
+    }
+}
