Soak: read callers' connections byte by byte, and tell when a configuration is due

Cause: the soak's callers used a client library on one connection for each request, so it could not see when a request's last byte left, nor when its connection ended; and its check of configurations was off for 4 s after any trouble of the store, so it never saw what hosts know after a silence.

Change: `wire` writes one request and reads one answer on a connection that may carry many. `trouble` keeps when the store was in trouble, and says when a configuration must be in force: 2.5 s after its acknowledgement, or 3 s after the end of a trouble that began before then if that is later.

--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -13,4 +13,6 @@
 pub mod process;
 pub mod soak;
 pub mod store;
+pub mod trouble;
+pub mod wire;
 pub mod world;
