Soak: kept connections, planned work in series, silences and mute connections

Two faults of the stand-ins hid some of it: a silent store still answered calls that waited when the silence began, and of two troubles that overlapped the end of one ended both.

Change: - Callers keep a connection to each host, open new ones for a fifth of their requests, and leave only on `connection: close`, a close or a failure. A whole request without an answer, from a host that met nothing unplanned for 4 s before, is broken if its connection ended over 200 ms after its last byte or if a backend server ran it. That the soak itself was late is measured and taken off. Not only a stop is judged so but any time. - Around the end of a stop's notice 32 requests are aimed at the host (`aimed`), half of them on connections that rest and half on new ones. - Series (`series`): rolling stops of several hosts each 0.5 to 1 s, half of the rolls with hosts that get a ninth of the processor time; SIGHUPs, some twice in a row; a configuration each 350 ms; silences of 0.8 to 3 s with a configuration near their end. A host that is stopping and is asked to again gets the signal again. A host that ends unasked, or whose stop ends by a signal, is broken. - The store's open connections may go mute for good while new ones work; the soak's hosts keep connections to it, and give up those that rest after a time-out. - Configurations are due by `trouble` instead of by 4 s of calm of the store. - Up to 200 hosts: each soak of a process has ports of its own, so that the last byte of the IP number is the host's. - 64 services show the version instead of 8, as a host that lagged by 8 versions seemed to be ahead.

--- a/elmstream_soak/src/backend.rs
+++ b/elmstream_soak/src/backend.rs
@@ -21,7 +21,11 @@
     listen::serve(world, answer).await
 }
 
-async fn answer(world: Rc<World>, request: Request<Incoming>) -> Result<Response<LocalBody>, Cut> {
+async fn answer(
+    world: Rc<World>,
+    _opened: u64,
+    request: Request<Incoming>,
+) -> Result<Response<LocalBody>, Cut> {
     let field = |name: &str| {
         let value = request.headers().get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
--- a/elmstream_soak/src/callers.rs
+++ b/elmstream_soak/src/callers.rs
@@ -1,15 +1,13 @@
-//! Callers of a soak.
+//! Callers of a soak: they keep connections open, and use them until they end.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use elmstream_http::{body, client};
-use http::{Request, StatusCode};
-use http_body_util::BodyExt;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
-    ledger::Seen,
+    ledger::{Cut, Seen, Served},
     process::Process,
+    wire::{Answer, Connection, End},
     world::{PINS, World},
 };
 
@@ -19,89 +17,140 @@
 const CONNECT: Duration = Duration::from_millis(300);
 /// Time in which an answer must come; the routes' time is 600 ms.
 const ANSWER: Duration = Duration::from_millis(1_500);
-/// A host and the store count as calm after this long without a fault.
+/// A host counts as calm after this long without a fault, in milliseconds.
 const CALM_MS: u64 = 4_000;
-/// A planned stop may cut nothing that was sent this long before or after it.
-const STOP_MS: u64 = 200;
+/// Part of the requests that open a connection of their own though one is kept.
+const NEW_PART: f64 = 0.2;
+/// Keys that keep a caller's requests together.
+const KEYS: u32 = 40;
 
 /// The hosts that callers use.
 pub type Hosts = Rc<RefCell<Vec<Process>>>;
 
+/// A connection to one start of a host.
+#[derive(Debug)]
+pub struct Line {
+    connection: Connection,
+    host: usize,
+    start: u64,
+}
+
+impl Line {
+    /// Opens one; none if the host does not take it.
+    pub async fn open(world: &World, hosts: &Hosts, host: usize) -> Option<Line> {
+        let at = |hosts: &Hosts| (hosts.borrow()[host].callers(), hosts.borrow()[host].start);
+        let (address, start) = at(hosts);
+        let connection = Connection::open(address, CONNECT).await.ok();
+        // Which start took it is not known if the host was started again meanwhile.
+        let connection = connection.filter(|_| at(hosts).1 == start);
+        if connection.is_none() {
+            world.ledger.borrow_mut().count("no connection");
+        }
+        connection.map(|connection| Line { connection, host, start })
+    }
+
+    /// Sends one request; the connection if it may be used again.
+    pub async fn request(
+        mut self,
+        world: &World,
+        hosts: &Hosts,
+        kind: &str,
+        id: &str,
+        key: u32,
+    ) -> Option<Line> {
+        let text = format!(
+            "GET /{kind}/{key} HTTP/1.1\r\nhost: soak.example\r\nelmstream-request: {id}\r\n\
+             elmstream-affinity: {key}\r\nelmstream-deadline: 1000\r\n\r\n"
+        );
+        let asked = world.now();
+        let kept = self.connection.answered > 0;
+        match self.connection.exchange(world, text, ANSWER).await {
+            End::Answer(answer) => {
+                world.ledger.borrow_mut().count(if kept { "on kept" } else { "on new" });
+                self.answered(world, hosts, id, asked, &answer);
+                return (!answer.close).then_some(self);
+            }
+            End::Garbled(text) => world.ledger.borrow_mut().violate(format!("{id}: {text}")),
+            End::NotSent => world.ledger.borrow_mut().answered(id, Seen::Unknown),
+            End::Ended(sent, ended) => self.cut(world, hosts, id, sent, ended, kept),
+            End::Silent(sent) => self.cut(world, hosts, id, sent, world.now(), kept),
+        }
+        None
+    }
+
+    fn answered(&self, world: &World, hosts: &Hosts, id: &str, asked: u64, answer: &Answer) {
+        if world.breaks("lost") && id.ends_with('7') {
+            self.cut(world, hosts, id, asked, asked + ANSWER.as_millis() as u64, true);
+            return;
+        }
+        let mut ledger = world.ledger.borrow_mut();
+        match answer.status {
+            200 => {}
+            429 | 503 => return ledger.answered(id, Seen::Refused),
+            _ => return ledger.answered(id, Seen::Unknown),
+        }
+        let (told, server) = answer.body.split_once(' ').unwrap_or((&answer.body, ""));
+        if told != id {
+            ledger.violate(format!("{id} got the answer of {told}"));
+        }
+        ledger.answered(id, Seen::Success);
+        let pin = server.strip_prefix("pin-").and_then(|pin| pin.parse::<u64>().ok());
+        let Some(pin) = pin else { return };
+        let pin = if world.breaks("back") { pin + PINS - 1 } else { pin };
+        let now = world.now();
+        let calm = now > hosts.borrow()[self.host].disturbed + CALM_MS;
+        let host = (self.host, self.start);
+        let served = Served { host, pin, pins: PINS, sent: asked, now, calm };
+        ledger.served_by(&served, &world.troubles.borrow());
+    }
+
+    /// A request was sent whole, and no answer came.
+    fn cut(&self, world: &World, hosts: &Hosts, id: &str, sent: u64, ended: u64, kept: bool) {
+        let hosts = hosts.borrow();
+        let host = &hosts[self.host];
+        let mut ledger = world.ledger.borrow_mut();
+        ledger.answered(id, Seen::Unknown);
+        if host.unplanned.is_some_and(|at| at + CALM_MS >= sent) {
+            return;
+        }
+        let since = |at: Option<u64>| at.map(|at| ended.saturating_sub(at));
+        let (stop, reload) = (since(host.terminated), since(host.reloaded));
+        let of = if host.start == self.start { "this" } else { "an earlier" };
+        ledger.cut(Cut {
+            id: id.to_owned(),
+            after: ended.saturating_sub(sent),
+            late: world.late_since(sent),
+            how: format!(
+                "on a {} connection to {of} start of host {}, at {ended} ms; \
+                 {stop:?} ms after its stop was asked, {reload:?} ms after its reload",
+                if kept { "kept" } else { "new" },
+                self.host,
+            ),
+        });
+    }
+}
+
 /// Sends requests until the time is over.
 pub async fn run(world: Rc<World>, hosts: Hosts, number: u64, until: u64) {
     let mut random = StdRng::seed_from_u64(number);
+    let mut lines: BTreeMap<usize, Line> = BTreeMap::new();
     let mut count = 0u64;
     while world.now() < until {
         count += 1;
         let kind = ["safe", "once", "pin"][random.random_range(0..3)];
         let id = format!("{kind}-{number}-{count}");
         let host = random.random_range(0..hosts.borrow().len());
-        request(&world, &hosts, host, kind, &id, random.random_range(0..40)).await;
-        compio::time::sleep(PAUSE).await;
-    }
-}
-
-async fn request(world: &Rc<World>, hosts: &Hosts, host: usize, kind: &str, id: &str, key: u32) {
-    let (address, start) = {
-        let hosts = hosts.borrow();
-        (hosts[host].callers(), hosts[host].start)
-    };
-    let sent = world.now();
-    let Ok(mut sender) = client::connect(address, CONNECT).await else {
-        world.ledger.borrow_mut().count("no connection");
-        return;
-    };
-    let request = Request::builder()
-        .uri(format!("/{kind}/{key}"))
-        .header("host", "soak.example")
-        .header("elmstream-request", id)
-        .header("elmstream-affinity", key)
-        .header("elmstream-deadline", "1000");
-    let Ok(request) = request.body(body::empty()) else { return };
-    let exchange = async {
-        let response = sender.send_request(request).await.ok()?;
-        let status = response.status();
-        let bytes = response.into_body().collect().await.ok()?.to_bytes();
-        Some((status, String::from_utf8_lossy(&bytes).into_owned()))
-    };
-    let answer = compio::time::timeout(ANSWER, exchange).await;
-    let mut ledger = world.ledger.borrow_mut();
-    match answer {
-        Ok(Some((StatusCode::OK, text))) => {
-            let (told, server) = text.split_once(' ').unwrap_or((&text, ""));
-            if told != id {
-                ledger.violate(format!("{id} got the answer of {told}"));
-            }
-            ledger.answered(id, Seen::Success);
-            let pin = server.strip_prefix("pin-").and_then(|pin| pin.parse().ok());
-            if let Some(pin) = pin {
-                let calm = calm(world, hosts, host);
-                let pin = if world.breaks("back") { pin + PINS - 1 } else { pin };
-                ledger.served_by((host, start), pin, PINS, sent, world.now(), calm);
-            }
-        }
-        Ok(Some((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _))) => {
-            ledger.answered(id, Seen::Refused);
-        }
-        Ok(Some(_)) => ledger.answered(id, Seen::Unknown),
-        Ok(None) | Err(_) => {
-            ledger.answered(id, Seen::Unknown);
-            // Only a planned stop of an otherwise undisturbed host is judged.
-            let hosts = hosts.borrow();
-            let stopped = hosts[host].terminated.filter(|_| hosts[host].start == start);
-            if let Some(at) = stopped
-                && sent < at + STOP_MS
-                && hosts[host].disturbed + CALM_MS < at
-            {
-                ledger.violate(format!("{id} was cut by a planned stop of host {host}"));
-            }
+        let key = random.random_range(0..KEYS);
+        let kept = if random.random_bool(NEW_PART) { None } else { lines.remove(&host) };
+        let line = match kept {
+            Some(line) => Some(line),
+            None => Line::open(&world, &hosts, host).await,
+        };
+        if let Some(line) = line
+            && let Some(line) = line.request(&world, &hosts, kind, &id, key).await
+        {
+            lines.insert(host, line);
         }
+        compio::time::sleep(PAUSE).await;
     }
 }
-
-/// Whether nothing was wrong for a while.
-fn calm(world: &World, hosts: &Hosts, host: usize) -> bool {
-    let now = world.now();
-    let own = hosts.borrow()[host].disturbed;
-    now > world.disturbed.get() + CALM_MS && now > own + CALM_MS && now > CALM_MS
-}
--- a/elmstream_soak/src/faults.rs
+++ b/elmstream_soak/src/faults.rs
@@ -2,7 +2,10 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-use crate::world::{ServerMode, StoreMode};
+use crate::{
+    series,
+    world::{ServerMode, StoreMode},
+};
 
 /// A fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -11,12 +14,18 @@
     Kill(usize),
     /// A host stands still for a while.
     Freeze(usize),
-    /// A host is asked to stop, and starts again.
+    /// A host is asked to stop, and starts again; asked once more if it is stopping.
     Terminate(usize),
+    /// A host gets little processor time for a while.
+    Starve(usize),
+    /// A host is told that its settings have changed.
+    Reload(usize),
     /// All hosts are killed, and start again.
     KillAll,
     /// The store behaves badly.
     Store(StoreMode),
+    /// The store's connections that are open go mute for good; new ones work.
+    Mute,
     /// The store turns a host away.
     TurnAway(usize),
     /// A backend server behaves badly.
@@ -47,26 +56,30 @@
     let mut events = Vec::new();
     let mut at = CALM;
     while at + CALM < millis {
-        let fault = match random.random_range(0..12) {
-            0 => Fault::Kill(random.random_range(0..hosts)),
-            1 => Fault::Freeze(random.random_range(0..hosts)),
-            2 => Fault::Terminate(random.random_range(0..hosts)),
-            3 if random.random_bool(0.3) => Fault::KillAll,
-            3 | 4 => Fault::Store(StoreMode::Down),
-            5 => Fault::Store(if random.random_bool(0.5) {
-                StoreMode::Silent
-            } else {
-                StoreMode::Slow
-            }),
-            6 => Fault::TurnAway(random.random_range(0..hosts)),
-            7 => Fault::Server(random.random_range(0..servers), ServerMode::Dark),
-            8 => Fault::Server(random.random_range(0..servers), ServerMode::Cutting),
-            9 => Fault::Server(random.random_range(0..servers), ServerMode::Mixing),
-            10 => Fault::Replace(random.random_range(0..servers)),
-            _ => Fault::Configure,
-        };
-        events.push(Event { at, lasts: random.random_range(300..2_500), fault });
+        let lasts = random.random_range(300..2_500);
+        let mut one = |fault| events.push(Event { at, lasts, fault });
+        match random.random_range(0..18) {
+            0 => one(Fault::Kill(random.random_range(0..hosts))),
+            1 => one(Fault::Freeze(random.random_range(0..hosts))),
+            2 => one(Fault::Terminate(random.random_range(0..hosts))),
+            3 if random.random_bool(0.3) => one(Fault::KillAll),
+            3 => one(Fault::Store(StoreMode::Down)),
+            4 => one(Fault::Store(StoreMode::Slow)),
+            5 => one(Fault::Mute),
+            6 => one(Fault::TurnAway(random.random_range(0..hosts))),
+            7 => one(Fault::Server(random.random_range(0..servers), ServerMode::Dark)),
+            8 => one(Fault::Server(random.random_range(0..servers), ServerMode::Cutting)),
+            9 => one(Fault::Server(random.random_range(0..servers), ServerMode::Mixing)),
+            10 => one(Fault::Replace(random.random_range(0..servers))),
+            11 => one(Fault::Configure),
+            12 | 13 => series::roll(&mut random, at, hosts, &mut events),
+            14 => series::reloads(&mut random, at, hosts, &mut events),
+            15 => series::configurations(at, 2 * lasts, &mut events),
+            _ => series::silence(&mut random, at, &mut events),
+        }
         at += random.random_range(100..1_500);
     }
+    events.retain(|event| event.at + CALM < millis);
+    events.sort_by_key(|event| event.at);
     events
 }
--- a/elmstream_soak/src/ledger.rs
+++ b/elmstream_soak/src/ledger.rs
@@ -2,8 +2,11 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-/// Time in which a configuration must be in force on undisturbed hosts.
-const CONFIGURATION_MS: u64 = 2_500;
+use crate::trouble::Troubles;
+
+/// A connection that ends this soon after a request's last byte may have been closed
+/// before the request came.
+const CROSSING_MS: u64 = 200;
 
 /// What became of a request for its caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -23,6 +26,36 @@
     refused: bool,
 }
 
+/// A request that was sent whole to a host under planned work only, and got no answer.
+#[derive(Clone, Debug)]
+pub struct Cut {
+    /// Its id.
+    pub id: String,
+    /// Time from its last byte to the end of its connection, in milliseconds.
+    pub after: u64,
+    /// For how long of that the soak itself may have looked late, in milliseconds.
+    pub late: u64,
+    /// Where and when.
+    pub how: String,
+}
+
+/// A success that shows a configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Served {
+    /// Host, and number of its start.
+    pub host: (usize, u64),
+    /// The service that shows the version.
+    pub pin: u64,
+    /// Number of such services.
+    pub pins: u64,
+    /// When the request was sent, in milliseconds since the beginning.
+    pub sent: u64,
+    /// When its answer was there.
+    pub now: u64,
+    /// Whether the host was undisturbed for long enough before.
+    pub calm: bool,
+}
+
 /// All that was seen.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -30,6 +63,7 @@
     versions: BTreeMap<u64, u64>,
     last: HashMap<(usize, u64), (u64, u64)>,
     counts: BTreeMap<&'static str, u64>,
+    cuts: Vec<Cut>,
     violations: Vec<String>,
 }
 
@@ -97,27 +131,40 @@
         self.versions.keys().next_back().copied().unwrap_or(0)
     }
 
-    /// A start of a host served a request, sent at a time, by a configuration.
-    ///
-    /// `calm` says whether nothing was wrong for long enough before.
-    pub fn served_by(
-        &mut self,
-        host: (usize, u64),
-        pin: u64,
-        pins: u64,
-        sent: u64,
-        now: u64,
-        calm: bool,
-    ) {
+    /// A request got no answer, from a host under planned work only.
+    pub fn cut(&mut self, cut: Cut) {
+        self.count("cut");
+        self.cuts.push(cut);
+    }
+
+    /// Judges what got no answer, once no backend server can run any of it any more.
+    pub fn close(&mut self) {
+        for cut in std::mem::take(&mut self.cuts) {
+            let ran = self.requests.get(&cut.id).is_some_and(|entry| entry.runs > 0);
+            let Cut { id, after, late, how } = cut;
+            if ran || after > CROSSING_MS + late {
+                let ran = if ran { "which a backend server ran" } else { "which ran nowhere" };
+                self.violate(format!("{id}, {ran}, got no answer: ended {after} ms after {how}"));
+            }
+        }
+    }
+
+    /// A start of a host served a request by a configuration.
+    pub fn served_by(&mut self, served: &Served, troubles: &Troubles) {
+        let Served { host, pin, pins, sent, now, calm } = *served;
         let newest = self.newest();
         let back = (newest + pins - pin % pins) % pins;
         let version = newest - back.min(newest);
+        let due = |at: u64| troubles.due(at).is_some_and(|due| due < sent);
         if calm
-            && let Some((due, _)) =
-                self.versions.iter().rev().find(|(_, at)| **at + CONFIGURATION_MS < sent)
-            && version < *due
+            && let Some((wanted, at)) = self.versions.iter().rev().find(|(_, at)| due(**at))
+            && version < *wanted
         {
-            self.violate(format!("host {host:?} served by version {version}, {due} is in force"));
+            let since = sent - at;
+            self.violate(format!(
+                "host {host:?} served by version {version} at {sent} ms, {wanted} is in force, \
+                 acknowledged {since} ms before"
+            ));
         }
         if let Some((seen, at)) = self.last.get(&host)
             && *at < sent
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -4,6 +4,7 @@
 
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
 
+pub mod aimed;
 pub mod backend;
 pub mod callers;
 pub mod faults;
@@ -11,8 +12,12 @@
 pub mod ledger;
 pub mod listen;
 pub mod process;
+pub mod remote;
+pub mod series;
 pub mod soak;
 pub mod store;
+pub mod strike;
 pub mod trouble;
+pub mod watch;
 pub mod wire;
 pub mod world;
--- a/elmstream_soak/src/main.rs
+++ b/elmstream_soak/src/main.rs
@@ -21,7 +21,7 @@
     let seconds = long("seconds").help("How long faults go on").argument("N").fallback(20);
     let processes = long("processes").help("Number of hosts").argument("N").fallback(5);
     let broken = long("break")
-        .help("Leaves a rule out, to see that the checks notice: once, back or mixed")
+        .help("Leaves a rule out, to see that the checks notice: once, back, mixed or lost")
         .argument("RULE")
         .optional();
     let program = pure(None);
@@ -40,7 +40,7 @@
         }
     };
     match command {
-        Command::Host(settings, store) => match runtime.block_on(host::run(&settings, store)) {
+        Command::Host(settings, store) => match runtime.block_on(host::run(settings, store)) {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
                 eprintln!("elmstream_soak host: {error}");
--- a/elmstream_soak/src/process.rs
+++ b/elmstream_soak/src/process.rs
@@ -4,10 +4,15 @@
     fs, io,
     net::SocketAddr,
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, Command, ExitStatus, Stdio},
 };
 
-use crate::world::{CALLERS, PEERS, ip};
+use crate::world;
+
+/// Time between the notice of a planned stop and the end of new connections.
+pub const NOTICE_MS: u64 = 300;
+/// Time that a planned stop may take.
+const GRACE_MS: u64 = 3_000;
 
 /// Which host of which soak.
 #[derive(Clone, Copy, Debug)]
@@ -30,10 +35,16 @@
     child: Option<Child>,
     /// Number of its present start.
     pub start: u64,
-    /// When it was last disturbed, in milliseconds since the beginning.
+    /// When it was started, in milliseconds since the beginning.
+    pub started: u64,
+    /// When it was last disturbed by anything, in milliseconds since the beginning.
     pub disturbed: u64,
-    /// When it was last asked to stop.
+    /// When that was last not by planned work; a lack of processor time does not count.
+    pub unplanned: Option<u64>,
+    /// When this start was asked to stop.
     pub terminated: Option<u64>,
+    /// When it was last told of changed settings.
+    pub reloaded: Option<u64>,
 }
 
 impl Process {
@@ -46,8 +57,11 @@
             program,
             child: None,
             start: 0,
+            started: 0,
             disturbed: 0,
+            unplanned: None,
             terminated: None,
+            reloaded: None,
         }
     }
 
@@ -58,24 +72,26 @@
 
     /// Where callers reach it.
     pub fn callers(&self) -> SocketAddr {
-        SocketAddr::new(ip(self.place.soak, self.place.number), CALLERS)
+        world::callers(self.place.soak, self.place.number)
     }
 
-    /// Where hosts reach a host.
-    fn peers(&self, number: usize) -> SocketAddr {
-        SocketAddr::new(ip(self.place.soak, number), PEERS)
+    /// Something happened to it, now, that was not planned.
+    pub fn disturb(&mut self, now: u64) {
+        self.disturbed = now;
+        self.unplanned = Some(now);
     }
 
     /// Starts it.
-    pub fn start(&mut self) -> io::Result<()> {
-        let seeds: Vec<_> = (0..self.place.hosts.min(3)).map(|n| self.peers(n)).collect();
+    pub fn start(&mut self, now: u64) -> io::Result<()> {
+        let peers = |number| world::peers(self.place.soak, number);
+        let seeds: Vec<_> = (0..self.place.hosts.min(3)).map(peers).collect();
         let settings = serde_json::json!({
             "host": {
                 "name": self.name(), "domain": "a1", "region": "a",
-                "callers": self.callers(), "peers": self.peers(self.place.number),
+                "callers": self.callers(), "peers": peers(self.place.number),
             },
             "domains": {"a1": "a"}, "seeds": seeds,
-            "stop": {"notice_ms": 300, "grace_ms": 3000},
+            "stop": {"notice_ms": NOTICE_MS, "grace_ms": GRACE_MS},
             "logging": {"sample": 0, "lines_per_s": 20},
         });
         let path = self.folder.join(format!("{}.json", self.name()));
@@ -90,21 +106,30 @@
             .spawn()?;
         self.child = Some(child);
         self.start += 1;
+        self.started = now;
         self.terminated = None;
+        self.reloaded = None;
         Ok(())
     }
 
-    /// Sends it a signal by name.
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
+    /// Sends it a signal by name, unless it has ended: then its number may be another
+    /// process's.
+    pub fn signal(&mut self, name: &str) {
+        let Some(child) = &mut self.child else { return };
+        if matches!(child.try_wait(), Ok(None)) {
             let _ =
                 Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
         }
     }
 
-    /// Whether it has ended.
-    pub fn ended(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    /// How it ended, if it has ended and nobody killed it.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.as_mut().and_then(|child| child.try_wait().ok().flatten())
+    }
+
+    /// Whether it was killed, and has not been started since.
+    pub fn killed(&self) -> bool {
+        self.child.is_none()
     }
 
     /// Kills it and waits for its end.
--- /dev/null
+++ b/elmstream_soak/src/remote.rs
@@ -0,0 +1,117 @@
+//! The soak's store, as a host sees it: kept connections, as adapters have them.
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use elmstream_edge::{Source, SourceError, source::Rows};
+use elmstream_http::{LocalBody, body, client};
+use elmstream_steer::{settings::Host, view::Table};
+use http::Request;
+use http_body_util::BodyExt;
+use hyper::client::conn::http1::SendRequest;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// Time in which the store must answer, beyond a wait that was asked for.
+const ANSWER: Duration = Duration::from_millis(500);
+
+/// Rows as they travel between the soak's store and its hosts.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct Page {
+    /// The store's counter.
+    pub version: u64,
+    /// Rows.
+    pub rows: Vec<elmstream_steer::view::Row>,
+}
+
+/// The soak's store, as a host sees it.
+#[derive(Debug)]
+pub struct Remote {
+    address: SocketAddr,
+    name: String,
+    idle: RefCell<Vec<SendRequest<LocalBody>>>,
+}
+
+impl Remote {
+    /// The store at an address, for a host of a name.
+    pub fn new(address: SocketAddr, name: String) -> Remote {
+        Remote { address, name, idle: RefCell::default() }
+    }
+
+    async fn get<T: DeserializeOwned>(
+        &self,
+        path: String,
+        wait: Duration,
+    ) -> Result<T, SourceError> {
+        match compio::time::timeout(ANSWER + wait, self.exchange(path)).await {
+            Ok(result) => result,
+            Err(_) => {
+                // What rests may be as mute as the connection that was tried, and
+                // each would cost a whole time-out.
+                self.idle.borrow_mut().clear();
+                Err(lost("no answer in time"))
+            }
+        }
+    }
+
+    async fn exchange<T: DeserializeOwned>(&self, path: String) -> Result<T, SourceError> {
+        let mut sender = self.connection().await?;
+        let request = Request::builder().uri(path).header("host", "store");
+        let request = request.header("from", &self.name).body(body::empty()).map_err(lost)?;
+        let response = sender.send_request(request).await.map_err(lost)?;
+        let status = response.status();
+        let bytes = response.into_body().collect().await.map_err(lost)?;
+        // Only a connection whose answer came whole is used again.
+        self.idle.borrow_mut().push(sender);
+        if !status.is_success() {
+            return Err(SourceError::Refused { status: status.as_u16() });
+        }
+        let malformed = |e: postcard::Error| SourceError::Malformed { cause: e.to_string() };
+        postcard::from_bytes(&bytes.to_bytes()).map_err(malformed)
+    }
+
+    async fn connection(&self) -> Result<SendRequest<LocalBody>, SourceError> {
+        loop {
+            let idle = self.idle.borrow_mut().pop();
+            match idle {
+                Some(sender) if sender.is_ready() => return Ok(sender),
+                Some(_) => {}
+                None => return client::connect(self.address, ANSWER).await.map_err(lost),
+            }
+        }
+    }
+}
+
+fn lost(cause: impl ToString) -> SourceError {
+    SourceError::Unreachable { cause: cause.to_string() }
+}
+
+impl Source for Remote {
+    async fn all(&self, table: Table) -> Result<Rows, SourceError> {
+        let page: Page =
+            self.get(format!("/rows?table={}", table as usize), Duration::ZERO).await?;
+        Ok(Rows { version: page.version, rows: page.rows })
+    }
+
+    async fn changes(
+        &self,
+        table: Table,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<Rows>, SourceError> {
+        let path =
+            format!("/changes?table={}&after={after}&wait={}", table as usize, wait.as_millis());
+        let page: Page = self.get(path, wait).await?;
+        Ok(Some(Rows { version: page.version, rows: page.rows }))
+    }
+
+    async fn announce(&self, host: &Host) -> Result<(), SourceError> {
+        self.get(format!("/announce?host={}", host.peers), Duration::ZERO).await
+    }
+
+    async fn withdraw(&self, host: &Host) -> Result<(), SourceError> {
+        self.get(format!("/withdraw?host={}", host.peers), Duration::ZERO).await
+    }
+
+    async fn hosts(&self) -> Result<Vec<SocketAddr>, SourceError> {
+        self.get("/hosts".into(), Duration::ZERO).await
+    }
+}
--- /dev/null
+++ b/elmstream_soak/src/series.rs
@@ -0,0 +1,63 @@
+//! Planned work in series, and silences of the store: each is many events, so that
+//! those of several series fall between each other.
+
+use rand::{Rng, rngs::StdRng};
+
+use crate::{
+    faults::{Event, Fault},
+    world::StoreMode,
+};
+
+/// Time between two configurations of a series, in milliseconds.
+const CONFIGURE_EVERY: u64 = 350;
+/// How long a host that stops gets little processor time, in milliseconds: until after
+/// the end of its notice.
+const STARVED: u64 = 1_000;
+/// A host gets little processor time from this long before it is asked to stop.
+const STARVED_BEFORE: u64 = 100;
+/// Length of a silence of the store, in milliseconds: from what a host does not notice
+/// to beyond all its time-outs.
+const SILENCE: std::ops::Range<u64> = 800..3_000;
+
+/// Hosts are asked to stop, several at once, until each had its turn.
+pub fn roll(random: &mut StdRng, at: u64, hosts: usize, events: &mut Vec<Event>) {
+    let gap = random.random_range(500..1_000);
+    let together = random.random_range(1..=1 + hosts / 4);
+    let first = random.random_range(0..hosts);
+    let starved = random.random_bool(0.5);
+    for turn in 0..hosts {
+        let host = (first + turn) % hosts;
+        let at = at + gap * (turn / together) as u64;
+        if starved {
+            let at = at - STARVED_BEFORE;
+            events.push(Event { at, lasts: STARVED, fault: Fault::Starve(host) });
+        }
+        events.push(Event { at, lasts: 0, fault: Fault::Terminate(host) });
+    }
+}
+
+/// Hosts are told of changed settings, one after the other, some of them twice.
+pub fn reloads(random: &mut StdRng, at: u64, hosts: usize, events: &mut Vec<Event>) {
+    let gap = random.random_range(50..250);
+    for turn in 0..hosts {
+        let at = at + gap * turn as u64;
+        for _ in 0..random.random_range(1..=2) {
+            events.push(Event { at, lasts: 0, fault: Fault::Reload(turn) });
+        }
+    }
+}
+
+/// Configurations for a while.
+pub fn configurations(at: u64, lasts: u64, events: &mut Vec<Event>) {
+    for n in 0..lasts.div_ceil(CONFIGURE_EVERY) {
+        events.push(Event { at: at + n * CONFIGURE_EVERY, lasts: 0, fault: Fault::Configure });
+    }
+}
+
+/// The store is silent, and a configuration comes shortly before that ends, or after.
+pub fn silence(random: &mut StdRng, at: u64, events: &mut Vec<Event>) {
+    let lasts = random.random_range(SILENCE);
+    events.push(Event { at, lasts, fault: Fault::Store(StoreMode::Silent) });
+    let at = at + lasts - 300 + random.random_range(0..600);
+    events.push(Event { at, lasts: 0, fault: Fault::Configure });
+}
--- a/elmstream_soak/src/soak.rs
+++ b/elmstream_soak/src/soak.rs
@@ -13,21 +13,29 @@
 use crate::{
     backend,
     callers::{self, Hosts},
-    faults::{self, Event, Fault},
+    faults::{self, Event},
     process::{Place, Process},
-    store,
-    world::{HOSTS_MAX, PINS, SHOP, ServerMode, StoreMode, World},
+    store, strike, watch,
+    world::{HOSTS_MAX, PINS, SHOP, ServerMode, World},
 };
 
 /// Backend servers of the shop.
 const SERVERS: usize = 5;
-/// Callers at once.
-const CALLERS: u64 = 8;
-/// Time that a drained server still serves.
-const DRAIN: Duration = Duration::from_millis(2_500);
+/// Callers at once, beside one for each so many hosts.
+const CALLERS: usize = 8;
+const HOSTS_A_CALLER: usize = 4;
+/// Hosts that are started at once: a start takes some of the machine.
+const STARTED_AT_ONCE: usize = 10;
+/// Time between such starts, and after the last one.
+const START_PAUSE: Duration = Duration::from_millis(200);
+const STARTED: Duration = Duration::from_millis(800);
 /// Time between two looks at what has to be done.
 const STEP: Duration = Duration::from_millis(20);
 
+/// Time after which no host has a request any more that a caller sent before; longer
+/// than a route's time.
+const SETTLED: Duration = Duration::from_millis(1_000);
+
 /// What to soak.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -123,21 +131,29 @@
     let place = |number| Place { soak, number, hosts: options.processes };
     let new = |n| Process::new(place(n), store, folder.clone(), program.clone());
     let hosts: Hosts = Rc::new(RefCell::new((0..options.processes).map(new).collect()));
-    for host in hosts.borrow_mut().iter_mut() {
-        host.start()?;
-    }
-    compio::time::sleep(Duration::from_millis(800)).await;
-    let calling: Vec<_> = (0..CALLERS)
-        .map(|n| compio::runtime::spawn(callers::run(world.clone(), hosts.clone(), n, millis)))
+    for number in 0..options.processes {
+        if number > 0 && number.is_multiple_of(STARTED_AT_ONCE) {
+            compio::time::sleep(START_PAUSE).await;
+        }
+        hosts.borrow_mut()[number].start(world.now())?;
+    }
+    compio::time::sleep(STARTED).await;
+    compio::runtime::spawn(watch::stalls(world.clone())).detach();
+    let watching = compio::runtime::spawn(watch::ends(world.clone(), hosts.clone()));
+    let begin = world.now();
+    let until = begin + millis;
+    let callers = CALLERS + options.processes / HOSTS_A_CALLER;
+    let calling: Vec<_> = (0..callers as u64)
+        .map(|n| compio::runtime::spawn(callers::run(world.clone(), hosts.clone(), n, until)))
         .collect();
     let mut running: Vec<_> = Vec::new();
     for event in events {
-        while world.now() < event.at {
+        while world.now() < begin + event.at {
             compio::time::sleep(STEP).await;
         }
         let (world, hosts, event) = (world.clone(), hosts.clone(), *event);
         running.push(compio::runtime::spawn(async move {
-            strike(&world, &hosts, event, address).await
+            strike::run(&world, &hosts, event, address).await
         }));
     }
     for task in running {
@@ -146,6 +162,9 @@
     for task in calling {
         let _ = task.await;
     }
+    drop(watching);
+    compio::time::sleep(SETTLED).await;
+    world.ledger.borrow_mut().close();
     let kept = world.ledger.borrow().violations().is_empty();
     hosts.borrow_mut().clear();
     if kept {
@@ -155,102 +174,3 @@
     }
     Ok(())
 }
-
-/// Brings a fault about, and ends it.
-async fn strike(world: &Rc<World>, hosts: &Hosts, event: Event, address: std::net::SocketAddr) {
-    let lasts = Duration::from_millis(event.lasts);
-    let disturb = |n: usize| hosts.borrow_mut()[n].disturbed = world.now();
-    match event.fault {
-        Fault::Kill(n) => {
-            disturb(n);
-            hosts.borrow_mut()[n].kill();
-            compio::time::sleep(lasts).await;
-            restart(world, hosts, n);
-        }
-        Fault::Freeze(n) => {
-            disturb(n);
-            hosts.borrow()[n].signal("STOP");
-            compio::time::sleep(lasts).await;
-            hosts.borrow()[n].signal("CONT");
-            disturb(n);
-        }
-        Fault::Terminate(n) => terminate(world, hosts, n).await,
-        Fault::KillAll => {
-            let all = hosts.borrow().len();
-            hosts.borrow_mut().iter_mut().for_each(Process::kill);
-            compio::time::sleep(lasts).await;
-            (0..all).for_each(|n| restart(world, hosts, n));
-        }
-        Fault::Store(mode) => {
-            world.store.set(mode);
-            world.disturbed.set(world.now() + event.lasts);
-            compio::time::sleep(lasts).await;
-            world.store.set(StoreMode::Well);
-            world.disturbed.set(world.now());
-        }
-        Fault::TurnAway(n) => {
-            let name = hosts.borrow()[n].name();
-            world.away.replace(Some(name));
-            compio::time::sleep(lasts).await;
-            world.away.replace(None);
-        }
-        Fault::Server(n, mode) => {
-            let id = format!("shop-{n}");
-            if let Some(known) = world.servers.borrow_mut().get_mut(&id) {
-                *known = mode;
-            }
-            compio::time::sleep(lasts).await;
-            if let Some(known) = world.servers.borrow_mut().get_mut(&id) {
-                *known = ServerMode::Well;
-            }
-        }
-        Fault::Replace(n) => replace(world, n, address).await,
-        Fault::Configure => {
-            let next = world.ledger.borrow().newest() + 1;
-            world.configure(next);
-        }
-    }
-}
-
-/// Starts a host again.
-fn restart(world: &World, hosts: &Hosts, n: usize) {
-    let mut hosts = hosts.borrow_mut();
-    hosts[n].kill();
-    hosts[n].disturbed = world.now();
-    if let Err(error) = hosts[n].start() {
-        world.ledger.borrow_mut().violate(format!("host {n} does not start: {error}"));
-    }
-}
-
-/// Asks a host to stop, waits for its end, and starts it again.
-async fn terminate(world: &World, hosts: &Hosts, n: usize) {
-    let asked = world.now();
-    hosts.borrow_mut()[n].terminated = Some(asked);
-    hosts.borrow()[n].signal("TERM");
-    let mut waits = 200;
-    while waits > 0 && !hosts.borrow_mut()[n].ended() {
-        compio::time::sleep(STEP).await;
-        waits -= 1;
-    }
-    let undisturbed = hosts.borrow()[n].disturbed < asked;
-    if waits == 0 && undisturbed {
-        world.ledger.borrow_mut().violate(format!("host {n} did not end in 4 s"));
-    }
-    restart(world, hosts, n);
-}
-
-/// A server drains and is gone; its address is another server's from then on.
-async fn replace(world: &World, n: usize, address: std::net::SocketAddr) {
-    let old = format!("shop-{n}");
-    if !world.servers.borrow().contains_key(&old) {
-        return;
-    }
-    let new = format!("shop-{n}-{}", world.now());
-    world.servers.borrow_mut().insert(new.clone(), ServerMode::Well);
-    world.serve(&new, SHOP, address, false);
-    world.serve(&old, SHOP, address, true);
-    compio::time::sleep(DRAIN).await;
-    world.put(elmstream_steer::view::Key::Server(old.clone()), None);
-    compio::time::sleep(DRAIN).await;
-    world.servers.borrow_mut().remove(&old);
-}
--- a/elmstream_soak/src/store.rs
+++ b/elmstream_soak/src/store.rs
@@ -8,8 +8,8 @@
 use serde::Serialize;
 
 use crate::{
-    host::Page,
     listen,
+    remote::Page,
     world::{StoreMode, World},
 };
 
@@ -25,19 +25,36 @@
     listen::serve(world, answer).await
 }
 
-async fn answer(world: Rc<World>, request: Request<Incoming>) -> Result<Response<LocalBody>, Cut> {
+async fn answer(
+    world: Rc<World>,
+    opened: u64,
+    request: Request<Incoming>,
+) -> Result<Response<LocalBody>, Cut> {
     let from = request.headers().get("from").and_then(|from| from.to_str().ok());
     let turned_away = from.is_some() && world.away.borrow().as_deref() == from;
-    match world.store.get() {
+    match world.store() {
         StoreMode::Down => return Ok(refuse()),
         _ if turned_away => return Ok(refuse()),
-        StoreMode::Silent => {
-            compio::time::sleep(SILENT).await;
-            return Err(Cut);
-        }
         StoreMode::Slow => compio::time::sleep(SLOW).await,
-        StoreMode::Well => {}
+        StoreMode::Silent | StoreMode::Well => {}
+    }
+    if !mute(&world, opened) {
+        let response = respond(&world, &request).await;
+        // What was asked before a silence is not answered in it either.
+        if !mute(&world, opened) {
+            return Ok(response);
+        }
     }
+    compio::time::sleep(SILENT).await;
+    Err(Cut)
+}
+
+/// Whether nothing comes back on a connection that was opened at a time.
+fn mute(world: &World, opened: u64) -> bool {
+    world.store() == StoreMode::Silent || world.muted.get().is_some_and(|since| opened <= since)
+}
+
+async fn respond(world: &World, request: &Request<Incoming>) -> Response<LocalBody> {
     let query = request.uri().query().unwrap_or_default();
     let text = |name: &str| {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -46,25 +63,24 @@
     let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
     let host: Option<SocketAddr> = text("host").parse().ok();
     match request.uri().path() {
-        "/rows" => Ok(page(&world, number("table"), None)),
+        "/rows" => page(world, number("table"), None),
         "/changes" => {
             let mut waits = number("wait") / LOOK.as_millis() as u64;
-            while waits > 0 && rows(&world, number("table"), Some(number("after"))).rows.is_empty()
-            {
+            while waits > 0 && rows(world, number("table"), Some(number("after"))).rows.is_empty() {
                 compio::time::sleep(LOOK).await;
                 waits -= 1;
             }
-            Ok(page(&world, number("table"), Some(number("after"))))
+            page(world, number("table"), Some(number("after")))
         }
         "/announce" => {
             world.hosts.borrow_mut().extend(host);
-            Ok(packed(&()))
+            packed(&())
         }
         "/withdraw" => {
             world.hosts.borrow_mut().retain(|known| Some(*known) != host);
-            Ok(packed(&()))
+            packed(&())
         }
-        _ => Ok(packed(&*world.hosts.borrow())),
+        _ => packed(&*world.hosts.borrow()),
     }
 }
 
--- /dev/null
+++ b/elmstream_soak/src/strike.rs
@@ -0,0 +1,187 @@
+//! Brings faults about, and ends them.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use elmstream_steer::view::Key;
+
+use crate::{
+    aimed,
+    callers::Hosts,
+    faults::{Event, Fault},
+    process::Process,
+    world::{SHOP, ServerMode, World},
+};
+
+/// Time that a drained server still serves.
+const DRAIN: Duration = Duration::from_millis(2_500);
+/// Time between two looks at whether a host has ended.
+const STEP: Duration = Duration::from_millis(20);
+/// Looks that a host may take to end: 4 s.
+const LOOKS: u32 = 200;
+/// A host that gets little processor time stands still and runs by turns, so that it
+/// is behind by more than what a closing connection may cross.
+const STARVED: Duration = Duration::from_millis(330);
+const RUNS: Duration = Duration::from_millis(40);
+/// A host is told of changed settings only when it has run for this long, in
+/// milliseconds: before it listens to signals, any of them ends it.
+const LISTENS_MS: u64 = 1_000;
+
+/// Brings a fault about, and ends it.
+pub async fn run(world: &Rc<World>, hosts: &Hosts, event: Event, address: SocketAddr) {
+    let lasts = Duration::from_millis(event.lasts);
+    let disturb = |n: usize| hosts.borrow_mut()[n].disturb(world.now());
+    match event.fault {
+        Fault::Kill(n) => {
+            disturb(n);
+            hosts.borrow_mut()[n].kill();
+            compio::time::sleep(lasts).await;
+            restart(world, hosts, n);
+        }
+        Fault::Freeze(n) => {
+            disturb(n);
+            hosts.borrow_mut()[n].signal("STOP");
+            compio::time::sleep(lasts).await;
+            hosts.borrow_mut()[n].signal("CONT");
+            disturb(n);
+        }
+        Fault::Terminate(n) => terminate(world, hosts, n).await,
+        Fault::Starve(n) => starve(world, hosts, n, event.lasts).await,
+        Fault::Reload(n) => reload(world, hosts, n),
+        Fault::KillAll => {
+            let all = hosts.borrow().len();
+            (0..all).for_each(disturb);
+            hosts.borrow_mut().iter_mut().for_each(Process::kill);
+            compio::time::sleep(lasts).await;
+            (0..all).for_each(|n| restart(world, hosts, n));
+        }
+        Fault::Store(mode) => {
+            let trouble = world.trouble(mode);
+            compio::time::sleep(lasts).await;
+            world.relieve(trouble);
+        }
+        Fault::Mute => world.mute(),
+        Fault::TurnAway(n) => {
+            let name = hosts.borrow()[n].name();
+            world.away.replace(Some(name));
+            compio::time::sleep(lasts).await;
+            world.away.replace(None);
+        }
+        Fault::Server(n, mode) => {
+            set(world, n, mode);
+            compio::time::sleep(lasts).await;
+            set(world, n, ServerMode::Well);
+        }
+        Fault::Replace(n) => replace(world, n, address).await,
+        Fault::Configure => {
+            let next = world.ledger.borrow().newest() + 1;
+            world.configure(next);
+        }
+    }
+}
+
+/// A backend server behaves in another way, if it is still there.
+fn set(world: &World, n: usize, mode: ServerMode) {
+    if let Some(known) = world.servers.borrow_mut().get_mut(&format!("shop-{n}")) {
+        *known = mode;
+    }
+}
+
+/// Ends a host if it runs, and starts it; what is not planned.
+pub fn restart(world: &World, hosts: &Hosts, n: usize) {
+    hosts.borrow_mut()[n].disturb(world.now());
+    start(world, hosts, n);
+}
+
+fn start(world: &World, hosts: &Hosts, n: usize) {
+    let mut hosts = hosts.borrow_mut();
+    hosts[n].kill();
+    hosts[n].disturbed = world.now();
+    if let Err(error) = hosts[n].start(world.now()) {
+        world.ledger.borrow_mut().violate(format!("host {n} does not start: {error}"));
+    }
+}
+
+/// Asks a host to stop, waits for its end, and starts it again.
+async fn terminate(world: &Rc<World>, hosts: &Hosts, n: usize) {
+    if hosts.borrow()[n].killed() {
+        return;
+    }
+    hosts.borrow_mut()[n].signal("TERM");
+    if hosts.borrow()[n].terminated.is_some() {
+        // It was asked before, and whoever did that waits for its end.
+        return;
+    }
+    let asked = world.now();
+    hosts.borrow_mut()[n].terminated = Some(asked);
+    compio::runtime::spawn(aimed::run(world.clone(), hosts.clone(), n, asked)).detach();
+    let mut looks = LOOKS;
+    let ended = loop {
+        let ended = hosts.borrow_mut()[n].ended();
+        if ended.is_some() || hosts.borrow()[n].killed() || looks == 0 {
+            break ended;
+        }
+        compio::time::sleep(STEP).await;
+        looks -= 1;
+    };
+    let undisturbed = hosts.borrow()[n].unplanned.is_none_or(|at| at < asked);
+    if let Some(problem) = problem(ended, looks)
+        && undisturbed
+    {
+        let since = world.now() - asked;
+        let text = format!("host {n} {problem}, {since} ms after it was asked at {asked} ms");
+        world.ledger.borrow_mut().violate(text);
+    }
+    match ended {
+        Some(_) => start(world, hosts, n),
+        None => restart(world, hosts, n),
+    }
+}
+
+/// What is wrong with the end of a planned stop.
+fn problem(ended: Option<std::process::ExitStatus>, looks: u32) -> Option<String> {
+    match ended {
+        None if looks == 0 => Some("did not end in 4 s".into()),
+        Some(status) if !status.success() => Some(format!("did not stop but broke off: {status}")),
+        _ => None,
+    }
+}
+
+/// A start of a host gets a ninth of the time.
+async fn starve(world: &World, hosts: &Hosts, n: usize, lasts: u64) {
+    let until = world.now() + lasts;
+    let start = hosts.borrow()[n].start;
+    while world.now() < until && hosts.borrow()[n].start == start {
+        hosts.borrow_mut()[n].disturbed = world.now();
+        hosts.borrow_mut()[n].signal("STOP");
+        compio::time::sleep(STARVED).await;
+        hosts.borrow_mut()[n].signal("CONT");
+        compio::time::sleep(RUNS).await;
+    }
+    hosts.borrow_mut()[n].disturbed = world.now();
+}
+
+/// Tells a host that its settings have changed.
+fn reload(world: &World, hosts: &Hosts, n: usize) {
+    let now = world.now();
+    let mut hosts = hosts.borrow_mut();
+    if now > hosts[n].started + LISTENS_MS && !hosts[n].killed() {
+        hosts[n].reloaded = Some(now);
+        hosts[n].signal("HUP");
+    }
+}
+
+/// A server drains and is gone; its address is another server's from then on.
+async fn replace(world: &World, n: usize, address: SocketAddr) {
+    let old = format!("shop-{n}");
+    if !world.servers.borrow().contains_key(&old) {
+        return;
+    }
+    let new = format!("shop-{n}-{}", world.now());
+    world.servers.borrow_mut().insert(new.clone(), ServerMode::Well);
+    world.serve(&new, SHOP, address, false);
+    world.serve(&old, SHOP, address, true);
+    compio::time::sleep(DRAIN).await;
+    world.put(Key::Server(old.clone()), None);
+    compio::time::sleep(DRAIN).await;
+    world.servers.borrow_mut().remove(&old);
+}
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -14,16 +14,19 @@
     view::{Item, Key, Row},
 };
 
-use crate::ledger::Ledger;
+use crate::{ledger::Ledger, trouble::Troubles};
 
-/// Services with which a configuration shows its version.
-pub const PINS: u64 = 8;
+/// Services with which a configuration shows its version. A host that lags by as many
+/// versions would seem to be ahead; at one change each 350 ms that takes 22 s.
+pub const PINS: u64 = 64;
 /// The service of all other requests.
 pub const SHOP: &str = "shop";
-/// Port of callers, and of hosts.
-pub const CALLERS: u16 = 7_301;
-/// Port on which hosts talk to each other.
-pub const PEERS: u16 = 7_302;
+/// Port on which hosts of the first soak of this process take callers.
+const CALLERS: u16 = 7_301;
+/// Port on which they talk to each other.
+const PEERS: u16 = 7_302;
+/// Soaks of one process that do not share any address.
+const SOAKS: u16 = 16;
 
 /// How the store behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -66,16 +69,20 @@
     pub version: Cell<u64>,
     /// Hosts that are written down.
     pub hosts: RefCell<Vec<SocketAddr>>,
-    /// How the store behaves, and which host it turns away.
-    pub store: Cell<StoreMode>,
+    /// When the store was in trouble.
+    pub troubles: RefCell<Troubles>,
+    /// The troubles that the store is in; it behaves as the latest one says.
+    pub modes: RefCell<Vec<(usize, StoreMode)>>,
+    /// Connections to the store that were opened up to this time are mute for good.
+    pub muted: Cell<Option<u64>>,
     /// Name of a host that the store turns away.
     pub away: RefCell<Option<String>>,
     /// How each backend server behaves.
     pub servers: RefCell<BTreeMap<String, ServerMode>>,
     /// What was seen.
     pub ledger: RefCell<Ledger>,
-    /// When something was last wrong, in milliseconds since the beginning.
-    pub disturbed: Cell<u64>,
+    /// When the soak itself was late, and for how long, in milliseconds.
+    pub stalls: RefCell<Vec<(u64, u64)>>,
     /// A rule that the soak itself breaks, to see that it notices.
     pub broken: Option<String>,
 }
@@ -88,11 +95,13 @@
             rows: RefCell::default(),
             version: Cell::new(0),
             hosts: RefCell::default(),
-            store: Cell::default(),
+            troubles: RefCell::default(),
+            modes: RefCell::default(),
+            muted: Cell::default(),
             away: RefCell::default(),
             servers: RefCell::default(),
             ledger: RefCell::default(),
-            disturbed: Cell::new(0),
+            stalls: RefCell::default(),
             broken,
         })
     }
@@ -102,6 +111,40 @@
         self.began.elapsed().as_millis() as u64
     }
 
+    /// How the store behaves.
+    pub fn store(&self) -> StoreMode {
+        self.modes.borrow().last().map(|(_, mode)| *mode).unwrap_or_default()
+    }
+
+    /// The store behaves badly from now on; the number by which that ends.
+    pub fn trouble(&self, mode: StoreMode) -> usize {
+        let number = self.troubles.borrow_mut().begin(self.now());
+        self.modes.borrow_mut().push((number, mode));
+        number
+    }
+
+    /// The store does not behave badly in this way any more.
+    pub fn relieve(&self, number: usize) {
+        self.troubles.borrow_mut().end(number, self.now());
+        self.modes.borrow_mut().retain(|(known, _)| *known != number);
+    }
+
+    /// The store's open connections go mute for good; new ones work.
+    pub fn mute(&self) {
+        let now = self.now();
+        self.muted.set(Some(now));
+        let mut troubles = self.troubles.borrow_mut();
+        let number = troubles.begin(now);
+        troubles.end(number, now);
+    }
+
+    /// For how long the soak itself was late after a time, in milliseconds.
+    pub fn late_since(&self, since: u64) -> u64 {
+        let stalls = self.stalls.borrow();
+        let last = stalls.iter().rev().take_while(|(end, _)| *end >= since);
+        last.map(|(_, millis)| *millis).sum()
+    }
+
     /// Whether a rule is left out on purpose.
     pub fn breaks(&self, rule: &str) -> bool {
         self.broken.as_deref() == Some(rule)
@@ -134,14 +177,23 @@
     }
 }
 
-/// Hosts of one soak at most.
-pub const HOSTS_MAX: usize = 15;
+/// Hosts of one soak at most, as a few hundred processes are what a machine is to bear.
+pub const HOSTS_MAX: usize = 200;
 
-/// The IP number of a host; soaks of one process do not share any.
-pub fn ip(soak: u8, number: usize) -> IpAddr {
+/// The IP number of a host; soaks of other processes do not share it.
+fn ip(number: usize) -> IpAddr {
     let pid = process::id();
-    let last = (soak % 16) * 16 + number as u8 + 1;
-    IpAddr::V4(Ipv4Addr::new(127, 128 | (pid >> 8) as u8 & 63, pid as u8, last))
+    IpAddr::V4(Ipv4Addr::new(127, 128 | (pid >> 8) as u8 & 63, pid as u8, number as u8 + 1))
+}
+
+/// Where callers reach a host of a soak.
+pub fn callers(soak: u8, number: usize) -> SocketAddr {
+    SocketAddr::new(ip(number), CALLERS + 2 * (u16::from(soak) % SOAKS))
+}
+
+/// Where hosts reach a host of a soak.
+pub fn peers(soak: u8, number: usize) -> SocketAddr {
+    SocketAddr::new(ip(number), PEERS + 2 * (u16::from(soak) % SOAKS))
 }
 
 fn configuration(version: u64) -> Configuration {
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -4,7 +4,7 @@
 
 use compio::runtime::Runtime;
 use elmstream_soak::{
-    faults,
+    faults::{self, Fault},
     soak::{self, Options, Report},
 };
 
@@ -44,8 +44,26 @@
     assert!(report.violations().iter().any(|text| text.contains("got the answer of")), "{report}");
 }
 
+#[test]
+fn a_request_without_an_answer_is_noticed() {
+    let report = soak(2, 6, Some("lost"));
+    assert!(report.violations().iter().any(|text| text.contains("got no answer")), "{report}");
+}
+
 #[test]
 fn a_seed_gives_the_same_faults_again() {
     assert_eq!(faults::draw(7, 60_000, 5, 5), faults::draw(7, 60_000, 5, 5));
     assert_ne!(faults::draw(7, 60_000, 5, 5), faults::draw(8, 60_000, 5, 5));
 }
+
+#[test]
+fn series_fall_between_each_other_and_in_order() {
+    let events = faults::draw(7, 600_000, 5, 5);
+    let at: Vec<_> = events.iter().map(|event| event.at).collect();
+    assert!(at.is_sorted());
+    assert!(at.iter().all(|at| (2_500..597_500).contains(at)));
+    let planned = events.iter().filter(|event| matches!(event.fault, Fault::Terminate(_)));
+    let times: Vec<_> = planned.map(|event| event.at).collect();
+    let together = times.windows(2).filter(|pair| pair[1] - pair[0] <= 1_000).count();
+    assert!(together > times.len() / 2, "{together} of {} stops follow another", times.len());
+}
