--- a/elmstream_soak/src/aimed.rs
+++ b/elmstream_soak/src/aimed.rs
@@ -19,6 +19,11 @@
 /// with little processor time hears of its stop late, and acts late.
 const GAP_MS: u64 = 50;
 
+/// Requests that give a host work.
+const BURST: u64 = 64;
+/// Time after which it has some of them in hand and others not.
+const BURST_BEGUN: Duration = Duration::from_millis(4);
+
 /// Sends them around the end of a host's notice; the stop must be asked for now.
 pub async fn run(world: Rc<World>, hosts: Hosts, host: usize, asked: u64) {
     let mut running = Vec::new();
@@ -35,6 +40,25 @@
     }
 }
 
+/// Gives a host work for the next moment: requests on connections of their own.
+///
+/// A host that stands still while it waits reads all that has come before it looks at
+/// its clock; one that stands still in the midst of its work looks at its clock first.
+pub async fn burst(world: &Rc<World>, hosts: &Hosts, host: usize) {
+    let now = world.now();
+    for number in 0..BURST {
+        let (world, hosts) = (world.clone(), hosts.clone());
+        compio::runtime::spawn(async move {
+            if let Some(line) = Line::open(&world, &hosts, host).await {
+                let id = format!("once-burst-{host}-{now}-{number}");
+                line.request(&world, &hosts, "once", &id, 0).await;
+            }
+        })
+        .detach();
+    }
+    compio::time::sleep(BURST_BEGUN).await;
+}
+
 async fn one(world: &World, hosts: &Hosts, host: usize, kept: bool, id: &str, at: u64) {
     let mut line = None;
     if kept && let Some(new) = Line::open(world, hosts, host).await {
--- a/elmstream_soak/src/faults.rs
+++ b/elmstream_soak/src/faults.rs
@@ -20,6 +20,8 @@
     Starve(usize),
     /// A host is told that its settings have changed.
     Reload(usize),
+    /// The same many times in a row.
+    ReloadOften(usize),
     /// All hosts are killed, and start again.
     KillAll,
     /// The store behaves badly.
--- a/elmstream_soak/src/process.rs
+++ b/elmstream_soak/src/process.rs
@@ -43,6 +43,8 @@
     pub unplanned: Option<u64>,
     /// When this start was asked to stop.
     pub terminated: Option<u64>,
+    /// How often this start was asked to stop.
+    pub asks: u32,
     /// When it was last told of changed settings.
     pub reloaded: Option<u64>,
 }
@@ -61,6 +63,7 @@
             disturbed: 0,
             unplanned: None,
             terminated: None,
+            asks: 0,
             reloaded: None,
         }
     }
@@ -108,6 +111,7 @@
         self.start += 1;
         self.started = now;
         self.terminated = None;
+        self.asks = 0;
         self.reloaded = None;
         Ok(())
     }
@@ -115,10 +119,15 @@
     /// Sends it a signal by name, unless it has ended: then its number may be another
     /// process's.
     pub fn signal(&mut self, name: &str) {
+        self.signals(name, 1);
+    }
+
+    /// Sends it a signal several times within a millisecond or so.
+    pub fn signals(&mut self, name: &str, times: u32) {
         let Some(child) = &mut self.child else { return };
         if matches!(child.try_wait(), Ok(None)) {
-            let _ =
-                Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            let one = format!("kill -{name} {};", child.id());
+            let _ = Command::new("sh").arg("-c").arg(one.repeat(times as usize)).status();
         }
     }
 
--- a/elmstream_soak/src/series.rs
+++ b/elmstream_soak/src/series.rs
@@ -13,8 +13,10 @@
 /// How long a host that stops gets little processor time, in milliseconds: until after
 /// the end of its notice.
 const STARVED: u64 = 1_000;
-/// A host gets little processor time from this long before it is asked to stop.
+/// That begins between this long before it is asked to stop, in milliseconds, and just
+/// before the end of its notice: it then stands still at that end at any phase.
 const STARVED_BEFORE: u64 = 100;
+const STARVED_SHIFT: std::ops::Range<u64> = 0..380;
 /// Length of a silence of the store, in milliseconds: from what a host does not notice
 /// to beyond all its time-outs.
 const SILENCE: std::ops::Range<u64> = 800..3_000;
@@ -29,21 +31,21 @@
         let host = (first + turn) % hosts;
         let at = at + gap * (turn / together) as u64;
         if starved {
-            let at = at - STARVED_BEFORE;
+            let at = at - STARVED_BEFORE + random.random_range(STARVED_SHIFT);
             events.push(Event { at, lasts: STARVED, fault: Fault::Starve(host) });
         }
         events.push(Event { at, lasts: 0, fault: Fault::Terminate(host) });
     }
 }
 
-/// Hosts are told of changed settings, one after the other, some of them twice.
+/// Hosts are told of changed settings, one after the other, some many times in a row.
 pub fn reloads(random: &mut StdRng, at: u64, hosts: usize, events: &mut Vec<Event>) {
     let gap = random.random_range(50..250);
     for turn in 0..hosts {
         let at = at + gap * turn as u64;
-        for _ in 0..random.random_range(1..=2) {
-            events.push(Event { at, lasts: 0, fault: Fault::Reload(turn) });
-        }
+        let often = random.random_bool(0.3);
+        let fault = if often { Fault::ReloadOften(turn) } else { Fault::Reload(turn) };
+        events.push(Event { at, lasts: 0, fault });
     }
 }
 
--- a/elmstream_soak/src/soak.rs
+++ b/elmstream_soak/src/soak.rs
@@ -88,10 +88,16 @@
     }
 }
 
-/// Runs one soak.
+/// Runs one soak with the faults of its seed.
 pub async fn run(options: &Options, time: Duration) -> Report {
     let millis = time.as_millis() as u64;
     let events = faults::draw(options.seed, millis, options.processes, SERVERS);
+    run_events(options, time, events).await
+}
+
+/// Runs one soak with given faults, in order of their times.
+pub async fn run_events(options: &Options, time: Duration, events: Vec<Event>) -> Report {
+    let millis = time.as_millis() as u64;
     let world = World::new(options.broken.clone());
     if let Err(error) = play(options, &world, &events, millis).await {
         world.ledger.borrow_mut().violate(format!("the soak cannot run: {error}"));
--- a/elmstream_soak/src/strike.rs
+++ b/elmstream_soak/src/strike.rs
@@ -25,6 +25,9 @@
 /// A host is told of changed settings only when it has run for this long, in
 /// milliseconds: before it listens to signals, any of them ends it.
 const LISTENS_MS: u64 = 1_000;
+/// Signals in a row: together they take longer than a host needs to read its settings,
+/// so that some come while it does.
+const OFTEN: u32 = 400;
 
 /// Brings a fault about, and ends it.
 pub async fn run(world: &Rc<World>, hosts: &Hosts, event: Event, address: SocketAddr) {
@@ -46,7 +49,8 @@
         }
         Fault::Terminate(n) => terminate(world, hosts, n).await,
         Fault::Starve(n) => starve(world, hosts, n, event.lasts).await,
-        Fault::Reload(n) => reload(world, hosts, n),
+        Fault::Reload(n) => reload(world, hosts, n, 1),
+        Fault::ReloadOften(n) => reload(world, hosts, n, OFTEN),
         Fault::KillAll => {
             let all = hosts.borrow().len();
             (0..all).for_each(disturb);
@@ -107,6 +111,7 @@
         return;
     }
     hosts.borrow_mut()[n].signal("TERM");
+    hosts.borrow_mut()[n].asks += 1;
     if hosts.borrow()[n].terminated.is_some() {
         // It was asked before, and whoever did that waits for its end.
         return;
@@ -128,7 +133,12 @@
         && undisturbed
     {
         let since = world.now() - asked;
-        let text = format!("host {n} {problem}, {since} ms after it was asked at {asked} ms");
+        let Process { asks, started, .. } = hosts.borrow()[n];
+        let text = format!(
+            "host {n} {problem}, {since} ms after it was asked at {asked} ms, {} ms after its \
+             start; asked {asks} times",
+            asked - started
+        );
         world.ledger.borrow_mut().violate(text);
     }
     match ended {
@@ -147,11 +157,12 @@
 }
 
 /// A start of a host gets a ninth of the time.
-async fn starve(world: &World, hosts: &Hosts, n: usize, lasts: u64) {
+async fn starve(world: &Rc<World>, hosts: &Hosts, n: usize, lasts: u64) {
     let until = world.now() + lasts;
     let start = hosts.borrow()[n].start;
     while world.now() < until && hosts.borrow()[n].start == start {
         hosts.borrow_mut()[n].disturbed = world.now();
+        aimed::burst(world, hosts, n).await;
         hosts.borrow_mut()[n].signal("STOP");
         compio::time::sleep(STARVED).await;
         hosts.borrow_mut()[n].signal("CONT");
@@ -161,12 +172,12 @@
 }
 
 /// Tells a host that its settings have changed.
-fn reload(world: &World, hosts: &Hosts, n: usize) {
+fn reload(world: &World, hosts: &Hosts, n: usize, times: u32) {
     let now = world.now();
     let mut hosts = hosts.borrow_mut();
     if now > hosts[n].started + LISTENS_MS && !hosts[n].killed() {
         hosts[n].reloaded = Some(now);
-        hosts[n].signal("HUP");
+        hosts[n].signals("HUP", times);
     }
 }
 
