Let no signal end a host at once, or be missed, while another is dealt with

Cause: a wait for a signal put the default action back when it ended, which ends the process. A host that was asked to stop a second time ended at once with its requests; so did one that was told of changed settings while it read them. Ruled out: the stop's own time limits; the requests were cut in the instant of the second signal. Change: elmstreamd::signals takes a signal over from the start of the process, and remembers one that comes while another is dealt with.

--- a/elmstreamd/src/lib.rs
+++ b/elmstreamd/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peers;
 pub mod platform;
 pub mod pool;
+pub mod signals;
 pub mod telemetry;
 pub mod ticker;
 pub mod tickets;
--- a/elmstreamd/src/lifecycle.rs
+++ b/elmstreamd/src/lifecycle.rs
@@ -20,6 +20,7 @@
     peer_server,
     peers::Peers,
     platform::{HttpPlatform, PlatformError},
+    signals::{SIGTERM, Signals},
     telemetry, ticker,
 };
 
@@ -69,6 +70,12 @@
         /// The cause.
         source: io::Error,
     },
+    /// The signal that asks for a stop cannot be waited for.
+    #[snafu(display("signals cannot be waited for: {source}"))]
+    Signal {
+        /// The cause.
+        source: io::Error,
+    },
     /// The configuration does not know the failure domain.
     #[snafu(display("E3005 failure_domain: the configuration knows no failure domain {name:?}"))]
     Domain {
@@ -79,11 +86,13 @@
 
 /// Runs a daemon until SIGTERM, on this thread.
 pub fn run(settings: Settings) -> Result<(), StartError> {
+    let mut terminations = Signals::new(SIGTERM).context(SignalSnafu)?;
     let runtime = compio::runtime::Runtime::new().context(RuntimeSnafu)?;
     runtime.block_on(async {
         let (stopper, stop) = Stopper::new();
         compio::runtime::spawn(async move {
-            let _ = compio::signal::unix::signal(libc::SIGTERM).await;
+            // A wait that fails ends the daemon too, as nothing else could stop it.
+            let _ = terminations.recv().await;
             stopper.stop();
         })
         .detach();
