Freeze a host that alone owns the service its requests ask for

Cause: the test claimed that requests sent to the frozen host run nowhere but on its own four slots. Its victim owns `status-1` or `release-1`, as the steward's order falls. `status` has a second server, `status-2`, of another host, and a host may pass requests on to it. Once the victim had heard of that owner's slots by a heartbeat, it did so; the live owner ran four of them at once and four more from its queue after the freeze. 12 runs were counted for 4 (per server: status-1 4, status-2 8), all before the host was woken. What the product promises was kept in each of these runs: at the victim's own server 4 runs, 4 at most at a time at each server, no id repeated, and no run more after it woke.

Ruled out: a freeze that comes after the first runs have ended (it came within 0.56 s of the first request, a run takes 1.5 s); ownership that moved before the freeze (status-1 was the victim's, nothing but its four runs was seen there, and in the logs of the 15 failed runs one lease lapsed in each, the woken victim's); a second run or a run after the wake-up (above). Not seen: how 8 runs of one failure without prints lay.

Change: in the frozen host's test it owns the only server of its service, and it is frozen only with 4 requests running and 16 waiting there; it asserts the runs of each server, where it asserted their sum. The case that failed is a test of its own: a service of two owners, both known to the victim, 8 running and 12 waiting at the freeze. In both, nothing runs after the wake-up at any server, none has more than its slots, none repeats an id, and (new) no id ran at two servers. `owner` asserts the failure domain that its comment relied on.

Conclusion: the daemon was right, and the test counted another owner's runs.

--- a/elmstreamd/tests/processes.rs
+++ b/elmstreamd/tests/processes.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::{
+    collections::HashMap,
     env, fs,
     path::{Path, PathBuf},
     process,
@@ -20,9 +21,9 @@
 };
 use elmstream_config::Configuration;
 use elmstream_http::body;
-use elmstream_proto::operators::StatusReply;
+use elmstream_proto::operators::{ServiceStatus, StatusReply};
 use elmstream_standin::{
-    backend::Behaviour,
+    backend::{Behaviour, Seen},
     caller::{self, Load},
 };
 use http::{Method, Request};
@@ -54,8 +55,14 @@
 impl Processes {
     /// Four hosts of one region, each of which owns a server.
     async fn start() -> Processes {
+        Processes::start_changed(|_| {}).await
+    }
+
+    /// The same, with a change of the configuration.
+    async fn start_changed(change: impl FnOnce(&mut Configuration)) -> Processes {
         let one_region = |c: &mut Configuration| {
             c.backend_servers.retain(|b| b.failure_domain != "south-a");
+            change(c);
         };
         let mut processes = Processes::start_with(&HOSTS, one_region).await;
         let each_owns = |s: &StatusReply| {
@@ -107,16 +114,17 @@
         self.operator.wait(TAKEOVER_MAX, "takeover", taken).await.unwrap()
     }
 
-    /// A host besides the operator's, and the service of the server it owns.
-    async fn owner(&mut self) -> (usize, &'static str) {
+    /// A host besides the operator's, and the index of the server it owns.
+    async fn owner(&mut self) -> (usize, usize) {
         let status = self.operator.status().await.unwrap();
         // It stands in north-a, whose servers' services end requests before a
         // takeover; an uploading one of north-b would hand them to the new owner.
         let victim = 2;
         let name = format!("{}#", HOSTS[victim].0);
         let owned = status.ownership.iter().find(|o| o.owner.starts_with(&name)).unwrap();
-        let server = small::BACKENDS.iter().find(|b| b.0 == owned.backend_server).unwrap();
-        (victim, server.1)
+        let server = small::BACKENDS.iter().position(|b| b.0 == owned.backend_server).unwrap();
+        assert_eq!(small::BACKENDS[server].2, HOSTS[victim].1);
+        (victim, server)
     }
 }
 
@@ -156,60 +164,143 @@
     });
 }
 
-/// Requests at the owner that is frozen: four slots, and a queue of sixteen.
+/// Requests that are sent through the host that is frozen: more than its slots.
 const LATE: u32 = 20;
+/// Time that each of them runs, in milliseconds: so long that most still wait
+/// when the host is frozen.
+const LATE_RUN_MS: u64 = 1_500;
+/// Time for a host that woke to do what it still would.
+const AWAKE: Duration = Duration::from_secs(2);
 
-#[test]
-fn a_frozen_host_that_wakes_runs_nothing_more() {
-    Runtime::new().unwrap().block_on(async {
-        let mut processes = Processes::start().await;
-        // Requests run so long that most wait at the owner when it is frozen.
+/// What the backend servers saw of a host that was frozen and woke.
+struct Woken {
+    /// Time from the first request to the freeze.
+    frozen_after: Duration,
+    /// What each server saw until the host was taken over.
+    before: Vec<Seen>,
+    /// The same once the host had been awake for a while.
+    after: Vec<Seen>,
+}
+
+impl Woken {
+    /// Freezes `victim` once so many of its requests run and the others wait,
+    /// and wakes it after it was taken over.
+    async fn of(processes: &mut Processes, victim: usize, service: &str, running: u32) -> Woken {
         for index in 0..small::BACKENDS.len() {
-            let slow = Behaviour { run_ms: 1_500, ..Behaviour::default() };
+            let slow = Behaviour { run_ms: LATE_RUN_MS, ..Behaviour::default() };
             processes.fleet().behave(index, &slow).await.unwrap();
         }
-        let (victim, service) = processes.owner().await;
+        let begin = Instant::now();
         let callers = processes.fleet().hosts[victim].settings.listen.callers;
         for number in 0..LATE {
+            let request = post(service, &format!("late-{number}"));
             compio::runtime::spawn(async move {
-                let _ = send(callers, post(service, &format!("late-{number}"))).await;
+                let _ = send(callers, request).await;
             })
             .detach();
         }
         // One that is still on its way would be new to the host when it wakes.
         let all_there = |s: &StatusReply| {
-            s.services.iter().map(|s| s.in_flight + s.queued).sum::<u32>() == LATE
+            let is_there = |s: &ServiceStatus| s.in_flight == running && s.queued == LATE - running;
+            s.services.iter().any(|s| s.service == service && is_there(s))
         };
-        processes.operator.wait(TAKEOVER_MAX, "all wait", all_there).await.unwrap();
+        processes.operator.wait(TAKEOVER_MAX, "all there", all_there).await.unwrap();
         processes.signal(victim, "-STOP");
+        let frozen_after = begin.elapsed();
         processes.wait_taken_over(victim).await;
-        let before = total_runs(processes.fleet()).await;
+        let before = all_seen(processes.fleet()).await;
         processes.signal(victim, "-CONT");
-        compio::time::sleep(Duration::from_secs(2)).await;
-        let after = total_runs(processes.fleet()).await;
-        assert_eq!(before, u64::from(small::SLOTS), "what was running when it froze");
+        compio::time::sleep(AWAKE).await;
+        let after = all_seen(processes.fleet()).await;
+        Woken { frozen_after, before, after }
+    }
+
+    /// What holds however the requests lay: nothing runs after the host woke, no
+    /// server gets more than its slots, and none of the requests runs twice.
+    fn check(&self, service: &str) {
+        let runs = |seen: &[Seen]| seen.iter().map(|s| s.runs).collect::<Vec<_>>();
+        let (before, after) = (runs(&self.before), runs(&self.after));
         assert_eq!(after, before, "the late holder of {service} ran nothing after it woke");
-        for index in 0..small::BACKENDS.len() {
-            let seen = processes.fleet().seen(index).await.unwrap();
+        let mut runs_of = HashMap::<&String, u32>::new();
+        for seen in &self.after {
             assert!(seen.in_flight_max <= small::SLOTS, "{seen:?}");
             assert_eq!(seen.repeated, 0);
+            for (id, runs) in &seen.ids {
+                *runs_of.entry(id).or_default() += runs;
+            }
         }
-    });
+        // A server knows only its own; a second run may be another's.
+        assert!(runs_of.values().all(|&runs| runs == 1), "{runs_of:?}");
+    }
 }
 
-async fn total_runs(fleet: &Fleet) -> u64 {
-    let mut runs = 0;
+async fn all_seen(fleet: &Fleet) -> Vec<Seen> {
+    let mut all = Vec::new();
     for index in 0..small::BACKENDS.len() {
-        runs += fleet.seen(index).await.unwrap().runs;
+        all.push(fleet.seen(index).await.unwrap());
     }
-    runs
+    all
+}
+
+/// Lets a backend server serve another service.
+fn serve(c: &mut Configuration, server: &str, service: &str) {
+    let server = c.backend_servers.iter_mut().find(|b| b.name == server).unwrap();
+    server.service = service.into();
+}
+
+/// The frozen host owns the only server of its service, so all requests wait there.
+///
+/// With a second owner in the region, 12 runs were counted for 4: the host had
+/// heard of that owner and sent it some of the requests; four of them ran there
+/// at once and four more after the freeze, as a live owner runs what it admitted.
+#[test]
+fn a_frozen_host_that_wakes_runs_nothing_more() {
+    Runtime::new().unwrap().block_on(async {
+        let alone = |c: &mut Configuration| serve(c, "status-2", "intake");
+        let mut processes = Processes::start_changed(alone).await;
+        let (victim, server) = processes.owner().await;
+        let service = small::BACKENDS[server].1;
+        let woken = Woken::of(&mut processes, victim, service, small::SLOTS).await;
+        woken.check(service);
+        let mut only_running = vec![0; small::BACKENDS.len()];
+        only_running[server] = u64::from(small::SLOTS);
+        let before: Vec<u64> = woken.before.iter().map(|s| s.runs).collect();
+        let after = woken.frozen_after;
+        assert_eq!(before, only_running, "what ran when it froze, {after:?} after the first");
+    });
+}
+
+/// The frozen host passed a part of its requests on to another owner, which goes
+/// on to run what it admitted; what waits at the frozen host itself never runs.
+#[test]
+fn what_a_frozen_host_passed_on_runs_once_and_the_rest_never() {
+    Runtime::new().unwrap().block_on(async {
+        let of_two_owners = |c: &mut Configuration| {
+            serve(c, "status-2", "intake");
+            serve(c, "release-1", "status");
+        };
+        let mut processes = Processes::start_changed(of_two_owners).await;
+        let (victim, server) = processes.owner().await;
+        // A host that has not heard of the other owner keeps all for itself.
+        let mut at_victim = Operator::connect(processes.fleet(), victim).await.unwrap();
+        let both_known = |s: &StatusReply| {
+            s.services.iter().any(|s| s.service == "status" && s.slots == 2 * small::SLOTS)
+        };
+        at_victim.wait(TAKEOVER_MAX, "both owners known", both_known).await.unwrap();
+        let woken = Woken::of(&mut processes, victim, "status", 2 * small::SLOTS).await;
+        woken.check("status");
+        let (own, after) = (woken.before[server].runs, woken.frozen_after);
+        let running = u64::from(small::SLOTS);
+        assert_eq!(own, running, "what ran there when it froze, {after:?} after the first");
+    });
 }
 
 #[test]
 fn a_planned_stop_cuts_nothing_and_exits_with_0() {
     Runtime::new().unwrap().block_on(async {
         let mut processes = Processes::start().await;
-        let (victim, service) = processes.owner().await;
+        let (victim, server) = processes.owner().await;
+        let service = small::BACKENDS[server].1;
         let load = Load {
             ask: processes.fleet().hosts.iter().map(|h| h.settings.listen.callers).collect(),
             service: service.into(),
