Part a host's calls to the store from the ranks, and the stop from the start

Cause: readers.rs and lifecycle.rs had grown to two and four jobs. Change: calls.rs (when a host asks), stop.rs (the planned stop), connections.rs (how callers' connections are kept), announce.rs (the host's row); stop_unfinished and withdraw_failed say what was silent before. No other change of behaviour.

--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -6,8 +6,10 @@
 
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
 
+mod announce;
 pub mod backend;
 pub mod callers;
+pub mod connections;
 pub mod edge;
 mod fetch;
 pub mod fetches;
@@ -20,6 +22,7 @@
 pub mod reader;
 pub mod settings;
 pub mod source;
+mod stop;
 
 pub use edge::Edge;
 pub use settings::Settings;
--- a/elmstream_edge/src/reader.rs
+++ b/elmstream_edge/src/reader.rs
@@ -3,10 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use elmstream::time::{MILLI, SECOND, Time};
-use elmstream_steer::{
-    readers::{self, Why},
-    view::Table,
-};
+use elmstream_steer::{calls::Why, readers, view::Table};
 use elmstreamd::clock;
 use serde_json::json;
 
--- /dev/null
+++ b/elmstream_edge/src/stop.rs
@@ -0,0 +1,63 @@
+//! The planned stop of a host.
+
+use std::{
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::net::UdpSocket;
+use elmstream_http::Stopper;
+use serde_json::json;
+
+use crate::{Edge, Source, peers};
+
+/// A host ends this long before its grace time does.
+const END_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the end of the host in which requests still in flight get an answer of
+/// its own; a host with a tenth of a core is some 200 ms behind.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+/// Tells the others and the store that this host stops.
+pub(crate) async fn tell<S: Source>(edge: &Rc<Edge>, socket: &UdpSocket, source: Rc<S>) {
+    let host = edge.settings.host.clone();
+    edge.steer.borrow_mut().leave();
+    edge.journal.write("stop", json!({"host": host.name}));
+    // The others hear of it at once, so that they name this host no more.
+    for round in 0..2 {
+        peers::beat(edge, socket, round).await;
+    }
+    let told = edge.clone();
+    compio::runtime::spawn(async move {
+        if let Err(error) = source.withdraw(&host).await {
+            told.journal.write("withdraw_failed", json!({"error": error.to_string()}));
+        }
+    })
+    .detach();
+}
+
+/// Lets callers go: after the notice no new ones are taken, and just before the end
+/// those that still wait get their last answers.
+///
+/// `asked` is when the stop was asked for. `stopper` ends the listeners, `ends` the
+/// requests; `serving` resolves when all connections are closed.
+pub(crate) async fn end(
+    edge: &Edge,
+    asked: Instant,
+    stopper: Stopper,
+    ends: Stopper,
+    serving: impl Future<Output = ()>,
+) {
+    let settings = edge.settings.stop;
+    let end = asked + Duration::from_millis(settings.grace_ms).saturating_sub(END_MARGIN);
+    let last_answers = end.checked_sub(LAST_ANSWERS).unwrap_or(asked);
+    compio::time::sleep_until(asked + Duration::from_millis(settings.notice_ms)).await;
+    stopper.stop();
+    let mut serving = pin!(serving);
+    if compio::time::timeout_at(last_answers, serving.as_mut()).await.is_ok() {
+        return;
+    }
+    ends.stop();
+    if compio::time::timeout_at(end, serving).await.is_err() {
+        edge.journal.write("stop_unfinished", json!({"host": edge.settings.host.name}));
+    }
+}
--- a/elmstream_edge/tests/delays.rs
+++ b/elmstream_edge/tests/delays.rs
@@ -11,7 +11,7 @@
 use elmstream::time::MILLI;
 use elmstream_edge::{fetches, peers, reader, source::ANSWER};
 use elmstream_steer::{
-    members, readers,
+    calls, members, readers,
     view::{TABLES, Table},
 };
 
@@ -81,8 +81,8 @@
     /// failed: that pause is over by then.
     fn fallback(self) -> u64 {
         let apart =
-            (self.hosts as u64 * readers::BEHIND_SLOT / MILLI).min(readers::BEHIND_SPREAD / MILLI);
-        readers::BEHIND / MILLI + apart + millis(reader::LOOK) + self.read()
+            (self.hosts as u64 * calls::BEHIND_SLOT / MILLI).min(calls::BEHIND_SPREAD / MILLI);
+        calls::BEHIND / MILLI + apart + millis(reader::LOOK) + self.read()
     }
 
     /// Until another host asks in place of those of the first ranks that have just died;
@@ -92,7 +92,7 @@
     /// than the reader ask all the time, by their slots.
     fn taken_over(self, table: Table, dead: u64) -> u64 {
         let round = members::pause(self.hosts - 1) / MILLI;
-        let slots = EMPTY_SLOTS_BESIDE * readers::SLOT / MILLI;
+        let slots = EMPTY_SLOTS_BESIDE * calls::SLOT / MILLI;
         let second = readers::patience(table, 1, self.bound) / MILLI;
         if round * self.hops() / 2 > second {
             return slots + millis(reader::LOOK);
@@ -103,7 +103,7 @@
 
     /// Until somebody asks a store that is back.
     fn found_back(self) -> u64 {
-        EMPTY_SLOTS * readers::SLOT / MILLI + millis(reader::LOOK)
+        EMPTY_SLOTS * calls::SLOT / MILLI + millis(reader::LOOK)
     }
 
     /// Until a reader whose kept connection has fallen silent asks over a new one.
--- a/elmstream_edge/tests/stop.rs
+++ b/elmstream_edge/tests/stop.rs
@@ -14,7 +14,7 @@
     io::{AsyncRead, AsyncWriteExt},
     net::TcpStream,
 };
-use elmstream_edge::lifecycle;
+use elmstream_edge::connections;
 use elmstream_steer::{model::Repeat, view::Key};
 use support::{
     CALLERS, Store, ask, ask_within, backend, configuration, good, ip, run, server, serving,
@@ -71,7 +71,7 @@
 #[test]
 fn a_connection_rests_longer_than_its_limit() {
     for limit in [0, 2, 15, 20, 60, 600].map(Duration::from_secs) {
-        let rest = lifecycle::rest(limit);
+        let rest = connections::rest(limit);
         assert!(rest >= limit + Duration::from_secs(5), "{limit:?}: {rest:?}");
     }
 }
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -3,13 +3,14 @@
 //! Pure: no I/O, no clock, no threads. Rows of the store, beats of the other
 //! hosts, requests and time come in; choices and messages go out. `view` holds
 //! what the store says, `servers` and `members` hold the entities, and `choose`,
-//! `cold`, `budget` and `readers` are the systems over them. [`Steer`] ties them
+//! `cold`, `budget`, `readers` and `calls` are the systems over them. [`Steer`] ties them
 //! together for one host.
 
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
 
 pub mod beat;
 pub mod budget;
+pub mod calls;
 pub mod choose;
 pub mod cold;
 pub mod demand;
--- a/elmstream_steer/src/readers.rs
+++ b/elmstream_steer/src/readers.rs
@@ -6,13 +6,9 @@
 //! ranks. Two readers do no harm. Fast ones come first as a long way, a thin link or
 //! a slow processor makes large answers late.
 //!
-//! A few ranks take over one after the other. All further hosts, and those whose last
-//! call failed, ask at times of their own, drawn so that the fleet as a whole asks once in
-//! a [`SLOT`] on average, whatever its size. The draws have no memory: hosts that failed
-//! together do not pause together. So a store that comes back is found within a few
-//! slots, by whichever host asks next, and is not crowded.
+//! A few ranks take over one after the other; `calls` says when the others ask.
 
-use elmstream::time::{MILLI, Time};
+use elmstream::time::MILLI;
 
 use crate::{hash, view::Table};
 
@@ -30,25 +26,6 @@
 const STEP: u64 = 60 * MILLI;
 /// Ranks that take over one after the other.
 pub const RANKS: u64 = 3;
-/// Time between two calls of the whole fleet for a table that nobody gets.
-pub const SLOT: u64 = 100 * MILLI;
-/// Longest time that a draw may come to, as a multiple of a slot for each host; a draw of
-/// more than that is one of 55.
-const DRAW_MOST: f64 = 4.0;
-/// Least pause of one host after a failed call.
-const PAUSE_LEAST: u64 = 500 * MILLI;
-/// Time between two calls by which the hosts of a fleet find out whether the store
-/// serves them again, while others read it.
-const CHECK_SLOT: u64 = 500 * MILLI;
-/// Least time between two such calls of one host.
-const CHECK_LEAST: u64 = 5_000 * MILLI;
-/// Time after which a host that was told of news, but could not get them from the
-/// others, asks the store itself.
-pub const BEHIND: u64 = 500 * MILLI;
-/// Such hosts ask this far apart, within a time that does not grow with the fleet.
-pub const BEHIND_SLOT: u64 = 5 * MILLI;
-/// Longest time by which they are apart.
-pub const BEHIND_SPREAD: u64 = 500 * MILLI;
 
 /// Age at which a host of this rank asks the store for a table.
 pub fn patience(table: Table, rank: u64, bound_ms: u64) -> u64 {
@@ -78,152 +55,3 @@
     let order = |(host, millis): Reader| (millis.max(NEAR_MS).ilog2(), !hash::pair(host, 0));
     served.filter(|host| order(*host) < order(own)).count() as u64
 }
-
-/// What a host goes by when it decides whether to ask the store for a table.
-#[derive(Clone, Copy, Debug)]
-pub struct Scene {
-    /// When the table was last known to be current; none if it is not known at all.
-    pub fresh: Option<Time>,
-    /// A draw from 0 up to 1, another one for each host and reading.
-    pub draw: f64,
-    /// Live hosts whom the store serves, and that come before this one.
-    pub ahead: u64,
-    /// Live hosts, this one included.
-    pub hosts: u64,
-    /// When this host was told of news that it still lacks.
-    pub behind: Option<Time>,
-    /// Bound on configurations, in milliseconds.
-    pub bound_ms: u64,
-}
-
-/// Why a host asks the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Why {
-    /// It knows nothing of the table yet.
-    Start,
-    /// It is its turn by rank.
-    Rank,
-    /// It is its turn among the hosts that ask once in a slot.
-    Slot,
-    /// Others know more than it can get from them.
-    Behind,
-    /// It finds out whether the store serves it again.
-    Check,
-}
-
-impl Why {
-    /// Its name in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Why::Start => "start",
-            Why::Rank => "rank",
-            Why::Slot => "slot",
-            Why::Behind => "behind",
-            Why::Check => "check",
-        }
-    }
-}
-
-/// A failed call.
-#[derive(Clone, Copy, Debug)]
-struct Failure {
-    at: Time,
-    /// A draw from 0 up to 1.
-    draw: f64,
-}
-
-/// What became of one host's calls to the store.
-#[derive(Clone, Debug, Default)]
-pub struct Calls {
-    failures: [Option<Failure>; 2],
-}
-
-impl Calls {
-    /// Whether the store served the host's last calls.
-    pub fn served(&self) -> bool {
-        self.failures.iter().all(Option::is_none)
-    }
-
-    /// A call was answered. One that checked, while others read the store all along,
-    /// speaks for both tables.
-    pub fn answered(&mut self, table: Table, checked: bool) {
-        if checked {
-            self.failures = [None; 2];
-        }
-        self.failures[table as usize] = None;
-    }
-
-    /// A call failed; `draw` is from 0 up to 1.
-    pub fn failed(&mut self, now: Time, table: Table, draw: f64) {
-        self.failures[table as usize] = Some(Failure { at: now, draw });
-    }
-
-    /// Whether the host has to ask the store for a table now, and why.
-    pub fn due(&self, now: Time, table: Table, scene: &Scene) -> Option<Why> {
-        let rested = |pause: fn(&Failure, u64) -> u64| {
-            let failure = self.failures[table as usize];
-            failure.is_none_or(|failure| now.since(failure.at) >= pause(&failure, scene.hosts))
-        };
-        let Some(fresh) = scene.fresh else {
-            return rested(Failure::pause).then_some(Why::Start);
-        };
-        let (age, served) = (now.since(fresh), self.served());
-        let turn = patience(table, scene.ahead, scene.bound_ms);
-        if served && scene.ahead < RANKS && age >= turn {
-            return Some(Why::Rank);
-        }
-        if scene.lacks(now) && rested(Failure::behind) {
-            return Some(Why::Behind);
-        }
-        let turn = patience(table, scene.ahead.max(1), scene.bound_ms);
-        let spread = drawn(scene.hosts, scene.draw);
-        if age >= turn + spread && rested(Failure::pause) {
-            return Some(Why::Slot);
-        }
-        // The rules are the smaller table, so they are asked for if both calls failed.
-        let asked = match table {
-            Table::Rules => self.failures[Table::Rules as usize].is_some(),
-            Table::Servers => self.failures[Table::Rules as usize].is_none() && !served,
-        };
-        (asked && rested(Failure::check)).then_some(Why::Check)
-    }
-}
-
-impl Scene {
-    /// Whether this host has lacked for long what others have told it of.
-    fn lacks(&self, now: Time) -> bool {
-        let apart = (self.hosts * BEHIND_SLOT).min(BEHIND_SPREAD) as f64 * self.draw;
-        self.behind.is_some_and(|since| now.since(since) >= BEHIND + apart as u64)
-    }
-}
-
-impl Failure {
-    /// Pause before the next call for a table that nobody gets.
-    fn pause(&self, hosts: u64) -> u64 {
-        pause(hosts, self.draw)
-    }
-
-    /// Pause before the next call for news that others have got; no longer than it takes
-    /// to find out that they cannot be fetched.
-    fn behind(&self, hosts: u64) -> u64 {
-        (hosts * BEHIND_SLOT).clamp(PAUSE_LEAST, BEHIND + BEHIND_SPREAD)
-    }
-
-    /// Time until the host finds out whether the store serves it again.
-    fn check(&self, hosts: u64) -> u64 {
-        let slots = (hosts * CHECK_SLOT) as f64 * (0.5 + self.draw);
-        (slots as u64).max(CHECK_LEAST)
-    }
-}
-
-/// Pause of one of so many hosts after a failed call; `draw` is from 0 up to 1.
-pub fn pause(hosts: u64, draw: f64) -> u64 {
-    drawn(hosts, draw).max(PAUSE_LEAST)
-}
-
-/// A time by which one of so many hosts waits, so that together they act once in a slot
-/// on average, from any moment on and whatever they did before: an exponential draw.
-fn drawn(hosts: u64, draw: f64) -> u64 {
-    let part = (-(1.0 - draw).ln()).min(DRAW_MOST);
-    ((hosts * SLOT) as f64 * part) as u64
-}
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     beat::{Known, Reading},
-    hash,
-    readers::{self, Scene, Why},
+    calls::{self, Scene, Why},
+    hash, readers,
     routes::RouteTable,
     steer::{Change, State, Steer, Told},
     view::{Item, Key, Row, Table},
@@ -85,7 +85,7 @@
 
     /// How long this host waits before it asks the store once more, in microseconds.
     pub fn store_pause(&self, now: Time) -> u64 {
-        readers::pause(self.members.live(now).count() as u64 + 1, self.draw(now))
+        calls::pause(self.members.live(now).count() as u64 + 1, self.draw(now))
     }
 
     /// A number from 0 up to 1 that differs by host and time.
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -12,13 +12,14 @@
 
 use crate::{
     budget::Budgets,
+    calls::Calls,
     choose::{self, Ask, Choice, Scene},
     demand::{Count, Division},
     hash,
     lookup::{self, Ready},
     members::Members,
     model::{Limits, Route},
-    readers::{Calls, FAR_MS},
+    readers::FAR_MS,
     returns::Returns,
     routes::RouteTable,
     servers::{Index, Outcome, ServerTable},
--- a/elmstream_steer/tests/outage.rs
+++ b/elmstream_steer/tests/outage.rs
@@ -17,8 +17,9 @@
 
 use elmstream::time::MILLI;
 use elmstream_steer::{
-    Steer, members,
-    readers::{self, Why},
+    Steer,
+    calls::Why,
+    members, readers,
     view::{Row, TABLES, Table},
 };
 use support::{address, configuration, host, ms, ready, servers, store};
--- a/elmstream_steer/tests/readers.rs
+++ b/elmstream_steer/tests/readers.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use elmstream::time::MILLI;
-use elmstream_steer::{Steer, readers::Why, view::Table};
+use elmstream_steer::{Steer, calls::Why, view::Table};
 use support::{beats, configuration, ms, ready, servers, store};
 
 const HOSTS: usize = 12;
--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use elmstream::time::{MILLI, Time};
 use elmstream_steer::{
     Ask, Bounds, Choice, Host, Settings, Steer,
+    calls::Why,
     model::{Configuration, Limits, Part, Repeat, Route, Server, Service},
-    readers::Why,
     servers::Index,
     view::{Item, Key, Row, Table},
 };
