--- a/elmstream_edge/src/source.rs
+++ b/elmstream_edge/src/source.rs
@@ -60,7 +60,10 @@
 /// A call ends within its wait and [`ANSWER`] for each page. After one that failed no
 /// kept connection is used.
 pub trait Source: 'static {
-    /// All rows of a table.
+    /// All rows of a table, as they were at one version.
+    ///
+    /// Hosts take it that no change up to that version, or up to that of any row, is
+    /// missing, and never ask for it again.
     fn all(&self, table: Table) -> impl Future<Output = Result<Rows, SourceError>>;
 
     /// Rows that changed after a version, as soon as there is one; none if the
