Keep the retry budget in fleets with more hosts than repeats to share out

Cause: each host may save up its part of half the slack, but one whole repeat at least. With more hosts than the slack, a fault that all see at once breaks the budget: 1,205 repeats at 1,205 hosts, of 630.

Ruled out: a smaller part of the slack (a host still needs a whole repeat to spend one), debts (all hosts may run them up at once).

Change: a host whose part is less than a repeat draws for one with the chance that its part is worth, and loses the part. What was drawn and not spent is a part again at the next request. Hosts whose part is a repeat or more do as they did.

After: all sizes from 12 to 2,900 hosts stay within the slack with 1, 3 and 20 wishes each, also if two halves know only themselves; 1,205 hosts still repeat 0.15 to 0.2 of their requests if they want to repeat all (elmstream_steer/tests/budget.rs).

--- a/elmstream_steer/src/budget.rs
+++ b/elmstream_steer/src/budget.rs
@@ -6,6 +6,8 @@
 
 use std::collections::HashMap;
 
+use crate::hash;
+
 /// Part of the ratio that a host gives out. What a window's repeats have not earned in
 /// it was saved up before, which `SAVED` bounds, so nearly all of it may be used.
 const USED: f64 = 0.9;
@@ -15,13 +17,24 @@
 /// Budgets of one host, by service.
 #[derive(Clone, Debug, Default)]
 pub struct Budgets {
+    seed: u64,
+    draws: u64,
+    /// Repeats that may be saved up; below one in a fleet with more hosts than the slack
+    /// has repeats to share out.
+    most: f64,
     saved: HashMap<String, f64>,
 }
 
 impl Budgets {
+    /// Nothing is earned yet; `seed` differs between hosts.
+    pub fn new(seed: u64) -> Budgets {
+        Budgets { seed, ..Budgets::default() }
+    }
+
     /// A first request earns a part of a repeat.
     pub fn earn(&mut self, service: &str, ratio: f64, slack: f64, hosts: usize) {
-        let most = (slack * SAVED / hosts.max(1) as f64).max(1.0);
+        self.most = slack * SAVED / hosts.max(1) as f64;
+        let most = self.most;
         if let Some(saved) = self.saved.get_mut(service) {
             *saved = (*saved + ratio * USED).min(most);
         } else {
@@ -29,12 +42,25 @@
         }
     }
 
-    /// Whether a repeat has been earned.
-    pub fn affords(&self, service: &str) -> bool {
-        self.saved.get(service).is_some_and(|saved| *saved >= 1.0)
+    /// Whether there is a repeat to spend.
+    ///
+    /// A host that may save up only a part of a repeat has one with the chance that the
+    /// part is worth, and loses the part otherwise. So the hosts together spend what they
+    /// have saved up, and no host needs a whole one: 1,205 hosts that all want one at once
+    /// get 315 of a slack of 630, where a whole one each came to 1,205. What was drawn and
+    /// is not spent is a part again at the next request.
+    pub fn affords(&mut self, service: &str) -> bool {
+        let draw = hash::unit(hash::pair(self.seed, self.draws));
+        let Some(saved) = self.saved.get_mut(service) else { return false };
+        if *saved >= 1.0 || self.most >= 1.0 {
+            return *saved >= 1.0;
+        }
+        self.draws += 1;
+        *saved = if draw < *saved { 1.0 } else { 0.0 };
+        *saved >= 1.0
     }
 
-    /// Spends one repeat, if it has been earned.
+    /// Spends one repeat, if there is one.
     pub fn spend(&mut self, service: &str) -> bool {
         let affords = self.affords(service);
         if let Some(saved) = self.saved.get_mut(service).filter(|_| affords) {
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -137,7 +137,7 @@
             divided: Time(0),
             warmth: Warmth::default(),
             members,
-            budgets: Budgets::default(),
+            budgets: Budgets::new(reader),
             returns: Returns::default(),
             number: 0,
             calls: Calls::default(),
@@ -275,7 +275,7 @@
     }
 
     /// Whether the budget has a repeat left for a service.
-    pub fn affords(&self, service: &str) -> bool {
+    pub fn affords(&mut self, service: &str) -> bool {
         self.budgets.affords(service)
     }
 
--- a/elmstream_steer/tests/budget.rs
+++ b/elmstream_steer/tests/budget.rs
@@ -1,6 +1,6 @@
 //! Repeats of all hosts together stay within the fleet's budget.
 
-use elmstream_steer::{Bounds, budget::Budgets};
+use elmstream_steer::{Bounds, budget::Budgets, hash};
 use quickcheck::{QuickCheck, TestResult};
 
 /// Repeats and requests of hosts that repeat whenever they may, in one window
@@ -76,3 +76,71 @@
     assert!((0..50).all(|_| budgets.affords("s")));
     assert!(budgets.spend("s"));
 }
+
+/// Repeats of hosts that have all saved up what they may, and then want `wishes` repeats
+/// each at the same moment.
+fn at_once(hosts: usize, known: usize, slack: f64, wishes: usize) -> f64 {
+    let mut repeats = 0.0;
+    for host in 0..hosts {
+        let mut budgets = Budgets::new(hash::of(format!("host-{host}")));
+        for _ in 0..500 {
+            budgets.earn("s", 0.2, slack, known);
+        }
+        for _ in 0..wishes {
+            if budgets.affords("s") {
+                assert!(budgets.spend("s"), "what is afforded can be spent");
+                repeats += 1.0;
+            }
+        }
+    }
+    repeats
+}
+
+/// A fault that all hosts see at once. A host that could always save up a whole repeat
+/// made 1,205 of them in a fleet of as many, of which 630 are allowed.
+#[test]
+fn a_fleet_of_any_size_saves_up_no_more_than_the_slack() {
+    for (hosts, slack) in [(12, 64.0), (89, 218.0), (295, 630.0), (600, 630.0), (1_205, 630.0)] {
+        for wishes in [1, 3, 20] {
+            let all = at_once(hosts, hosts, slack, wishes);
+            assert!(all <= slack, "{all} of {slack} by {hosts} hosts with {wishes} wishes each");
+            let halves = at_once(hosts, hosts / 2, slack, wishes);
+            assert!(halves <= slack, "{halves} of {slack} by two halves of {hosts} hosts");
+        }
+    }
+    let all = at_once(2_900, 2_900, 630.0, 20);
+    assert!(all <= 630.0, "{all} by 2,900 hosts");
+}
+
+/// Hosts whose part of the slack is less than a repeat still repeat as much as their
+/// requests earn.
+#[test]
+fn small_parts_come_to_whole_repeats() {
+    let (hosts, requests) = (1_205, 20);
+    let mut repeats = 0.0;
+    for host in 0..hosts {
+        let mut budgets = Budgets::new(hash::of(format!("host-{host}")));
+        for _ in 0..requests {
+            budgets.earn("s", 0.2, 630.0, hosts);
+            repeats += f64::from(budgets.spend("s"));
+        }
+    }
+    let ratio = repeats / (hosts * requests) as f64;
+    assert!((0.15..=0.2).contains(&ratio), "{ratio} of the requests");
+}
+
+#[test]
+fn what_was_drawn_and_not_spent_is_not_saved_up() {
+    let mut repeats = 0;
+    let hosts = 1_205;
+    for host in 0..hosts {
+        let mut budgets = Budgets::new(hash::of(format!("host-{host}")));
+        for _ in 0..200 {
+            budgets.earn("s", 0.2, 630.0, hosts);
+            budgets.affords("s");
+        }
+        budgets.earn("s", 0.2, 630.0, hosts);
+        repeats += u32::from(budgets.spend("s"));
+    }
+    assert!(repeats <= 630, "{repeats} at once");
+}
