--- a/elmstream/src/code.rs
+++ b/elmstream/src/code.rs
@@ -58,6 +58,9 @@
     Ok = 0, 200, "success";
     BadRequest = 1001, 400, "the request is malformed";
     UnknownService = 1002, 404, "no such service";
+    KeyMissing = 1003, 401, "the route asks for a workspace's key, and there is none";
+    KeyUnknown = 1004, 401, "no workspace has this key";
+    KeyUnclear = 1005, 401, "there is not exactly one readable key";
     NotReady = 1101, 503, "no configuration is in force yet";
     NoCapacity = 1102, 503, "every backend server that may serve this is busy";
     ShiftCapped = 1103, 503, "the home region is full and the shift cap is used up";
@@ -73,6 +76,8 @@
     PeerUnreachable = 1115, 503, "the owning entry host could not be reached";
     RetryBudget = 1116, 503, "the retry budget allows no further try";
     RoutesStale = 1117, 503, "no route fits, but what is known of the routes may be out of date";
+    KeysStale = 1118, 503, "the key is not known, but what is known of keys may be out of date";
+    WorkspaceLimit = 1119, 429, "the workspace is over its limit";
     DeadlinePassed = 1201, 504, "the deadline passed while the request was running";
     BackendFailed = 1202, 502, "the backend server failed after the request was sent";
     PeerLost = 1203, 502, "contact with the owning entry host was lost after the request was sent";
@@ -142,7 +147,7 @@
 
     /// Whether waiting and asking again can help.
     pub fn waiting_helps(self) -> bool {
-        matches!(self.http_status(), 503) && self != Code::TicketHostGone
+        matches!(self.http_status(), 429 | 503) && self != Code::TicketHostGone
             || self == Code::TicketRunning
     }
 }
--- /dev/null
+++ b/elmstream_edge/src/access.rs
@@ -0,0 +1,165 @@
+//! Lets requests in by their workspace's key and limit.
+
+use std::{cell::Cell, fmt, rc::Rc};
+
+use elmstream::{code::Code, time::MILLI};
+use elmstream_http::LocalBody;
+use elmstream_steer::{
+    key::KeyDigest,
+    model::Route,
+    quota::Ruling,
+    workspaces::{Denial, Member, Shown},
+};
+use elmstreamd::clock;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header, request};
+use serde_json::json;
+
+use crate::{
+    callers::{self, UNREADY_RETRY_MS},
+    edge::Edge,
+    headers::{self, HeaderNames},
+};
+
+/// The workspace of a request that counts against its limit; given back when this is
+/// dropped unless a server may have run the request.
+pub struct Counted {
+    edge: Rc<Edge>,
+    /// The workspace.
+    pub member: Rc<Member>,
+    /// Whether a server may have run it.
+    pub may_have_run: Cell<bool>,
+}
+
+impl fmt::Debug for Counted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Counted").field(&self.member.workspace.name).finish()
+    }
+}
+
+impl Counted {
+    /// The request is sent to a server; it counts once more if an earlier one may have
+    /// run it.
+    pub fn sent(&self) {
+        if self.may_have_run.replace(true) {
+            self.edge.steer.borrow_mut().sent_again(clock::now(), &self.member);
+        }
+    }
+
+    /// The server did not run it; `had_run` says whether an earlier one may have.
+    pub fn not_run(&self, had_run: bool) {
+        self.may_have_run.set(had_run);
+        if had_run {
+            self.edge.steer.borrow_mut().not_run(clock::now(), &self.member);
+        }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        if !self.may_have_run.get() {
+            self.edge.steer.borrow_mut().not_run(clock::now(), &self.member);
+        }
+    }
+}
+
+/// The workspace of a request that is let in; none if its route asks for no key.
+///
+/// # Errors
+///
+/// The answer to a request that is not let in.
+pub fn check(
+    edge: &Rc<Edge>,
+    head: &request::Parts,
+    route: &Route,
+) -> Result<Option<Counted>, Box<Response<LocalBody>>> {
+    let now = clock::now();
+    let shown = shown(&edge.settings.headers, &head.headers);
+    let let_in = edge.steer.borrow().let_in(now, route, shown);
+    let member = match let_in {
+        Ok(Some(member)) => member,
+        Ok(None) => return Ok(None),
+        Err(denial) => return Err(Box::new(denied(edge, head, route, denial))),
+    };
+    let ruling = edge.steer.borrow_mut().rule(now, &member);
+    match ruling {
+        Ruling::Within => {
+            let edge = Rc::clone(edge);
+            Ok(Some(Counted { edge, member, may_have_run: Cell::new(false) }))
+        }
+        Ruling::Over { retry_ms } => {
+            let code = Code::WorkspaceLimit;
+            Err(Box::new(held_back(edge, head, (route, &member), code, retry_ms)))
+        }
+        Ruling::Unready => {
+            let code = Code::NotReady;
+            Err(Box::new(held_back(edge, head, (route, &member), code, UNREADY_RETRY_MS)))
+        }
+    }
+}
+
+/// What a request shows of a key.
+fn shown(names: &HeaderNames, headers: &HeaderMap) -> Shown {
+    let mut values = headers.get_all(&names.key).iter();
+    match (values.next(), values.next()) {
+        (None, _) => Shown::Nothing,
+        (Some(value), None) => key(names, value).map_or(Shown::Unclear, Shown::Key),
+        (Some(_), Some(_)) => Shown::Unclear,
+    }
+}
+
+/// Digest of the key in a header's value; none if that is not one key of the scheme.
+fn key(names: &HeaderNames, value: &HeaderValue) -> Option<KeyDigest> {
+    let (scheme, key) = value.to_str().ok()?.trim().split_once(' ')?;
+    let key = key.trim();
+    let one = !key.is_empty() && !key.contains([' ', '\t', ',']);
+    (one && scheme.eq_ignore_ascii_case(&names.key_scheme)).then(|| KeyDigest::of(key.as_bytes()))
+}
+
+fn denied(
+    edge: &Edge,
+    head: &request::Parts,
+    route: &Route,
+    denial: Denial,
+) -> Response<LocalBody> {
+    let code = match denial {
+        Denial::Missing => Code::KeyMissing,
+        Denial::Unknown => Code::KeyUnknown,
+        Denial::Unclear => Code::KeyUnclear,
+        Denial::Unsure => Code::KeysStale,
+    };
+    metrics::counter!("elmstream_requests", "outcome" => "denied").increment(1);
+    let steer = edge.steer.borrow();
+    let id = headers::text(&head.headers, &edge.settings.headers.request_id);
+    let fields = json!({
+        "id": id, "route": route.name, "code": code.number(), "status": code.http_status(),
+        "version": steer.version(), "stale_ms": steer.staleness(clock::now()) / MILLI,
+    });
+    edge.journal.request("denied", fields);
+    if denial == Denial::Unsure {
+        return callers::refuse(code, UNREADY_RETRY_MS);
+    }
+    let mut response = callers::plain(code, StatusCode::UNAUTHORIZED);
+    if let Ok(scheme) = HeaderValue::from_str(&edge.settings.headers.key_scheme) {
+        response.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
+    }
+    response
+}
+
+fn held_back(
+    edge: &Edge,
+    head: &request::Parts,
+    (route, member): (&Route, &Member),
+    code: Code,
+    retry_ms: u64,
+) -> Response<LocalBody> {
+    metrics::counter!("elmstream_requests", "outcome" => "limited").increment(1);
+    let id = headers::text(&head.headers, &edge.settings.headers.request_id);
+    let fields = json!({
+        "id": id, "route": route.name, "workspace": member.workspace.name,
+        "code": code.number(), "status": code.http_status(), "retry_ms": retry_ms,
+        "rate_per_s": member.workspace.rate_per_s, "burst": member.workspace.burst,
+        "version": edge.steer.borrow().version(),
+    });
+    edge.journal.request("limited", fields);
+    callers::refuse(code, retry_ms)
+}
--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -16,10 +16,14 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
-use crate::{edge::Edge, forward, headers};
+use crate::{
+    access::{self, Counted},
+    edge::Edge,
+    forward, headers,
+};
 
 /// When to come back to a host that knows no configuration yet, or an old one.
-const UNREADY_RETRY_MS: u64 = 300;
+pub(crate) const UNREADY_RETRY_MS: u64 = 300;
 /// When to come back to the name of a host that has ended: another one serves it now.
 const STOPPING_RETRY_MS: u64 = 50;
 
@@ -59,11 +63,24 @@
     pub until: Time,
     /// Whether its caller has most likely been refused before.
     pub returning: bool,
+    /// Its workspace; none if its route asks for no key.
+    pub workspace: Option<Counted>,
     /// How far it has come.
     pub progress: Rc<Progress>,
 }
 
 impl Call {
+    /// Name of its workspace; empty for none.
+    pub fn workspace_name(&self) -> &str {
+        self.workspace.as_ref().map_or("", |counted| &counted.member.workspace.name)
+    }
+
+    /// Rank of it; 0 is the most urgent. A workspace's goes before its route's.
+    pub fn priority(&self) -> u32 {
+        let own = self.workspace.as_ref().and_then(|counted| counted.member.workspace.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// Time that is left for it.
     pub fn left(&self) -> Duration {
         Duration::from_micros(self.until.since(clock::now()))
@@ -134,6 +151,10 @@
         Err(Missing::Unsure) => return Ok(refuse(Code::RoutesStale, UNREADY_RETRY_MS)),
         Err(Missing::Route) => return Ok(plain(Code::UnknownService, StatusCode::NOT_FOUND)),
     };
+    let workspace = match access::check(edge, &head, &route) {
+        Ok(workspace) => workspace,
+        Err(answer) => return Ok(*answer),
+    };
     let limits = edge.steer.borrow().limits();
     let body = match Limited::new(incoming, limits.body_bytes as usize).collect().await {
         Ok(body) => body.to_bytes(),
@@ -143,7 +164,7 @@
         // The caller broke off, so nobody reads an answer.
         Err(_) => return Err(Cut),
     };
-    let call = call(edge, head, route, body, came, progress);
+    let call = call(edge, head, (route, workspace), body, came, progress);
     Ok(forward::run(edge, &call).await)
 }
 
@@ -185,7 +206,7 @@
 fn call(
     edge: &Edge,
     head: request::Parts,
-    route: Rc<Route>,
+    (route, workspace): (Rc<Route>, Option<Counted>),
     body: Bytes,
     came: Time,
     progress: Rc<Progress>,
@@ -199,6 +220,7 @@
     let key = affinity.map_or(draw, |key| hash::of(key.as_bytes()));
     let waits = headers::number(&kept, &names.deadline).unwrap_or(route.timeout_ms);
     headers::strip(&mut kept);
+    set_workspace(edge, &mut kept, workspace.as_ref());
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let uri = path.parse().unwrap_or(head.uri);
     let service = routes::service(&route, draw).to_owned();
@@ -218,10 +240,24 @@
         came,
         until,
         returning,
+        workspace,
         progress,
     }
 }
 
+/// Takes the key out of what servers get, and sets the workspace's name.
+fn set_workspace(edge: &Edge, headers: &mut HeaderMap, workspace: Option<&Counted>) {
+    let names = &edge.settings.headers;
+    headers.remove(&names.workspace);
+    if !edge.steer.borrow().workspaces().is_empty() {
+        headers.remove(&names.key);
+    }
+    let name = workspace.map(|counted| HeaderValue::from_str(&counted.member.workspace.name));
+    if let Some(Ok(name)) = name {
+        headers.insert(&names.workspace, name);
+    }
+}
+
 /// An answer of the host's own, without a body.
 pub fn plain(code: Code, status: StatusCode) -> Response<LocalBody> {
     let mut response = Response::new(body::empty());
@@ -232,7 +268,8 @@
 
 /// The request was not run; the caller may come back after a time.
 pub fn refuse(code: Code, retry_ms: u64) -> Response<LocalBody> {
-    let mut response = plain(code, StatusCode::SERVICE_UNAVAILABLE);
+    let status = StatusCode::from_u16(code.http_status());
+    let mut response = plain(code, status.unwrap_or(StatusCode::SERVICE_UNAVAILABLE));
     let seconds = format!("{:.2}", retry_ms as f64 / 1_000.0);
     if let Ok(value) = seconds.parse() {
         response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -32,6 +32,12 @@
 impl Edge {
     /// A host that has just started.
     pub fn new(settings: Settings) -> Rc<Edge> {
+        let journal = Journal::start(&settings.logging);
+        Edge::writing(settings, journal)
+    }
+
+    /// The same with a journal of its own.
+    pub fn writing(settings: Settings, journal: Journal) -> Rc<Edge> {
         let steer = Steer::new(
             settings::Settings {
                 host: settings.host.clone(),
@@ -41,7 +47,6 @@
             },
             clock::now(),
         );
-        let journal = Journal::start(&settings.logging);
         Rc::new(Edge { settings, steer: RefCell::new(steer), pool: Pool::default(), journal })
     }
 
@@ -62,8 +67,25 @@
         self.steer.borrow().lookup(clock::now(), name, domain, region)
     }
 
-    /// Writes down what the host has come to believe, and from whom.
+    /// Writes down entries of the store that cannot be read.
+    pub fn unreadable(&self, table: &str, keys: &[String]) {
+        if keys.is_empty() {
+            return;
+        }
+        metrics::counter!("elmstream_rows_unreadable").increment(keys.len() as u64);
+        let named: Vec<&String> = keys.iter().take(SERVERS_NAMED).collect();
+        let fields = json!({"table": table, "count": keys.len(), "keys": named});
+        self.journal.belief("rows_unreadable", fields);
+    }
+
+    /// Writes down what the host has come to believe, and from whom, and leaves the
+    /// connections to servers that are another start now.
     pub fn note(&self, from: &str, changes: &[Change]) {
+        for change in changes {
+            if let Change::Server(id, State::Restarted | State::Unreadable) = change {
+                self.pool.distrust(id);
+            }
+        }
         let servers = changes.iter().filter(|change| matches!(change, Change::Server(..)));
         let many = servers.count() > SERVERS_EACH;
         if many {
@@ -99,7 +121,9 @@
     for change in changes {
         let Change::Server(id, state) = change else { continue };
         *counts.entry(state.name()).or_default() += 1;
-        if !matches!(state, State::Ready | State::Answers) && lost.len() < SERVERS_NAMED {
+        if !matches!(state, State::Ready | State::Answers | State::Restarted)
+            && lost.len() < SERVERS_NAMED
+        {
             lost.push(id);
         }
     }
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -81,7 +81,10 @@
         let again = !tried.servers.is_empty();
         let (route, service) = (&call.route, &call.service);
         let (key, returning) = (call.key, call.returning);
-        let ask = Ask { route, service, key, tried: &tried.servers, returning };
+        let homes =
+            call.workspace.as_ref().map(|counted| counted.member.workspace.homes.as_slice());
+        let homes = homes.unwrap_or_default();
+        let ask = Ask { route, service, key, tried: &tried.servers, returning, homes };
         let index = match choose(edge, &ask, again) {
             Ok(index) => index,
             Err(refusal) if again => {
@@ -145,6 +148,9 @@
     let sent = clock::now();
     let knew = call.keyed && edge.steer.borrow_mut().learn(sent, index, call.key);
     let had_run = call.progress.may_have_run.replace(true);
+    if let Some(counted) = &call.workspace {
+        counted.sent();
+    }
     let exchange = edge.pool.exchange(&id, address, request);
     let exchange = compio::time::timeout(call.left(), exchange).await;
     let micros = clock::now().since(sent);
@@ -160,6 +166,9 @@
     };
     if matches!(result, Try::NotRun) {
         call.progress.may_have_run.set(had_run);
+        if let Some(counted) = &call.workspace {
+            counted.not_run(had_run);
+        }
     }
     tried.notes.push((id, outcome, micros));
     flight.outcome = outcome;
@@ -250,6 +259,7 @@
     let fields = json!({
         "id": call.id, "code": code.number(),
         "route": call.route.name, "service": call.service, "status": 503,
+        "workspace": call.workspace_name(), "priority": call.priority(),
         "reason": format!("{:?}", refusal.reason), "retry_ms": refusal.retry_ms,
         "servers": refusal.servers, "free": refusal.free, "load_percent": refusal.load,
         "took_ms": took / MILLI, "returning": call.returning,
@@ -324,6 +334,7 @@
     let fields = json!({
         "id": call.id, "code": code.number(), "key": call.key % 10_000,
         "route": call.route.name, "service": call.service, "status": status.as_u16(),
+        "workspace": call.workspace_name(),
         "tried": tries, "took_ms": took / MILLI, "version": steer.version(),
         "stale_ms": steer.staleness(now) / MILLI,
     });
--- a/elmstream_edge/src/headers.rs
+++ b/elmstream_edge/src/headers.rs
@@ -35,6 +35,15 @@
     /// Present in each success of a backend server.
     #[serde(deserialize_with = "name")]
     pub signature: HeaderName,
+    /// In which callers show their workspace's key; backend servers never see it.
+    #[serde(deserialize_with = "name")]
+    pub key: HeaderName,
+    /// Word that stands before the key.
+    pub key_scheme: String,
+    /// In which backend servers are told the workspace's name; what callers send in it is
+    /// dropped.
+    #[serde(deserialize_with = "name")]
+    pub workspace: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -47,6 +56,9 @@
             not_run: HeaderName::from_static("elmstream-not-run"),
             load: HeaderName::from_static("elmstream-load"),
             signature: HeaderName::from_static("elmstream-signature"),
+            key: header::AUTHORIZATION,
+            key_scheme: "Bearer".into(),
+            workspace: HeaderName::from_static("elmstream-workspace"),
         }
     }
 }
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -1,11 +1,12 @@
 //! An entry host that sends to any backend server.
 //!
 //! [`Edge`] holds the decisions of `elmstream_steer` and connects them: callers
-//! (`callers`, `forward`), backend servers (`backend`), the other hosts (`peers`, `fetch`)
+//! (`callers`, `access`, `forward`), backend servers (`backend`), the other hosts (`peers`, `fetch`)
 //! and the store (`reader`, over a [`Source`] that an adapter brings).
 
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
 
+pub mod access;
 pub mod backend;
 pub mod callers;
 pub mod connections;
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -57,7 +57,7 @@
     let source = Rc::new(source);
     spawn(peers::receive(edge.clone(), socket.clone()));
     spawn(peers::send(edge.clone(), socket.clone()));
-    spawn(peers::tick(edge.clone()));
+    spawn(peers::tick(edge.clone(), socket.clone()));
     spawn(registry::run(edge.clone(), source.clone()));
     for table in TABLES {
         spawn(reader::run(edge.clone(), source.clone(), table));
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -10,7 +10,7 @@
 use elmstream_http::{LocalBody, body, server::Cut};
 use elmstream_steer::{
     Steer,
-    beat::{Beat, Known},
+    beat::{Beat, Known, Message},
     members,
     view::{Row, TABLES},
 };
@@ -76,17 +76,29 @@
     let now = clock::now();
     let (mut beat, targets, hosts) = {
         let mut steer = edge.steer.borrow_mut();
-        (steer.beat(now), steer.targets(now, round), steer.members().count())
+        (Box::new(steer.beat(now)), steer.targets(now, round), steer.members().count())
     };
-    tell(socket, &beat, &targets.near).await;
+    tell(socket, &Message::Beat(beat.clone()), &targets.near).await;
     beat.lessons.clear();
     beat.words.clear();
-    tell(socket, &beat, &targets.far).await;
+    tell(socket, &Message::Beat(beat), &targets.far).await;
     hosts
 }
 
-async fn tell(socket: &UdpSocket, beat: &Beat, hosts: &[SocketAddr]) {
-    let Ok(datagram) = postcard::to_allocvec(beat) else { return };
+/// Reports what workspaces asked of this host.
+async fn report(edge: &Edge, socket: &UdpSocket) {
+    let due = edge.steer.borrow_mut().reports(clock::now());
+    send_each(socket, due).await;
+}
+
+async fn send_each(socket: &UdpSocket, messages: Vec<(SocketAddr, Message)>) {
+    for (host, message) in messages {
+        tell(socket, &message, &[host]).await;
+    }
+}
+
+async fn tell(socket: &UdpSocket, message: &Message, hosts: &[SocketAddr]) {
+    let Ok(datagram) = postcard::to_allocvec(message) else { return };
     let datagram = bytes::Bytes::from(datagram);
     for host in hosts {
         let _ = socket.send_to(datagram.clone(), *host).await;
@@ -102,21 +114,41 @@
         buffer.clear();
         let BufResult(result, back) = socket.recv_from(buffer).await;
         buffer = back;
-        let Ok((length, _)) = result else { continue };
-        let Ok(beat) = postcard::from_bytes::<Beat>(&buffer[..length.min(buffer.len())]) else {
-            continue;
-        };
-        let news = edge.steer.borrow_mut().hear(clock::now(), &beat);
-        let Some(news) = news else { continue };
-        if news.joined {
-            edge.journal.belief("host_heard", json!({"host": beat.host.name}));
-        }
-        for (table, _) in news.wanted {
-            asking.offer(table, beat.host.peers, beat.known[table as usize].version);
+        let Ok((length, from)) = result else { continue };
+        match postcard::from_bytes::<Message>(&buffer[..length.min(buffer.len())]) {
+            Ok(Message::Beat(beat)) => hear(&edge, &asking, &beat),
+            Ok(Message::Report(report)) => {
+                let (verdict, due) = {
+                    let (mut steer, now) = (edge.steer.borrow_mut(), clock::now());
+                    let verdict = steer.sum_up(now, &report);
+                    (verdict, steer.tell_all(now))
+                };
+                tell(&socket, &Message::Verdict(verdict), &[from]).await;
+                send_each(&socket, due).await;
+            }
+            Ok(Message::Spread(spread)) => {
+                let due = edge.steer.borrow_mut().pass_on(clock::now(), &spread);
+                send_each(&socket, due).await;
+            }
+            Ok(Message::Verdict(verdict)) => {
+                edge.steer.borrow_mut().judged(clock::now(), &verdict);
+            }
+            Err(_) => metrics::counter!("elmstream_datagrams_unreadable").increment(1),
         }
     }
 }
 
+fn hear(edge: &Edge, asking: &Asking, beat: &Beat) {
+    let news = edge.steer.borrow_mut().hear(clock::now(), beat);
+    let Some(news) = news else { return };
+    if news.joined {
+        edge.journal.belief("host_heard", json!({"host": beat.host.name}));
+    }
+    for (table, _) in news.wanted {
+        asking.offer(table, beat.host.peers, beat.known[table as usize].version);
+    }
+}
+
 fn empty(status: StatusCode) -> Response<LocalBody> {
     let mut response = Response::new(body::empty());
     *response.status_mut() = status;
@@ -186,9 +218,10 @@
 }
 
 /// Lets time pass for the decisions until the process ends.
-pub async fn tick(edge: Rc<Edge>) {
+pub async fn tick(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     for count in 0u64.. {
         compio::time::sleep(TICK).await;
+        report(&edge, &socket).await;
         if count.is_multiple_of(SEEDS_EVERY) {
             for seed in &edge.settings.seeds {
                 edge.steer.borrow_mut().suppose(clock::now(), *seed);
@@ -200,6 +233,9 @@
         let changes = edge.steer.borrow_mut().tick(clock::now());
         edge.note("time", &changes);
         let steer = edge.steer.borrow();
+        let (held_back, unanswered) = steer.limits_seen(clock::now());
+        metrics::gauge!("elmstream_workspaces_held_back").set(held_back as f64);
+        metrics::gauge!("elmstream_workspaces_unanswered").set(unanswered as f64);
         edge.pool.sweep(|id| steer.servers().find(id).is_some());
     }
 }
--- a/elmstream_edge/src/reader.rs
+++ b/elmstream_edge/src/reader.rs
@@ -124,7 +124,8 @@
 ) -> Result<Option<u64>, SourceError> {
     let asked = clock::now();
     let Some(after) = after else {
-        let Rows { version, rows } = source.all(table).await?;
+        let Rows { version, rows, unreadable } = source.all(table).await?;
+        edge.unreadable(name(table), &unreadable);
         let now = clock::now();
         let mut steer = edge.steer.borrow_mut();
         if table == Table::Servers {
@@ -135,10 +136,11 @@
         edge.note("store", &changes);
         return Ok(Some(version));
     };
-    let Some(Rows { version, rows }) = source.changes(table, after, wait).await? else {
+    let Some(Rows { version, rows, unreadable }) = source.changes(table, after, wait).await? else {
         edge.journal.write("store_history_gone", json!({"table": name(table)}));
         return Ok(None);
     };
+    edge.unreadable(name(table), &unreadable);
     let now = clock::now();
     // The store held its answer no longer than it was asked to.
     let moment = now.min(asked + wait.as_micros() as u64);
--- a/elmstream_edge/src/registry.rs
+++ b/elmstream_edge/src/registry.rs
@@ -2,11 +2,11 @@
 
 use std::{rc::Rc, time::Duration};
 
-use elmstream_steer::registry::{Edit, Listed};
+use elmstream_steer::registry::Edit;
 use elmstreamd::clock;
 use serde_json::json;
 
-use crate::{Edge, Source, SourceError};
+use crate::{Edge, Source, SourceError, source::Hosts};
 
 /// Pause between two looks at whether it is this host's turn.
 const LOOK: Duration = Duration::from_millis(60);
@@ -28,7 +28,8 @@
 
 /// Reads the list, and changes it if that is this host's.
 async fn look<S: Source>(edge: &Edge, source: &S) -> Result<(), SourceError> {
-    let listed: Vec<Listed> = source.hosts().await?;
+    let Hosts { listed, unreadable } = source.hosts().await?;
+    edge.unreadable("hosts", &unreadable);
     let edit = edge.steer.borrow_mut().listed(clock::now(), &listed);
     if edit.is_empty() {
         return Ok(());
--- a/elmstream_edge/src/source.rs
+++ b/elmstream_edge/src/source.rs
@@ -53,6 +53,17 @@
     pub version: u64,
     /// Rows; of a whole table only those that are there.
     pub rows: Vec<Row>,
+    /// Keys of rows that cannot be read.
+    pub unreadable: Vec<String>,
+}
+
+/// The list of hosts.
+#[derive(Debug, Default)]
+pub struct Hosts {
+    /// Hosts.
+    pub listed: Vec<Listed>,
+    /// Keys of rows that cannot be read.
+    pub unreadable: Vec<String>,
 }
 
 /// A store with rules, servers and hosts.
@@ -76,7 +87,7 @@
     ) -> impl Future<Output = Result<Option<Rows>, SourceError>>;
 
     /// The list of hosts.
-    fn hosts(&self) -> impl Future<Output = Result<Vec<Listed>, SourceError>>;
+    fn hosts(&self) -> impl Future<Output = Result<Hosts, SourceError>>;
 
     /// Changes the list of hosts.
     fn edit_hosts(&self, edit: &Edit) -> impl Future<Output = Result<(), SourceError>>;
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -78,6 +78,7 @@
         loads: Vec::new(),
         lessons: Vec::new(),
         words: Vec::new(),
+        fleet: 1,
     };
     compio::runtime::spawn(async move {
         for number in 0.. {
--- a/elmstream_edge/tests/start.rs
+++ b/elmstream_edge/tests/start.rs
@@ -92,6 +92,7 @@
                 slots: 6,
                 draining: false,
                 cold_ms: 0,
+                born: 0,
             };
             vec![row(Key::Server("s".into()), Item::Server(server))]
         }
--- a/elmstream_edge/tests/support/mod.rs
+++ b/elmstream_edge/tests/support/mod.rs
@@ -19,7 +19,10 @@
     net::{TcpListener, TcpStream},
     runtime::Runtime,
 };
-use elmstream_edge::{Edge, Settings, Source, SourceError, lifecycle, source::Rows};
+use elmstream_edge::{
+    Edge, Settings, Source, SourceError, lifecycle,
+    source::{Hosts, Rows},
+};
 use elmstream_http::{Stopper, body, client};
 use elmstream_steer::{
     model::{Configuration, Limits, Part, Repeat, Route, Server, Service},
@@ -79,7 +82,7 @@
             row.key.table() == table && new
         };
         let rows = self.rows.borrow().values().filter(wanted).cloned().collect();
-        Ok(Rows { version: self.version.get(), rows })
+        Ok(Rows { version: self.version.get(), rows, unreadable: Vec::new() })
     }
 }
 
@@ -99,10 +102,11 @@
         rows
     }
 
-    async fn hosts(&self) -> Result<Vec<Listed>, SourceError> {
+    async fn hosts(&self) -> Result<Hosts, SourceError> {
         self.serve(Table::Rules, None)?;
         let listed = |peers: &SocketAddr| Listed { name: name(peers.ip()), peers: *peers };
-        Ok(self.hosts.borrow().iter().map(listed).collect())
+        let listed = self.hosts.borrow().iter().map(listed).collect();
+        Ok(Hosts { listed, unreadable: Vec::new() })
     }
 
     async fn edit_hosts(&self, edit: &Edit) -> Result<(), SourceError> {
@@ -156,7 +160,11 @@
 
 /// Starts a host with settings.
 pub fn start_with(ip: IpAddr, settings: Settings, store: &Store) -> Running {
-    let edge = Edge::new(settings);
+    start_edge(ip, Edge::new(settings), store)
+}
+
+/// Starts a host that has been made.
+pub fn start_edge(ip: IpAddr, edge: Rc<Edge>, store: &Store) -> Running {
     let (terminate, terminated) = Stopper::new();
     let (stopper, stop) = Stopper::new();
     let ended = Rc::new(Cell::new(false));
@@ -198,9 +206,11 @@
             affinity: true,
             homes: Vec::new(),
             parts: vec![Part { service: SERVICE.into(), weight: 1.0 }],
+            open: false,
         }],
         services: vec![Service { name: SERVICE.into(), cold_ms: 0, cold_per_s: 9.0 }],
         limits: Limits::default(),
+        workspaces: Vec::new(),
     })
 }
 
@@ -213,6 +223,7 @@
         slots: 4,
         draining: false,
         cold_ms: 0,
+        born: 0,
     })
 }
 
--- a/elmstream_soak/src/remote.rs
+++ b/elmstream_soak/src/remote.rs
@@ -2,7 +2,10 @@
 
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
-use elmstream_edge::{Source, SourceError, source::Rows};
+use elmstream_edge::{
+    Source, SourceError,
+    source::{Hosts, Rows},
+};
 use elmstream_http::{LocalBody, body, client};
 use elmstream_steer::{
     registry::{Edit, Listed},
@@ -25,6 +28,12 @@
     pub rows: Vec<elmstream_steer::view::Row>,
 }
 
+impl From<Page> for Rows {
+    fn from(page: Page) -> Rows {
+        Rows { version: page.version, rows: page.rows, unreadable: Vec::new() }
+    }
+}
+
 /// The soak's store, as a host sees it.
 #[derive(Debug)]
 pub struct Remote {
@@ -91,7 +100,7 @@
     async fn all(&self, table: Table) -> Result<Rows, SourceError> {
         let page: Page =
             self.get(format!("/rows?table={}", table as usize), Duration::ZERO).await?;
-        Ok(Rows { version: page.version, rows: page.rows })
+        Ok(page.into())
     }
 
     async fn changes(
@@ -103,12 +112,13 @@
         let path =
             format!("/changes?table={}&after={after}&wait={}", table as usize, wait.as_millis());
         let page: Page = self.get(path, wait).await?;
-        Ok(Some(Rows { version: page.version, rows: page.rows }))
+        Ok(Some(page.into()))
     }
 
-    async fn hosts(&self) -> Result<Vec<Listed>, SourceError> {
+    async fn hosts(&self) -> Result<Hosts, SourceError> {
         let hosts: Vec<(String, SocketAddr)> = self.get("/hosts".into(), Duration::ZERO).await?;
-        Ok(hosts.into_iter().map(|(name, peers)| Listed { name, peers }).collect())
+        let listed = hosts.into_iter().map(|(name, peers)| Listed { name, peers }).collect();
+        Ok(Hosts { listed, unreadable: Vec::new() })
     }
 
     async fn edit_hosts(&self, edit: &Edit) -> Result<(), SourceError> {
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -172,6 +172,7 @@
             slots: 8,
             draining,
             cold_ms: 0,
+            born: 0,
         };
         self.put(Key::Server(id.into()), Some(Item::Server(server)));
     }
@@ -208,6 +209,7 @@
         ],
         services: services.map(|name| Service { name, cold_ms: 0, cold_per_s: 9.0 }).collect(),
         limits: Limits::default(),
+        workspaces: Vec::new(),
     }
 }
 
@@ -224,5 +226,6 @@
         affinity: true,
         homes: Vec::new(),
         parts: vec![Part { service: service.into(), weight: 1.0 }],
+        open: false,
     }
 }
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -2,7 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{settings::Host, warmth::Lesson};
+use crate::{
+    settings::Host,
+    tally::{Report, Spread, Verdict},
+    warmth::Lesson,
+};
 
 /// One host's requests at one backend server.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -90,4 +94,19 @@
     /// Other hosts that are live; told in the sender's region only, and in large
     /// fleets only.
     pub words: Vec<Word>,
+    /// Hosts that the sender itself knows to be running or not to have stopped.
+    pub fleet: u32,
+}
+
+/// A datagram between hosts.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Message {
+    /// What a host knows and does.
+    Beat(Box<Beat>),
+    /// What workspaces asked of a host.
+    Report(Report),
+    /// The answer to a report.
+    Verdict(Verdict),
+    /// What all hosts have to know of workspaces.
+    Spread(Spread),
 }
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -68,6 +68,17 @@
     pub tried: &'a [Index],
     /// Whether its caller has most likely been refused before.
     pub returning: bool,
+    /// Regions in which its workspace's requests may run; empty for any.
+    pub homes: &'a [String],
+}
+
+impl Ask<'_> {
+    /// Whether the request may run in a region: the homes of its route and of its workspace
+    /// both bind.
+    fn at_home(&self, region: &str) -> bool {
+        let among = |homes: &[String]| homes.is_empty() || homes.iter().any(|home| home == region);
+        among(&self.route.homes) && among(self.homes)
+    }
 }
 
 /// Where a request goes.
@@ -266,8 +277,8 @@
 
 /// Whether the server may get the request at all.
 fn allowed(scene: &Scene<'_>, ask: &Ask<'_>, index: Index, entry: &Entry) -> bool {
-    let home = ask.route.homes.is_empty() || ask.route.homes.contains(&entry.region);
-    home && !entry.server.draining
+    ask.at_home(&entry.region)
+        && !entry.server.draining
         && !scene.evacuated.contains(&entry.server.domain)
         && !ask.tried.contains(&index)
         && entry.reachable(scene.now)
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -5,13 +5,15 @@
 use elmstream::time::{SECOND, Time};
 
 use crate::{
-    beat::{Beat, Hears, Known, Load},
+    beat::{Beat, Hears, Known, Load, Message},
     cold,
     demand::{Division, Region},
     hash,
     members::Targets,
+    quota::Spreading,
     servers::{Entry, Pace},
     steer::{Change, State, Steer, Told},
+    tally::{Report, Spread, Verdict},
     view::{TABLES, Table},
 };
 
@@ -78,9 +80,62 @@
             loads,
             lessons: self.warmth.tell(),
             words: self.members.words(now),
+            fleet: self.may_run(now) as u32,
         }
     }
 
+    /// Hosts that may be running, this one included, as far as this host itself knows.
+    fn may_run(&self, now: Time) -> usize {
+        self.members.may_run(now) + 1
+    }
+
+    /// Reports of what workspaces asked of this host, and where they go; called each 100 ms.
+    pub fn reports(&mut self, now: Time) -> Vec<(SocketAddr, Message)> {
+        let due = self.with_quotas(now, |quotas, scene, table| quotas.reports(scene, table));
+        let reports = due.into_iter().map(|due| (due.place, Message::Report(due.report)));
+        let mut messages = self.addressed(reports.collect());
+        messages.extend(self.tell_all(now));
+        messages
+    }
+
+    /// What all hosts have to know of workspaces now, and where this host sends it.
+    pub fn tell_all(&mut self, now: Time) -> Vec<(SocketAddr, Message)> {
+        let due = self.with_quotas(now, |quotas, scene, _| quotas.tell(scene));
+        self.spreading(due)
+    }
+
+    /// Takes in what all hosts have to know; where this host passes it on.
+    pub fn pass_on(&mut self, now: Time, spread: &Spread) -> Vec<(SocketAddr, Message)> {
+        let due = self.with_quotas(now, |quotas, scene, _| quotas.pass_on(scene, spread));
+        self.spreading(due)
+    }
+
+    fn spreading(&self, due: Vec<Spreading>) -> Vec<(SocketAddr, Message)> {
+        self.addressed(
+            due.into_iter().map(|due| (due.place, Message::Spread(due.spread))).collect(),
+        )
+    }
+
+    /// Messages with the addresses that they go to, by the hashes of those.
+    fn addressed(&self, messages: Vec<(u64, Message)>) -> Vec<(SocketAddr, Message)> {
+        if messages.is_empty() {
+            return Vec::new();
+        }
+        let addresses = self.members.by_place();
+        let messages = messages.into_iter();
+        messages.filter_map(|(place, message)| Some((*addresses.get(&place)?, message))).collect()
+    }
+
+    /// Takes in a host's report; the answer to it.
+    pub fn sum_up(&mut self, now: Time, report: &Report) -> Verdict {
+        self.with_quotas(now, |quotas, scene, table| quotas.sum_up(scene, table, report))
+    }
+
+    /// Takes in the answer to a report.
+    pub fn judged(&mut self, now: Time, verdict: &Verdict) {
+        self.quotas.judged(now, verdict);
+    }
+
     /// Takes a beat in; the tables that its sender knows better.
     pub fn hear(&mut self, now: Time, beat: &Beat) -> Option<News> {
         if beat.host.peers == self.settings.host.peers {
@@ -186,6 +241,12 @@
 
     fn count_hosts(&mut self, now: Time) {
         self.live = self.members.live(now).count() + 1;
+        self.heard = self.members.heard(now).count() + 1;
+        let region = &self.settings.host.region;
+        let near = self.members.live(now).filter(|member| member.host.region == *region);
+        self.near = near.count() + 1;
+        let told = self.members.live(now).map(|member| member.fleet as usize);
+        self.fleet = told.max().unwrap_or(0).max(self.may_run(now));
         self.places.truncate(1);
         self.places.extend(self.members.places(now));
     }
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -3,7 +3,7 @@
 //! Pure: no I/O, no clock, no threads. Rows of the store, beats of the other
 //! hosts, requests and time come in; choices and messages go out. `view` holds
 //! what the store says, `servers` and `members` hold the entities, and `choose`,
-//! `cold`, `budget`, `readers` and `calls` are the systems over them. [`Steer`] ties them
+//! `cold`, `budget`, `quota`, `readers` and `calls` are the systems over them. [`Steer`] ties them
 //! together for one host.
 
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
@@ -16,9 +16,11 @@
 pub mod demand;
 pub mod hash;
 pub mod hearing;
+pub mod key;
 pub mod lookup;
 pub mod members;
 pub mod model;
+pub mod quota;
 pub mod readers;
 pub mod reading;
 pub mod registry;
@@ -29,8 +31,11 @@
 pub mod settings;
 pub mod start;
 pub mod steer;
+pub mod tally;
+pub mod usage;
 pub mod view;
 pub mod warmth;
+pub mod workspaces;
 
 pub use choose::{Ask, Choice, Refusal};
 pub use settings::{Bounds, Host, Settings};
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -10,6 +10,7 @@
 };
 
 use elmstream::time::{MILLI, SECOND, Time};
+use rustc_hash::FxHashMap;
 
 use crate::{
     beat::{Beat, Load, Word},
@@ -23,6 +24,9 @@
 const LIVE_IN_TURNS: u64 = 3_000 * MILLI;
 /// How long the requests that a host told of count.
 const LOADS: u64 = 1_200 * MILLI;
+/// A region of which no host was heard for this long is lost: even in the largest fleet a
+/// host hears some host of each region several times a second.
+pub const REGION_LOST: u64 = 1_200 * MILLI;
 /// Hosts of the own region that a round of beats goes to at most.
 pub const NEAR: usize = 32;
 /// Hosts of other regions that a round of beats goes to at most, and how often.
@@ -44,6 +48,9 @@
 /// A host that has been silent for this long is forgotten: regions may lose each
 /// other for hours, and have to find each other again.
 const FORGET: u64 = 24 * 3_600 * SECOND;
+/// A silent host may be cut off and running for this long, as regions lose each other for
+/// an hour now and then.
+const CUT: u64 = 2 * 3_600 * SECOND;
 /// Known addresses that never answered are tried for this long.
 const TRY: u64 = 15 * SECOND;
 
@@ -88,6 +95,8 @@
     pub loads: Vec<Load>,
     /// Requests that it took lately, by hash of the service.
     pub demand: Vec<(u32, u32)>,
+    /// Hosts that it knows to be running or not to have stopped.
+    pub fleet: u32,
 }
 
 /// All hosts that are known, by address for hosts.
@@ -96,6 +105,8 @@
     region: String,
     members: BTreeMap<SocketAddr, Member>,
     by_hash: HashMap<u32, SocketAddr>,
+    /// When a host of each region was last heard itself.
+    regions: HashMap<String, Time>,
     tried: BTreeMap<SocketAddr, Tried>,
     /// Hosts of the own region, and of the others, that beats go to.
     near: usize,
@@ -157,6 +168,10 @@
         if known.is_some_and(|known| (known.incarnation, known.number) >= order) {
             return None;
         }
+        match self.regions.get_mut(&beat.host.region) {
+            Some(heard) => *heard = now,
+            None => drop(self.regions.insert(beat.host.region.clone(), now)),
+        }
         let joined = known.is_none_or(|known| !known.live(now));
         let restarted = known.is_none_or(|known| known.incarnation != beat.incarnation);
         // Others may have told of a newer beat than this one, which then says more.
@@ -181,6 +196,7 @@
             store_ms: beat.store_ms,
             loads: beat.loads.clone(),
             demand: beat.demand.clone(),
+            fleet: beat.fleet,
         };
         if known.is_none() {
             match member.host.region == self.region {
@@ -273,6 +289,15 @@
         self.members.values().filter(move |member| member.live(now))
     }
 
+    /// Hosts that were heard lately in regions that are not lost.
+    pub fn heard(&self, now: Time) -> impl Iterator<Item = &Member> + Clone {
+        let lost = move |region: &str| {
+            self.regions.get(region).is_none_or(|heard| now.since(*heard) >= REGION_LOST)
+        };
+        self.live(now)
+            .filter(move |member| member.host.region == self.region || !lost(&member.host.region))
+    }
+
     /// Hashes of the addresses of hosts that may be running: those that were heard lately
     /// and those that were named lately and not heard yet.
     ///
@@ -283,6 +308,22 @@
         live.chain(self.tried.values().map(|tried| tried.place))
     }
 
+    /// Other hosts that may be running: all that did not say that they stop, for as long as
+    /// a host that is silent may only be cut off, and those named lately.
+    pub fn may_run(&self, now: Time) -> usize {
+        let heard = self.members.values().filter(|member| {
+            member.live(now) || (!member.leaving && now.since(member.heard) < CUT)
+        });
+        heard.count() + self.tried.len()
+    }
+
+    /// Addresses of hosts by the hashes of those.
+    pub fn by_place(&self) -> FxHashMap<u64, SocketAddr> {
+        let heard = self.members.iter().map(|(address, member)| (member.place, *address));
+        let tried = self.tried.iter().map(|(address, tried)| (tried.place, *address));
+        heard.chain(tried).collect()
+    }
+
     /// Whether no other host has been named or heard.
     pub fn is_empty(&self) -> bool {
         self.members.is_empty() && self.tried.is_empty()
--- a/elmstream_steer/src/model.rs
+++ b/elmstream_steer/src/model.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::key::KeyDigest;
+
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -50,6 +52,27 @@
     pub homes: Vec<String>,
     /// Services that the requests are divided among; at least one.
     pub parts: Vec<Part>,
+    /// Whether requests need no workspace's key.
+    #[serde(default)]
+    pub open: bool,
+}
+
+/// Callers who share keys, a limit and homes.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Workspace {
+    /// Its name, which backend servers are told.
+    pub name: String,
+    /// Digests of its keys; the keys themselves stay with whoever reads the store.
+    pub keys: Vec<KeyDigest>,
+    /// Rank of its requests, in place of the route's; 0 is the most urgent.
+    pub priority: Option<u32>,
+    /// Requests a second that it may make of all hosts together; 0 for any number.
+    pub rate_per_s: f64,
+    /// Requests on top of that.
+    pub burst: f64,
+    /// Regions in which its requests may run; empty for any. A route's homes bind too.
+    pub homes: Vec<String>,
 }
 
 /// A service that backend servers belong to.
@@ -101,6 +124,8 @@
     pub services: Vec<Service>,
     /// Bounds on what callers may send.
     pub limits: Limits,
+    /// Workspaces; with none, no route asks for a key.
+    pub workspaces: Vec<Workspace>,
 }
 
 /// A start of a backend server, as it tells of itself.
@@ -118,4 +143,6 @@
     pub draining: bool,
     /// How much longer it is cold, in milliseconds, when this was told.
     pub cold_ms: u64,
+    /// Tells its starts apart if one comes back under its id; 0 if that is not told.
+    pub born: u64,
 }
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -6,11 +6,13 @@
     beat::{Known, Reading},
     calls::{self, Scene, Why},
     hash,
+    model::Server,
     readers::{self, Reader},
     routes::RouteTable,
     start::Start,
     steer::{Change, State, Steer, Told},
     view::{Item, Key, Row, Table},
+    workspaces::WorkspaceTable,
 };
 
 /// Servers that the store drops within this time after it was away may come back.
@@ -219,6 +221,9 @@
         match (key, item) {
             (Key::Configuration, Some(Item::Configuration(configuration))) => {
                 self.routes = RouteTable::new(&configuration);
+                let workspaces = WorkspaceTable::new(&configuration);
+                let before = std::mem::replace(&mut self.workspaces, workspaces);
+                self.quotas.configured(&self.settings.bounds, &self.workspaces, &before);
                 let services = configuration.services.iter();
                 self.cold = services.map(|s| (s.name.clone(), (s.cold_ms, s.cold_per_s))).collect();
                 self.urgent = true;
@@ -237,11 +242,21 @@
             (Key::Server(id), Some(Item::Server(server))) => {
                 let region = self.settings.domains.get(&server.domain);
                 let region = region.cloned().unwrap_or_default();
+                if self.started_anew(id, &server) {
+                    // Nothing that was learned of the one before holds for this one.
+                    self.remove(id);
+                    changes.push(Change::Server(id.clone(), State::Restarted));
+                }
                 self.servers.put(now, id, &server, &region);
                 let state = if server.draining { State::Draining } else { State::Ready };
                 self.urgent |= server.draining;
                 changes.push(Change::Server(id.clone(), state));
             }
+            (Key::Server(id), Some(Item::Unreadable)) => {
+                self.urgent = true;
+                self.remove(id);
+                changes.push(Change::Server(id.clone(), State::Unreadable));
+            }
             (Key::Server(id), _) => {
                 if now < self.lenient_until
                     && let Some(index) = self.servers.find(id)
@@ -260,6 +275,16 @@
         }
     }
 
+    /// Whether a server is another one than is known under its id.
+    fn started_anew(&self, id: &str, server: &Server) -> bool {
+        let known = self.servers.find(id).and_then(|index| self.servers.get(index));
+        known.is_some_and(|known| {
+            let known = &known.server;
+            (known.born, known.address, &known.service)
+                != (server.born, server.address, &server.service)
+        })
+    }
+
     pub(crate) fn remove(&mut self, id: &str) {
         if let Some(index) = self.servers.find(id) {
             self.warmth.forget(index);
--- a/elmstream_steer/src/settings.rs
+++ b/elmstream_steer/src/settings.rs
@@ -36,6 +36,12 @@
     pub cold_slack: f64,
     /// How long a caller may keep a look-up's answer, in seconds.
     pub lookup_ttl_s: u64,
+    /// Window in which a workspace's requests are counted, in seconds.
+    pub limit_window_s: u64,
+    /// Requests beyond a workspace's limit in a window, as a part of it.
+    pub limit_overshoot: f64,
+    /// Requests in a window beyond that.
+    pub limit_slack: f64,
 }
 
 impl Default for Bounds {
@@ -47,6 +53,9 @@
             cold_overshoot: 1.5,
             cold_slack: 5.0,
             lookup_ttl_s: 2,
+            limit_window_s: 5,
+            limit_overshoot: 0.1,
+            limit_slack: 20.0,
         }
     }
 }
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -19,14 +19,17 @@
     lookup::{self, Ready},
     members::Members,
     model::{Limits, Route},
+    quota::{self, Quotas, Ruling},
     readers::FAR_MS,
     registry::Registry,
     returns::Returns,
     routes::RouteTable,
     servers::{Index, Outcome, ServerTable},
     settings::{Bounds, Settings},
+    tally::Heard,
     view::{TABLES, Table, View},
     warmth::Warmth,
+    workspaces::{Denial, Member, Shown, WorkspaceTable},
 };
 
 /// What a host decides with.
@@ -39,6 +42,8 @@
     pub(crate) started: Time,
     pub(crate) view: View,
     pub(crate) routes: RouteTable,
+    pub(crate) workspaces: WorkspaceTable,
+    pub(crate) quotas: Quotas,
     pub(crate) evacuated: BTreeSet<String>,
     pub(crate) cold: HashMap<String, (u64, f64)>,
     pub(crate) servers: ServerTable,
@@ -68,6 +73,12 @@
     pub(crate) lenient_until: Time,
     /// Hosts that are live, this one included.
     pub(crate) live: usize,
+    /// Those of them whose regions are not lost.
+    pub(crate) heard: usize,
+    /// Those of them that are in this host's region.
+    pub(crate) near: usize,
+    /// Hosts that may be running, this one included, as far as any live host knows.
+    pub(crate) fleet: usize,
     /// Hashes of the addresses of hosts that may be running, with this one's first.
     pub(crate) places: Vec<u64>,
 }
@@ -105,6 +116,10 @@
     Lapsed,
     /// The store does not list it.
     Gone,
+    /// What the store says of it cannot be read.
+    Unreadable,
+    /// Another start has come under its id.
+    Restarted,
     /// It does not answer, or takes no connection.
     Silent,
     /// It answers again.
@@ -119,6 +134,8 @@
             State::Draining => "draining",
             State::Lapsed => "lapsed",
             State::Gone => "gone",
+            State::Unreadable => "unreadable",
+            State::Restarted => "restarted",
             State::Silent => "silent",
             State::Answers => "answers",
         }
@@ -139,6 +156,8 @@
             started: now,
             view: View::default(),
             routes: RouteTable::default(),
+            workspaces: WorkspaceTable::default(),
+            quotas: Quotas::new(reader, now),
             evacuated: BTreeSet::new(),
             cold: HashMap::new(),
             servers: ServerTable::default(),
@@ -162,6 +181,9 @@
             leaving: false,
             lenient_until: Time(0),
             live: 1,
+            heard: 1,
+            near: 1,
+            fleet: 1,
             places: vec![place],
         }
     }
@@ -227,6 +249,63 @@
         self.leaving = true;
     }
 
+    // Workspaces.
+
+    /// Workspaces of the configuration in force.
+    pub fn workspaces(&self) -> &WorkspaceTable {
+        &self.workspaces
+    }
+
+    /// The workspace of a request; none if its route is open and no key says so.
+    ///
+    /// # Errors
+    ///
+    /// The request is not let in.
+    pub fn let_in(
+        &self,
+        now: Time,
+        route: &Route,
+        shown: Shown,
+    ) -> Result<Option<Rc<Member>>, Denial> {
+        self.workspaces.admit(route, shown, self.vouches(now))
+    }
+
+    /// Rules on a request of a workspace by its limit, and counts it if it is within.
+    pub fn rule(&mut self, now: Time, member: &Member) -> Ruling {
+        self.with_quotas(now, |quotas, scene, _| quotas.rule(scene, member))
+    }
+
+    /// A request that was within its limit is sent to one more server.
+    pub fn sent_again(&mut self, now: Time, member: &Member) {
+        self.with_quotas(now, |quotas, scene, _| quotas.sent_again(scene, member));
+    }
+
+    /// A request that was within its limit was run by no server.
+    pub fn not_run(&mut self, now: Time, member: &Member) {
+        self.with_quotas(now, |quotas, scene, _| quotas.not_run(scene, member));
+    }
+
+    /// Workspaces whose requests are held back, and those that nobody sums, for metrics.
+    pub fn limits_seen(&self, now: Time) -> (usize, usize) {
+        (self.quotas.held_back(now), self.quotas.unanswered())
+    }
+
+    /// Does something with the quotas and what they rest on.
+    pub(crate) fn with_quotas<T>(
+        &mut self,
+        now: Time,
+        act: impl FnOnce(&mut Quotas, &quota::Scene<'_>, &WorkspaceTable) -> T,
+    ) -> T {
+        let scene = quota::Scene {
+            now,
+            bounds: &self.settings.bounds,
+            heard: Heard { known: self.fleet, live: self.heard, near: self.near },
+            hosts_known: self.registry.known(),
+            places: &self.places,
+        };
+        act(&mut self.quotas, &scene, &self.workspaces)
+    }
+
     // Requests.
 
     /// Chooses the server of a request and counts it as sent.
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -63,6 +63,8 @@
     Evacuation,
     /// A backend server.
     Server(Server),
+    /// What stands there cannot be read, so it names no server to use.
+    Unreadable,
 }
 
 /// A row as it travels between hosts.
--- a/elmstream_steer/tests/large.rs
+++ b/elmstream_steer/tests/large.rs
@@ -274,6 +274,9 @@
         cold_overshoot: 1.5,
         cold_slack: 10.0,
         lookup_ttl_s: 2,
+        limit_window_s: 5,
+        limit_overshoot: 0.1,
+        limit_slack: 20.0,
     },
     per_s: 3.8,
 };
--- a/elmstream_steer/tests/returns.rs
+++ b/elmstream_steer/tests/returns.rs
@@ -29,7 +29,8 @@
     let mut host = ready(0, ms(0), vec![server("one", "a1", 10)]);
     let route = route(Repeat::Once, &[]);
     let mut sent = |key: &u64| {
-        let ask = Ask { route: &route, service: SERVICE, key: *key, tried: &[], returning };
+        let ask =
+            Ask { route: &route, service: SERVICE, key: *key, tried: &[], returning, homes: &[] };
         matches!(host.send(ms(10), &ask), Choice::Send(_))
     };
     (0..60).take_while(|key| sent(key)).count()
--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -62,6 +62,7 @@
         affinity: true,
         homes: homes.iter().map(|home| (*home).into()).collect(),
         parts: vec![Part { service: SERVICE.into(), weight: 1.0 }],
+        open: false,
     }
 }
 
@@ -73,6 +74,7 @@
         routes: vec![route(Repeat::Safe, &[])],
         services: vec![service],
         limits: Limits::default(),
+        workspaces: Vec::new(),
     };
     let item = Some(Item::Configuration(configuration));
     Row { key: Key::Configuration, version: stored, item }
@@ -87,6 +89,7 @@
         slots: 6,
         draining: false,
         cold_ms: 0,
+        born: 0,
     };
     Row { key: Key::Server(id.into()), version: stored, item: Some(Item::Server(server)) }
 }
@@ -135,7 +138,7 @@
 
 /// Sends a request of a key.
 pub fn send(steer: &mut Steer, now: Time, route: &Route, key: u64) -> Choice {
-    steer.send(now, &Ask { route, service: SERVICE, key, tried: &[], returning: false })
+    steer.send(now, &Ask { route, service: SERVICE, key, tried: &[], returning: false, homes: &[] })
 }
 
 /// The id of a server.
