--- a/elmstream_soak/src/aimed.rs
+++ b/elmstream_soak/src/aimed.rs
@@ -6,7 +6,7 @@
 use std::{rc::Rc, time::Duration};
 
 use crate::{
-    callers::{Hosts, Line},
+    callers::{Hosts, Line, Shows},
     process::NOTICE_MS,
     world::World,
 };
@@ -51,7 +51,8 @@
         compio::runtime::spawn(async move {
             if let Some(line) = Line::open(&world, &hosts, host).await {
                 let id = format!("once-burst-{host}-{now}-{number}");
-                line.request(&world, &hosts, "once", &id, 0).await;
+                let shows = Shows::newest(&world);
+                line.request(&world, &hosts, "once", &id, shows).await;
             }
         })
         .detach();
@@ -62,13 +63,13 @@
 async fn one(world: &World, hosts: &Hosts, host: usize, kept: bool, id: &str, at: u64) {
     let mut line = None;
     if kept && let Some(new) = Line::open(world, hosts, host).await {
-        line = new.request(world, hosts, "safe", &format!("safe-{id}"), 0).await;
+        line = new.request(world, hosts, "safe", &format!("safe-{id}"), Shows::newest(world)).await;
     }
     compio::time::sleep(Duration::from_millis(at.saturating_sub(world.now()))).await;
     if line.is_none() {
         line = Line::open(world, hosts, host).await;
     }
     if let Some(line) = line {
-        line.request(world, hosts, "once", &format!("once-{id}"), 0).await;
+        line.request(world, hosts, "once", &format!("once-{id}"), Shows::newest(world)).await;
     }
 }
--- a/elmstream_soak/src/backend.rs
+++ b/elmstream_soak/src/backend.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    listen,
+    listen, workspaces,
     world::{ServerMode, World},
 };
 
@@ -40,6 +40,7 @@
         refusal.headers_mut().insert("elmstream-not-run", http::HeaderValue::from_static("1"));
         return Ok(refusal);
     }
+    check(&world, &request, &id);
     world.ledger.borrow_mut().runs(&id);
     if world.breaks("once") && id.ends_with("7") {
         world.ledger.borrow_mut().runs(&id);
@@ -66,6 +67,35 @@
     }
 }
 
+/// Checks what a request shows of its workspace: the name alone, and never a key.
+fn check(world: &World, request: &Request<Incoming>, id: &str) {
+    let mut ledger = world.ledger.borrow_mut();
+    let names: Vec<&[u8]> = request
+        .headers()
+        .get_all("elmstream-workspace")
+        .iter()
+        .map(|name| name.as_bytes())
+        .collect();
+    let wanted = request.uri().path().split('/').nth(2).unwrap_or_default();
+    let named = if world.breaks("name") { "other" } else { wanted };
+    if names != [named.as_bytes()] {
+        ledger.violate(format!("{id} of workspace {wanted} ran under another name: {names:?}"));
+    }
+    if wanted == workspaces::AWAY {
+        ledger.violate(format!("{id} ran outside the homes of its workspace"));
+    }
+    let shows = |value: &http::HeaderValue| {
+        value.to_str().is_ok_and(|text| text.contains(workspaces::KEY_BEGINS))
+    };
+    if request.headers().values().any(shows) || world.breaks("key") {
+        ledger.violate(format!("{id} was passed on with its key"));
+    }
+    if wanted == workspaces::LIMITED {
+        let copies = if world.breaks("limit") { 20 } else { 1 };
+        (0..copies).for_each(|_| ledger.limited_ran(world.now()));
+    }
+}
+
 fn status(status: StatusCode) -> Response<LocalBody> {
     let mut response = Response::new(body::empty());
     *response.status_mut() = status;
--- a/elmstream_soak/src/callers.rs
+++ b/elmstream_soak/src/callers.rs
@@ -5,9 +5,10 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
-    ledger::{Cut, Seen, Served},
+    ledger::{Cut, Seen, Served, Taken},
     process::Process,
     wire::{Answer, Connection, End},
+    workspaces::{self, HELD, NAMES},
     world::{PINS, World},
 };
 
@@ -23,10 +24,31 @@
 const NEW_PART: f64 = 0.2;
 /// Keys that keep a caller's requests together.
 const KEYS: u32 = 40;
+/// Versions whose keys callers still show; some of them have been taken away.
+const OLD_KEYS: u64 = 4;
 
 /// The hosts that callers use.
 pub type Hosts = Rc<RefCell<Vec<Process>>>;
 
+/// What a request shows of itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Shows {
+    /// Keeps requests together.
+    pub key: u32,
+    /// Its workspace.
+    pub workspace: &'static str,
+    /// The version that brought its workspace's key.
+    pub version: u64,
+}
+
+impl Shows {
+    /// A request of the first workspace with its newest key.
+    pub fn newest(world: &World) -> Shows {
+        let version = world.ledger.borrow().newest();
+        Shows { key: 0, workspace: NAMES[0], version }
+    }
+}
+
 /// A connection to one start of a host.
 #[derive(Debug)]
 pub struct Line {
@@ -56,18 +78,23 @@
         hosts: &Hosts,
         kind: &str,
         id: &str,
-        key: u32,
+        shows: Shows,
     ) -> Option<Line> {
+        let Shows { key, workspace, version } = shows;
+        let shown = workspaces::key(workspace, version);
+        // Whatever a caller says of its workspace must not count.
         let text = format!(
-            "GET /{kind}/{key} HTTP/1.1\r\nhost: soak.example\r\nelmstream-request: {id}\r\n\
-             elmstream-affinity: {key}\r\nelmstream-deadline: 1000\r\n\r\n"
+            "GET /{kind}/{workspace}/{key} HTTP/1.1\r\nhost: soak.example\r\n\
+             elmstream-request: {id}\r\nelmstream-affinity: {key}\r\n\
+             elmstream-deadline: 1000\r\nauthorization: Bearer {shown}\r\n\
+             elmstream-workspace: other\r\n\r\n"
         );
         let asked = world.now();
         let kept = self.connection.answered > 0;
         match self.connection.exchange(world, text, ANSWER).await {
             End::Answer(answer) => {
                 world.ledger.borrow_mut().count(if kept { "on kept" } else { "on new" });
-                self.answered(world, hosts, id, asked, &answer);
+                self.answered(world, hosts, id, (asked, version), &answer);
                 return (!answer.close).then_some(self);
             }
             End::Garbled(text) => world.ledger.borrow_mut().violate(format!("{id}: {text}")),
@@ -78,7 +105,14 @@
         None
     }
 
-    fn answered(&self, world: &World, hosts: &Hosts, id: &str, asked: u64, answer: &Answer) {
+    fn answered(
+        &self,
+        world: &World,
+        hosts: &Hosts,
+        id: &str,
+        (asked, version): (u64, u64),
+        answer: &Answer,
+    ) {
         if world.breaks("lost") && id.ends_with('7') {
             self.cut(world, hosts, id, asked, asked + ANSWER.as_millis() as u64, true);
             return;
@@ -86,6 +120,10 @@
         let mut ledger = world.ledger.borrow_mut();
         match answer.status {
             200 => {}
+            401 => {
+                ledger.count("denied");
+                return ledger.answered(id, Seen::Refused);
+            }
             429 | 503 => return ledger.answered(id, Seen::Refused),
             _ => return ledger.answered(id, Seen::Unknown),
         }
@@ -94,12 +132,15 @@
             ledger.violate(format!("{id} got the answer of {told}"));
         }
         ledger.answered(id, Seen::Success);
-        let pin = server.strip_prefix("pin-").and_then(|pin| pin.parse::<u64>().ok());
-        let Some(pin) = pin else { return };
-        let pin = if world.breaks("back") { pin + PINS - 1 } else { pin };
         let now = world.now();
         let calm = now > hosts.borrow()[self.host].disturbed + CALM_MS;
         let host = (self.host, self.start);
+        // Whoever takes a key goes by a version that holds it.
+        let taken = Taken { host, held_until: version + HELD - 1, sent: asked, calm };
+        ledger.key_taken(&taken, &world.troubles.borrow());
+        let pin = server.strip_prefix("pin-").and_then(|pin| pin.parse::<u64>().ok());
+        let Some(pin) = pin else { return };
+        let pin = if world.breaks("back") { pin + PINS - 1 } else { pin };
         let served = Served { host, pin, pins: PINS, sent: asked, now, calm };
         ledger.served_by(&served, &world.troubles.borrow());
     }
@@ -140,14 +181,19 @@
         let kind = ["safe", "once", "pin"][random.random_range(0..3)];
         let id = format!("{kind}-{number}-{count}");
         let host = random.random_range(0..hosts.borrow().len());
-        let key = random.random_range(0..KEYS);
+        let newest = world.ledger.borrow().newest();
+        let shows = Shows {
+            key: random.random_range(0..KEYS),
+            workspace: NAMES[random.random_range(0..NAMES.len())],
+            version: newest.saturating_sub(random.random_range(0..OLD_KEYS)),
+        };
         let kept = if random.random_bool(NEW_PART) { None } else { lines.remove(&host) };
         let line = match kept {
             Some(line) => Some(line),
             None => Line::open(&world, &hosts, host).await,
         };
         if let Some(line) = line
-            && let Some(line) = line.request(&world, &hosts, kind, &id, key).await
+            && let Some(line) = line.request(&world, &hosts, kind, &id, shows).await
         {
             lines.insert(host, line);
         }
--- a/elmstream_soak/src/ledger.rs
+++ b/elmstream_soak/src/ledger.rs
@@ -1,8 +1,8 @@
 //! What callers and backend servers saw, and which promises that breaks.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use crate::trouble::Troubles;
+use crate::{trouble::Troubles, workspaces};
 
 /// A connection that ends this soon after a request's last byte may have been closed
 /// before the request came.
@@ -56,9 +56,24 @@
     pub calm: bool,
 }
 
+/// A success that shows that a key was taken.
+#[derive(Clone, Copy, Debug)]
+pub struct Taken {
+    /// Host, and number of its start.
+    pub host: (usize, u64),
+    /// Newest version that holds the key.
+    pub held_until: u64,
+    /// When the request was sent, in milliseconds since the beginning.
+    pub sent: u64,
+    /// Whether the host was undisturbed for long enough before.
+    pub calm: bool,
+}
+
 /// All that was seen.
 #[derive(Debug, Default)]
 pub struct Ledger {
+    /// When requests of the limited workspace ran.
+    limited: VecDeque<u64>,
     requests: HashMap<String, Entry>,
     versions: BTreeMap<u64, u64>,
     last: HashMap<(usize, u64), (u64, u64)>,
@@ -121,6 +136,33 @@
         }
     }
 
+    /// A request of the limited workspace runs.
+    pub fn limited_ran(&mut self, now: u64) {
+        let (most, window) = workspaces::bound();
+        self.limited.push_back(now);
+        while self.limited.front().is_some_and(|at| at + window <= now) {
+            self.limited.pop_front();
+        }
+        let ran = self.limited.len();
+        if ran > most {
+            self.violate(format!("{ran} requests over a limit of {most} up to {now} ms"));
+        }
+    }
+
+    /// A host took a key.
+    pub fn key_taken(&mut self, taken: &Taken, troubles: &Troubles) {
+        let Taken { host, held_until, sent, calm } = *taken;
+        let due = |at: u64| troubles.due(at).is_some_and(|due| due < sent);
+        let newer = self.versions.range(held_until + 1..).next().filter(|(_, at)| due(**at));
+        if calm && let Some((version, at)) = newer {
+            let since = sent - at;
+            self.violate(format!(
+                "host {host:?} took a key at {sent} ms that version {version} took away, \
+                 acknowledged {since} ms before"
+            ));
+        }
+    }
+
     /// A configuration is accepted.
     pub fn configured(&mut self, version: u64, now: u64) {
         self.versions.insert(version, now);
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod trouble;
 pub mod watch;
 pub mod wire;
+pub mod workspaces;
 pub mod world;
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -14,7 +14,7 @@
     view::{Item, Key, Row},
 };
 
-use crate::{ledger::Ledger, trouble::Troubles};
+use crate::{ledger::Ledger, trouble::Troubles, workspaces};
 
 /// Services with which a configuration shows its version. A host that lags by as many
 /// versions would seem to be ahead; at one change each 350 ms that takes 22 s.
@@ -209,7 +209,7 @@
         ],
         services: services.map(|name| Service { name, cold_ms: 0, cold_per_s: 9.0 }).collect(),
         limits: Limits::default(),
-        workspaces: Vec::new(),
+        workspaces: workspaces::of(version),
     }
 }
 
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -50,6 +50,16 @@
     assert!(report.violations().iter().any(|text| text.contains("got no answer")), "{report}");
 }
 
+#[test]
+fn a_wrong_name_a_key_passed_on_and_a_limit_passed_are_noticed() {
+    for (broken, told) in
+        [("name", "under another name"), ("key", "with its key"), ("limit", "over a limit")]
+    {
+        let report = soak(2, 6, Some(broken));
+        assert!(report.violations().iter().any(|text| text.contains(told)), "{broken}: {report}");
+    }
+}
+
 #[test]
 fn a_seed_gives_the_same_faults_again() {
     assert_eq!(faults::draw(7, 60_000, 5, 5), faults::draw(7, 60_000, 5, 5));
--- a/elmstream_steer/src/tally.rs
+++ b/elmstream_steer/src/tally.rs
@@ -18,13 +18,12 @@
 /// what comes while hosts do not know the latest part yet, above all in the seconds in
 /// which hosts that lost each other do not know that either. Under steady pressure what is
 /// let through still is 1.05 times what the rate alone brings (`tests/limits.rs`).
-const OVERSHOOT_USED: f64 = 0.2;
+const OVERSHOOT_USED: f64 = 0.1;
 /// Part of the limit that is taken to have been used before a host started that knows no
 /// better. Workspaces that ask 0.63 of their limit are not held back by it.
 const PRESUMED: f64 = 0.7;
 /// Time over which the room that is left is shared out among hosts that report. It has to
-/// be some three times as long as what they go by is old, or the sum overshoots; in return
-/// the sum stays this part of a window below the bound under steady pressure (0.89 of it).
+/// be some three times as long as what they go by is old, or the sum overshoots.
 const SHARE_OUT: u64 = 600 * MILLI;
 /// The same among hosts that do not report and are told each 300 ms.
 const SHARE_OUT_TOLD: u64 = 900 * MILLI;
@@ -257,8 +256,25 @@
         }
         self.worked_out = Some(now);
         self.advance(now);
-        let window = window(bounds);
         self.hosts.retain(|_, told| now.since(told.at) < REMEMBERED);
+        let window = window(bounds);
+        let room = self.room(now, bounds, workspace, heard, age);
+        self.part = self.share_out(now, window, room, SHARE_OUT);
+        self.told = self.share_out(now, window, room, SHARE_OUT_TOLD);
+        self.part
+    }
+
+    /// Requests that may still be let through in the window up to now; below 0 if there
+    /// were too many.
+    fn room(
+        &mut self,
+        now: Time,
+        bounds: &Bounds,
+        workspace: &Workspace,
+        heard: Heard,
+        age: u64,
+    ) -> f64 {
+        let window = window(bounds);
         let kept = |at: u64| 1.0 - (at.min(window) as f64 / window as f64);
         let limit = limit(bounds, workspace);
         let own_part = limit / heard.known.max(1) as f64;
@@ -269,14 +285,15 @@
         let used = f64::from(self.used.sum(now, window)) + left + limit * PRESUMED * kept(age);
         let stands_in = now.since(self.first_asked) > STANDS_IN;
         let part = if stands_in { heard.part_near() } else { heard.part() };
-        let room = (allowance(bounds, workspace) * part - used).max(0.0);
-        let (mean, now) = self.rates();
-        let over = |rate: f64, span: u64| {
-            (room / (rate * span as f64 / 1e6).max(f64::MIN_POSITIVE)).min(1.0)
-        };
-        self.part = over(mean.max(now), SHARE_OUT);
-        self.told = over(mean.max(now), SHARE_OUT_TOLD);
-        self.part
+        allowance(bounds, workspace) * part - used
+    }
+
+    /// The part of what is asked that fits into the room over a time, with what leaves the
+    /// window meanwhile.
+    fn share_out(&mut self, now: Time, window: u64, room: f64, span: u64) -> f64 {
+        let room = room + f64::from(self.used.leaving(now, window, span));
+        let asked = self.rate() * span as f64 / 1e6;
+        (room / asked.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
     }
 
     /// What hosts have to know that do not report, and when it was worked out; none if
@@ -286,8 +303,8 @@
         (self.told < 1.0).then_some((self.told, at))
     }
 
-    /// Requests a second, in the mean and now.
-    fn rates(&self) -> (f64, f64) {
+    /// Requests a second.
+    fn rate(&self) -> f64 {
         let recent = |steps: u64| {
             let back = (0..steps).map(|back| self.step.saturating_sub(back) % STEPS as u64);
             back.map(|at| f64::from(self.asked[at as usize])).sum::<f64>()
@@ -295,7 +312,7 @@
         let mean = recent(STEPS as u64) * 1e6 / SLOW as f64;
         // The present part has only begun, so the one before counts as well.
         let now = recent(1).max(recent(2) - recent(1));
-        (mean, if now > CHANCE { now * 1e6 / STEP as f64 } else { 0.0 })
+        if now > CHANCE { mean.max(now * 1e6 / STEP as f64) } else { mean }
     }
 
     /// Forgets what hosts let through under a higher limit.
--- a/elmstream_steer/src/usage.rs
+++ b/elmstream_steer/src/usage.rs
@@ -3,9 +3,9 @@
 use elmstream::time::Time;
 
 /// Parts that a window is counted in. A sum takes in one part more than the window has, so
-/// it is never less than what any window up to now holds, and a tenth more at most while
+/// it is never less than what any window up to now holds, and a twentieth more at most while
 /// requests come evenly.
-const PARTS: usize = 10;
+const PARTS: usize = 20;
 
 /// Requests in a sliding window.
 #[derive(Clone, Debug, Default)]
@@ -57,6 +57,14 @@
         self.counts.iter().sum()
     }
 
+    /// Requests of the sum that leave it within a time from now.
+    pub fn leaving(&mut self, now: Time, window: u64, within: u64) -> u32 {
+        let at = self.advance(now, window);
+        let parts = (within * PARTS as u64 / window.max(1)) as usize;
+        let oldest = (1..=parts.min(PARTS)).map(|n| (at + n) % self.counts.len());
+        oldest.map(|part| self.counts[part]).sum()
+    }
+
     /// Nothing counts any more.
     pub fn clear(&mut self) {
         self.counts = Default::default();
