Keep limits over a restart of all hosts in the midst of a jump

All hosts were killed at 13 s while a workspace was at nine times its usual. A host that had just started took 0.7 of the limit to have been used, fading evenly; after a jump nearly all of the limit had been let through in the last second, and does not leave the window for four more. 0.85 in place of 0.7 is not enough (2,753 of 2,660 at 12 hosts).

Change: in the first window after its start a host gives out 0.65 of the rate since then, and a quarter of the slack, for what it was told of as new; the window's own sum counts as well.

Test: a_restart_of_all_hosts_does_not_begin_with_a_new_limit plays 0.2, 0.5 and 1.5 s without hosts at nine times the usual, failed before at 200 and 400 a second (1,393 of 1,340, 2,778 of 2,660 at 75 hosts), passes now. 0.75 and 0.7 of the rate still passed the bound at 295 hosts by 43 and 12 requests.

--- a/elmstream_steer/src/tally.rs
+++ b/elmstream_steer/src/tally.rs
@@ -19,9 +19,12 @@
 /// which hosts that lost each other do not know that either. Under steady pressure what is
 /// let through still is 1.05 times what the rate alone brings (`tests/limits.rs`).
 const OVERSHOOT_USED: f64 = 0.1;
-/// Part of the limit that is taken to have been used before a host started that knows no
-/// better. Workspaces that ask 0.63 of their limit are not held back by it.
-const PRESUMED: f64 = 0.7;
+/// Part of the rate that a host gives out in the first window after its start. What was let
+/// through before it does not know, and that may be a whole burst just before all hosts
+/// were killed. Workspaces that ask 0.63 of their limit are not held back by it.
+const YOUNG: f64 = 0.65;
+/// Part of the slack on top of that.
+const YOUNG_SLACK: f64 = 0.25;
 /// Time over which the room that is left is shared out among hosts that report. It has to
 /// be some three times as long as what they go by is old, or the sum overshoots.
 const SHARE_OUT: u64 = 600 * MILLI;
@@ -191,12 +194,30 @@
     }
 }
 
+/// What a host still gives out that has not run for a window yet.
+#[derive(Clone, Copy)]
+struct Young {
+    /// Requests a second.
+    rate: f64,
+    /// Requests that are left.
+    left: f64,
+}
+
+impl Young {
+    /// Requests over a time from now.
+    fn room(self, span: u64) -> f64 {
+        self.left + self.rate * span as f64 / 1e6
+    }
+}
+
 /// The sum of one workspace.
 #[derive(Clone, Debug, Default)]
 pub struct Tally {
     hosts: FxHashMap<u64, Reported>,
     /// Requests that were let through.
     used: Usage,
+    /// Those of them that this host heard of as new.
+    heard: i64,
     /// Requests asked for, by tenth of a second.
     asked: [u32; STEPS],
     step: u64,
@@ -226,11 +247,13 @@
             Some(old) => {
                 let more = let_through.wrapping_sub(old.let_through) as i32;
                 self.used.change(now, window, more);
+                self.heard += i64::from(more);
                 asked.wrapping_sub(old.asked)
             }
             None => {
                 let latest = used.min(FIRST_ASKED);
                 self.used.change(now, window, latest as i32);
+                self.heard += i64::from(latest);
                 self.used.add_spread(now, window, used - latest, reader);
                 asked.min(FIRST_ASKED)
             }
@@ -258,22 +281,21 @@
         self.advance(now);
         self.hosts.retain(|_, told| now.since(told.at) < REMEMBERED);
         let window = window(bounds);
-        let room = self.room(now, bounds, workspace, heard, age);
-        self.part = self.share_out(now, window, room, SHARE_OUT);
-        self.told = self.share_out(now, window, room, SHARE_OUT_TOLD);
+        let room = self.room(now, bounds, workspace, heard);
+        let young = self.young(bounds, workspace, age);
+        let mut share_out = |span: u64| {
+            let leaving = f64::from(self.used.leaving(now, window, span));
+            let young = young.map_or(f64::MAX, |young| young.room(span));
+            let asked = self.rate() * span as f64 / 1e6;
+            (young.min(room + leaving) / asked.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
+        };
+        (self.part, self.told) = (share_out(SHARE_OUT), share_out(SHARE_OUT_TOLD));
         self.part
     }
 
     /// Requests that may still be let through in the window up to now; below 0 if there
     /// were too many.
-    fn room(
-        &mut self,
-        now: Time,
-        bounds: &Bounds,
-        workspace: &Workspace,
-        heard: Heard,
-        age: u64,
-    ) -> f64 {
+    fn room(&mut self, now: Time, bounds: &Bounds, workspace: &Workspace, heard: Heard) -> f64 {
         let window = window(bounds);
         let kept = |at: u64| 1.0 - (at.min(window) as f64 / window as f64);
         let limit = limit(bounds, workspace);
@@ -282,18 +304,17 @@
         // What a silent host let through before is in the sum until it leaves the window.
         let counted = silent.map(|told| f64::from(told.used) * kept(now.since(told.at)));
         let left: f64 = counted.map(|counted| (own_part - counted).max(0.0)).sum();
-        let used = f64::from(self.used.sum(now, window)) + left + limit * PRESUMED * kept(age);
+        let used = f64::from(self.used.sum(now, window)) + left;
         let stands_in = now.since(self.first_asked) > STANDS_IN;
         let part = if stands_in { heard.part_near() } else { heard.part() };
         allowance(bounds, workspace) * part - used
     }
 
-    /// The part of what is asked that fits into the room over a time, with what leaves the
-    /// window meanwhile.
-    fn share_out(&mut self, now: Time, window: u64, room: f64, span: u64) -> f64 {
-        let room = room + f64::from(self.used.leaving(now, window, span));
-        let asked = self.rate() * span as f64 / 1e6;
-        (room / asked.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
+    /// What a host gives out that has not run for a window yet.
+    fn young(&self, bounds: &Bounds, workspace: &Workspace, age: u64) -> Option<Young> {
+        let rate = workspace.rate_per_s * YOUNG;
+        let given = rate * age as f64 / 1e6 + bounds.limit_slack * YOUNG_SLACK;
+        (age < window(bounds)).then_some(Young { rate, left: given - self.heard as f64 })
     }
 
     /// What hosts have to know that do not report, and when it was worked out; none if
--- a/elmstream_steer/tests/support/limits.rs
+++ b/elmstream_steer/tests/support/limits.rs
@@ -8,7 +8,7 @@
 use elmstream_steer::{
     Bounds, hash, members,
     model::{Configuration, Workspace},
-    quota::{Quotas, Ruling, Scene, Spreading},
+    quota::{self, Quotas, Ruling, Scene, Spreading},
     tally::{Heard, Report, Spread, Verdict},
     workspaces::{Member, WorkspaceTable},
 };
@@ -62,6 +62,24 @@
     heard: Heard,
 }
 
+/// How hosts keep a limit, and rules that are left out on purpose.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Way {
+    /// As they do.
+    #[default]
+    Tallies,
+    /// Each by its own part alone.
+    OwnParts,
+    /// Each by its own part alone, and one request at least.
+    OneEach,
+    /// Whoever is not heard is taken to be dead.
+    SilentAreDead,
+    /// Nobody is told of a workspace that is pressing.
+    NobodyTold,
+    /// Nobody reports.
+    NoReports,
+}
+
 /// What was seen.
 #[derive(Debug, Default)]
 pub struct Seen {
@@ -125,6 +143,9 @@
     draws: Draws,
     /// Part of datagrams that are lost.
     loss: f64,
+    way: Way,
+    /// Requests that hosts let through by their own part alone.
+    by_part: Vec<Vec<u64>>,
     pub seen: Seen,
 }
 
@@ -146,6 +167,8 @@
             on_way: BTreeMap::new(),
             draws: Draws::new(seed),
             loss: 0.0,
+            way: Way::Tallies,
+            by_part: vec![Vec::new(); count],
             seen: Seen::default(),
         }
     }
@@ -155,6 +178,11 @@
         self
     }
 
+    pub fn by(mut self, way: Way) -> Self {
+        self.way = way;
+        self
+    }
+
     pub fn run(mut self, until: u64) -> Seen {
         let mut at = 0;
         while at < until {
@@ -229,7 +257,8 @@
             let near = heard.iter().filter(|other| *other % REGIONS == n % REGIONS).count();
             let places: Vec<u64> = heard.into_iter().map(Self::place).collect();
             let host = &mut self.hosts[n];
-            host.heard = Heard { known: count, live, near };
+            let known = if self.way == Way::SilentAreDead { live } else { count };
+            host.heard = Heard { known, live, near };
             host.places = places;
         }
     }
@@ -289,6 +318,9 @@
     }
 
     fn spread(&mut self, at: u64, from: usize, due: Vec<Spreading>) {
+        if self.way == Way::NobodyTold {
+            return;
+        }
         for Spreading { place, spread } in due {
             let to = self.by_place[&place];
             self.seen.datagrams += 1;
@@ -321,6 +353,9 @@
 
     fn ask(&mut self, n: usize, at: u64, member: &Member) {
         self.seen.asked.push(at);
+        if matches!(self.way, Way::OwnParts | Way::OneEach) {
+            return self.ask_own_part(n, at, member);
+        }
         match self.with(n, at, |quotas, scene, _| quotas.rule(scene, member)) {
             Ruling::Within => self.seen.within.push(at),
             Ruling::Over { retry_ms } => self.seen.retry_most = self.seen.retry_most.max(retry_ms),
@@ -328,7 +363,22 @@
         }
     }
 
+    fn ask_own_part(&mut self, n: usize, at: u64, member: &Member) {
+        let seed = hash::pair(self.draws.0, n as u64);
+        let part = self.with(n, at, |_, scene, _| quota::own_part(seed, scene, member));
+        let part = if self.way == Way::OneEach { part.max(1) } else { part };
+        let window = self.bounds.limit_window_s * 1_000;
+        self.by_part[n].retain(|then| then + window > at);
+        if self.by_part[n].len() < part as usize {
+            self.by_part[n].push(at);
+            self.seen.within.push(at);
+        }
+    }
+
     fn reports(&mut self, at: u64) {
+        if self.way == Way::NoReports {
+            return;
+        }
         let count = self.hosts.len();
         for n in (0..count).filter(|n| (at + *n as u64 * STEP).is_multiple_of(REPORT)) {
             if !self.load.runs(n, at) {
