Divide long reports of workspaces among datagrams; explain tells of keys and limits

Cause, found by reading: a report or what all hosts are told holds one entry for each workspace, and a datagram holds 16 KB. On a host of two that 10,000 workspaces ask within 100 ms the report took 250 KB and would not have been sent; it would have gone by its own part.

Change: 100 entries a datagram. elmctl explain names the cause of a denied and of a limited request, the workspace and its limit.

Tests: elmstream_steer/tests/limits.rs (10,000 workspaces: no datagram above 4 KB), elmctl/tests/explain.rs. With up to 100 workspaces nothing changes.

--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -65,6 +65,13 @@
         "  route {}, service {}, configuration {}, the store confirmed {} ms before",
         fields["route"], fields["service"], fields["version"], fields["stale_ms"]
     ));
+    if let Some(workspace) = fields["workspace"].as_str().filter(|name| !name.is_empty()) {
+        told.push(format!("  of workspace {workspace}"));
+    }
+    if let Some(rate) = fields["rate_per_s"].as_f64() {
+        let (burst, retry) = (&fields["burst"], &fields["retry_ms"]);
+        told.push(format!("  limit {rate} a second and {burst} on top, come back in {retry} ms"));
+    }
     if let Some(servers) = fields["servers"].as_u64() {
         let load = &fields["load_percent"];
         told.push(format!("  {servers} servers weighed, {load}% of their slots occupied"));
@@ -106,6 +113,16 @@
             "no route fits, but what this host knew was old, so it said that it cannot tell"
         }
         ("no_route", _) => "no route of the configuration in force here fits",
+        ("denied", _) if fields["status"] == 503 => {
+            "no key that it shows is known, but what this host knew was old, so it cannot tell"
+        }
+        ("denied", _) => {
+            "the route asks for a key, and the configuration in force here lets none in"
+        }
+        ("limited", _) if fields["status"] == 503 => {
+            "the host had just started and did not know the others yet, so it kept no limit"
+        }
+        ("limited", _) => "its workspace is over its limit, which all hosts keep together",
         ("left", _) => "the caller left before the answer came",
         ("ended", _) => "the host was stopped, and its grace time was over before the request was",
         ("answered", _) => "a server answered; the status is its own",
@@ -137,7 +154,7 @@
         "server" => named(&line.fields["server"]),
         "servers" => line.fields["lost"].as_array().into_iter().flatten().any(named),
         "host_heard" | "host_lost" | "refused" | "answered" | "unknown" | "left" | "ended"
-        | "no_route" => false,
+        | "no_route" | "denied" | "limited" => false,
         event => !event.starts_with("not_run"),
     }
 }
--- a/elmctl/tests/explain.rs
+++ b/elmctl/tests/explain.rs
@@ -39,3 +39,20 @@
     assert!(explain(LOG.lines(), "a1").is_none());
     assert!(explain(LOG.lines(), "a9").is_none());
 }
+
+const WORKSPACES: &str = r#"
+{"unix_ms":152000,"event":"denied","id":"d1","code":1004,"route":"r","status":401,"version":3,"stale_ms":90}
+{"unix_ms":152000,"event":"denied","id":"d2","code":1118,"route":"r","status":503,"version":3,"stale_ms":2900}
+{"unix_ms":152000,"event":"limited","id":"l1","code":1119,"route":"r","status":429,"version":3,"workspace":"w","rate_per_s":4.5,"burst":9.0,"retry_ms":700}
+"#;
+
+#[test]
+fn a_denied_and_a_limited_request_name_their_cause() {
+    let told = |id| explain(WORKSPACES.lines(), id).expect("the log knows it").join("\n");
+    assert!(told("d1").contains("E1004: no workspace has this key"), "{}", told("d1"));
+    assert!(told("d1").contains("lets none in"), "{}", told("d1"));
+    assert!(told("d2").contains("what this host knew was old"), "{}", told("d2"));
+    assert!(told("l1").contains("of workspace w"), "{}", told("l1"));
+    assert!(told("l1").contains("limit 4.5 a second and 9.0 on top, come back in 700 ms"));
+    assert!(told("l1").contains("over its limit"), "{}", told("l1"));
+}
--- a/elmstream_steer/src/quota.rs
+++ b/elmstream_steer/src/quota.rs
@@ -35,6 +35,8 @@
 /// Hosts of a fleet that are told by one host itself; in a larger one some pass it on, as
 /// many as each of them tells: two ways reach all, and no host sends much at once.
 const TOLD_DIRECTLY: usize = 100;
+/// Workspaces in one datagram at most: 25 bytes each, a sixth of the largest datagram.
+const ENTRIES: usize = 100;
 /// Time after which the hosts that get a part of a request draw anew, if there are more
 /// hosts than requests to share out.
 const DRAW_EVERY: u64 = 60 * SECOND;
@@ -218,10 +220,11 @@
             }
         }
         let reader = self.seed;
-        let reports = by_place.into_iter();
-        let reports = reports.map(|((place, in_vain), uses)| Addressed {
-            place,
-            report: Report { reader, uses, in_vain },
+        let reports = by_place.iter().flat_map(|((place, in_vain), uses)| {
+            uses.chunks(ENTRIES).map(|uses| Addressed {
+                place: *place,
+                report: Report { reader, uses: uses.to_vec(), in_vain: *in_vain },
+            })
         });
         let (own, others): (Vec<_>, Vec<_>) =
             reports.partition(|report| scene.places.first() == Some(&report.place));
@@ -286,7 +289,13 @@
         self.draws += 1;
         let addressed = arcs(scene.places, hash::pair(self.seed, self.draws)).into_iter();
         addressed
-            .map(|(place, arc)| Spreading { place, spread: Spread { parts: parts.clone(), arc } })
+            .flat_map(|(place, arc)| {
+                let chunks = parts.chunks(ENTRIES);
+                chunks.map(move |parts| Spreading {
+                    place,
+                    spread: Spread { parts: parts.to_vec(), arc },
+                })
+            })
             .collect()
     }
 
--- a/elmstream_steer/tests/limits.rs
+++ b/elmstream_steer/tests/limits.rs
@@ -3,7 +3,15 @@
 #[path = "support/limits.rs"]
 mod support;
 
-use elmstream_steer::{Bounds, model::Workspace, tally};
+use elmstream::time::{SECOND, Time};
+use elmstream_steer::{
+    Bounds,
+    beat::Message,
+    model::{Configuration, Workspace},
+    quota::{Quotas, Scene},
+    tally::{self, Heard},
+    workspaces::WorkspaceTable,
+};
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use support::{Load, Play, Seen, Way, workspace};
 
@@ -284,3 +292,34 @@
         assert!(each >= 20.0, "{each} a second at {hosts} hosts");
     }
 }
+
+/// A datagram holds 16 KB; 10,000 workspaces that ask in one moment need many.
+#[test]
+fn what_ten_thousand_workspaces_ask_goes_in_datagrams_that_can_be_sent() {
+    let name = |n: usize| Workspace { name: format!("w-{n}"), ..workspace(1.0) };
+    let workspaces = (0..10_000).map(name).collect();
+    let table = WorkspaceTable::new(&Configuration { workspaces, ..Configuration::default() });
+    let bounds = Bounds::default();
+    let scene = Scene {
+        now: Time(1_000 * SECOND),
+        bounds: &bounds,
+        heard: Heard { known: 2, live: 2, near: 2 },
+        hosts_known: true,
+        places: &[1, 2],
+    };
+    let mut host = Quotas::new(1, Time(0));
+    for member in table.all() {
+        for _ in 0..20 {
+            host.rule(&scene, member);
+        }
+    }
+    let reports = host.reports(&scene, &table);
+    let told: usize = reports.iter().map(|addressed| addressed.report.uses.len()).sum();
+    assert_eq!(told, 10_000);
+    let later = Scene { now: scene.now + SECOND, ..scene };
+    let size = |message: Message| postcard::to_allocvec(&message).expect("it is small").len();
+    let sizes = reports.into_iter().map(|addressed| size(Message::Report(addressed.report)));
+    let spread = host.tell(&later).into_iter().map(|told| size(Message::Spread(told.spread)));
+    let largest = sizes.chain(spread).max().unwrap_or_default();
+    assert!((1_000..4_096).contains(&largest), "{largest} bytes");
+}
