--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -125,6 +125,12 @@
         );
         ensure!(self.bounds.lookup_ttl_s > 0, value("bounds.lookup_ttl_s", "is 0"));
         ensure!(self.bounds.retry_ratio >= 0.0, value("bounds.retry_ratio", "is below 0"));
+        ensure!(self.bounds.limit_window_s > 0, value("bounds.limit_window_s", "is 0"));
+        ensure!(self.bounds.limit_overshoot >= 0.0, value("bounds.limit_overshoot", "is below 0"));
+        ensure!(self.bounds.limit_slack >= 0.0, value("bounds.limit_slack", "is below 0"));
+        let scheme = &self.headers.key_scheme;
+        let one_word = !scheme.is_empty() && scheme.chars().all(|c| c.is_ascii_graphic());
+        ensure!(one_word, value("headers.key_scheme", "is not one word"));
         Ok(())
     }
 }
