--- a/elmstream_steer/src/tally.rs
+++ b/elmstream_steer/src/tally.rs
@@ -16,8 +16,7 @@
 
 /// Part of the allowed overshoot that is given out, and none of the slack. The rest is for
 /// what comes while hosts do not know the latest part yet, above all in the seconds in
-/// which hosts that lost each other do not know that either. Under steady pressure what is
-/// let through still is 1.05 times what the rate alone brings (`tests/limits.rs`).
+/// which hosts that lost each other do not know that either (`tests/limits.rs`).
 const OVERSHOOT_USED: f64 = 0.1;
 /// Part of the rate that a host gives out in the first window after its start. What was let
 /// through before it does not know, and that may be a whole burst just before all hosts
