Sight: lines of requests tell which ones are the same

Lines told an affinity key, cut to four digits; so one request that comes again could not be told from several of one key. They now carry 'content', the first half of an HMAC-SHA256 over host, method, path with query, caller and body, keyed with the setting content.secret. It is made only for requests that are written. Test: elmstream_edge/tests/content.rs.

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -1,6 +1,12 @@
 //! Takes callers' requests: finds the route, checks bounds, reads the body.
 
-use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, OnceCell},
+    net::IpAddr,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use elmstream::{
@@ -8,7 +14,7 @@
     time::{MILLI, Time},
 };
 use elmstream_http::{LocalBody, Stop, body, server::Cut};
-use elmstream_steer::{hash, model::Route, routes};
+use elmstream_steer::{digest::RequestDigest, hash, model::Route, routes};
 use elmstreamd::clock;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
@@ -18,6 +24,7 @@
 
 use crate::{
     access::{self, Counted},
+    content,
     edge::Edge,
     forward, headers,
 };
@@ -41,6 +48,8 @@
 pub struct Call {
     /// Its id; empty if the caller gave none.
     pub id: String,
+    /// Where it came from.
+    pub caller: IpAddr,
     /// Its route.
     pub route: Rc<Route>,
     /// The service it goes to.
@@ -67,9 +76,17 @@
     pub workspace: Option<Counted>,
     /// How far it has come.
     pub progress: Rc<Progress>,
+    /// Its digest, once it was asked for.
+    pub digest: OnceCell<RequestDigest>,
 }
 
 impl Call {
+    /// Digest of what makes it the same as another one; made only if it is asked for, as
+    /// it takes all of the body.
+    pub fn digest(&self, edge: &Edge) -> &RequestDigest {
+        self.digest.get_or_init(|| content::digest(&edge.settings.content.secret, self))
+    }
+
     /// Name of its workspace; empty for none.
     pub fn workspace_name(&self) -> &str {
         self.workspace.as_ref().map_or("", |counted| &counted.member.workspace.name)
@@ -94,13 +111,14 @@
 pub async fn serve(
     edge: Rc<Edge>,
     ending: Stop,
+    caller: IpAddr,
     request: Request<Incoming>,
 ) -> Result<Response<LocalBody>, Cut> {
     let came = clock::now();
     let id = request.headers().get(&edge.settings.headers.request_id).cloned();
     let progress = Rc::new(Progress::default());
     let answering = {
-        let serving = pin!(answer(&edge, request, came, progress.clone()));
+        let serving = pin!(answer(&edge, (caller, request), came, progress.clone()));
         // The end is looked at first, so that nothing is sent to a server after it.
         match select(ending, serving).await {
             Either::Right((answer, _)) => Some(answer),
@@ -140,7 +158,7 @@
 /// Finds the route, reads the body and sends the request on.
 async fn answer(
     edge: &Rc<Edge>,
-    request: Request<Incoming>,
+    (caller, request): (IpAddr, Request<Incoming>),
     came: Time,
     progress: Rc<Progress>,
 ) -> Result<Response<LocalBody>, Cut> {
@@ -164,7 +182,7 @@
         // The caller broke off, so nobody reads an answer.
         Err(_) => return Err(Cut),
     };
-    let call = call(edge, head, (route, workspace), body, came, progress);
+    let call = call(edge, (caller, head), (route, workspace), body, came, progress);
     Ok(forward::run(edge, &call).await)
 }
 
@@ -205,7 +223,7 @@
 
 fn call(
     edge: &Edge,
-    head: request::Parts,
+    (caller, head): (IpAddr, request::Parts),
     (route, workspace): (Rc<Route>, Option<Counted>),
     body: Bytes,
     came: Time,
@@ -229,6 +247,7 @@
     let (method, headers) = (head.method, kept);
     Call {
         id,
+        caller,
         route,
         service,
         key,
@@ -242,6 +261,7 @@
         returning,
         workspace,
         progress,
+        digest: OnceCell::new(),
     }
 }
 
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod backend;
 pub mod callers;
 pub mod connections;
+pub mod content;
 pub mod edge;
 mod fetch;
 pub mod fetches;
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -71,7 +71,9 @@
     });
     let served = edge.clone();
     let (ends, ending) = Stopper::new();
-    let caller = move |_, request| callers::serve(served.clone(), ending.clone(), request);
+    let caller = move |from: SocketAddr, request| {
+        callers::serve(served.clone(), ending.clone(), from.ip(), request)
+    };
     let notice = Notice::default();
     let open = Rc::new(Open::default());
     let options = caller_options(&edge, &notice, &open);
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -28,6 +28,9 @@
     /// Bounds of the fleet.
     #[serde(default)]
     pub bounds: Bounds,
+    /// What makes requests the same.
+    #[serde(default)]
+    pub content: Content,
     /// The planned stop.
     #[serde(default)]
     pub stop: Stop,
@@ -36,6 +39,15 @@
     pub logging: Logging,
 }
 
+/// What makes requests the same.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Content {
+    /// Key of the digests of requests; alike on all hosts. Without one, whoever reads lines
+    /// can try out whether a request that he guesses was made.
+    pub secret: String,
+}
+
 /// The planned stop.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- /dev/null
+++ b/elmstream_edge/tests/content.rs
@@ -0,0 +1,63 @@
+//! Lines tell which requests are the same, and not what they ask.
+
+mod support;
+
+use std::{cell::RefCell, io::Write, rc::Rc, sync::mpsc, time::Duration};
+
+use elmstream_edge::{Edge, journal::Journal, settings::Logging};
+use elmstream_steer::{model::Repeat, view::Key};
+use serde_json::Value;
+use support::{CLOSE, ask, backend, configuration, ip, run, server, start_edge, until};
+
+/// Hands on what is written.
+struct Lines(mpsc::Sender<Vec<u8>>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let _ = self.0.send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_of_requests_tell_which_ones_are_the_same() {
+    run(async || {
+        let (cut, _) = backend(ip(), |_| CLOSE.to_vec()).await;
+        let store = support::Store::default();
+        store.put(Key::Configuration, Some(configuration(1, Repeat::Safe)));
+        store.put(Key::Server("s-0".into()), Some(server(cut)));
+        let (lines, written) = mpsc::channel();
+        let logging = Logging { sample: 0, lines_per_s: 100, beliefs_per_s: 0 };
+        let ip = ip();
+        let edge =
+            Edge::writing(support::settings(ip, &[]), Journal::to(&logging, Lines(lines)));
+        let host = start_edge(ip, edge, &store);
+        assert!(until(Duration::from_secs(3), || host.edge.serves()).await);
+        for (id, path) in [("a", "/one?x=1"), ("b", "/one?x=1"), ("c", "/one?x=2")] {
+            ask(host.callers, id, path).await.expect("an answer");
+        }
+        let text = Rc::new(RefCell::new(String::new()));
+        let content = |id: &str| {
+            let text = text.borrow();
+            let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+            lines.filter(|line| line["id"] == id).find_map(|line| {
+                let content = line["content"].as_str()?;
+                Some(content.to_owned())
+            })
+        };
+        let all = || {
+            for bytes in written.try_iter() {
+                *text.borrow_mut() += &String::from_utf8_lossy(&bytes);
+            }
+            ["a", "b", "c"].iter().all(|id| content(id).is_some())
+        };
+        assert!(until(Duration::from_secs(2), all).await, "{}", text.borrow());
+        assert_eq!(content("a"), content("b"));
+        assert_ne!(content("a"), content("c"));
+        assert!(!text.borrow().contains("/one"), "no path is written: {}", text.borrow());
+    });
+}
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod choose;
 pub mod cold;
 pub mod demand;
+pub mod digest;
 pub mod hash;
 pub mod hearing;
 pub mod key;
