--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -33,7 +33,7 @@
     }
     told.push(format!("cause: {}", cause(last)));
     let servers = servers(last);
-    let beliefs = lines.iter().filter(|line| bears(line, last.at, &servers));
+    let beliefs = lines.iter().filter(|line| bears(line, last, &servers));
     let beliefs: Vec<String> = beliefs.map(|line| belief(line, last.at)).collect();
     let skipped = beliefs.len().saturating_sub(BELIEFS);
     told.push(match beliefs.is_empty() {
@@ -72,6 +72,12 @@
         let (burst, retry) = (&fields["burst"], &fields["retry_ms"]);
         told.push(format!("  limit {rate} a second and {burst} on top, come back in {retry} ms"));
     }
+    if let Some(ended) = fields["servers_ended"].as_u64() {
+        let (ago, own) = (&fields["last_s_ago"], &fields["own"]);
+        told.push(format!(
+            "  {ended} servers ended under it, the last one {ago} s before; seen by this host: {own}"
+        ));
+    }
     if let Some(servers) = fields["servers"].as_u64() {
         let load = &fields["load_percent"];
         told.push(format!("  {servers} servers weighed, {load}% of their slots occupied"));
@@ -119,6 +125,9 @@
         ("denied", _) => {
             "the route asks for a key, and the configuration in force here lets none in"
         }
+        ("harmful", _) => {
+            "servers ended one after another under requests with this content, so no other gets it"
+        }
         ("limited", _) if fields["status"] == 503 => {
             "the host had just started and did not know the others yet, so it kept no limit"
         }
@@ -144,9 +153,9 @@
     tried.filter_map(|tried| tried["server"].as_str().map(str::to_owned)).collect()
 }
 
-/// Whether a line tells what a request that ended at a time rested on.
-fn bears(line: &Line, at: i64, servers: &[String]) -> bool {
-    if line.at < at - BEFORE_MS || line.at > at + AFTER_MS {
+/// Whether a line tells what a request rested on, whose last line is given.
+fn bears(line: &Line, request: &Line, servers: &[String]) -> bool {
+    if line.at < request.at - BEFORE_MS || line.at > request.at + AFTER_MS {
         return false;
     }
     let named = |value: &Value| value.as_str().is_some_and(|id| servers.iter().any(|s| s == id));
@@ -154,7 +163,10 @@
         "server" => named(&line.fields["server"]),
         "servers" => line.fields["lost"].as_array().into_iter().flatten().any(named),
         "host_heard" | "host_lost" | "refused" | "answered" | "unknown" | "left" | "ended"
-        | "no_route" | "denied" | "limited" => false,
+        | "no_route" | "denied" | "limited" | "harmful" => false,
+        "refuses" | "server_ended" | "let_in_again" => {
+            line.fields["content"] == request.fields["content"]
+        }
         event => !event.starts_with("not_run"),
     }
 }
--- a/elmctl/tests/explain.rs
+++ b/elmctl/tests/explain.rs
@@ -56,3 +56,17 @@
     assert!(told("l1").contains("limit 4.5 a second and 9.0 on top, come back in 700 ms"));
     assert!(told("l1").contains("over its limit"), "{}", told("l1"));
 }
+
+const HARMFUL: &str = r#"
+{"unix_ms":150000,"event":"refuses","content":"00ff","servers_ended":3,"generations":3,"own":false,"from":"host-2"}
+{"unix_ms":152000,"event":"harmful","id":"h1","code":1120,"content":"00ff","route":"r","service":"s","status":503,"took_ms":0,"version":3,"stale_ms":90,"servers_ended":3,"generations":3,"last_s_ago":7,"own":false}
+"#;
+
+#[test]
+fn a_request_that_is_refused_for_harm_names_the_servers_and_who_told() {
+    let told = explain(HARMFUL.lines(), "h1").expect("the log knows it").join("\n");
+    assert!(told.contains("E1120"), "{told}");
+    assert!(told.contains("3 servers ended under it, the last one 7 s before"), "{told}");
+    assert!(told.contains("ended one after another"), "{told}");
+    assert!(told.contains("refuses") && told.contains("host-2"), "{told}");
+}
--- a/elmstream/src/code.rs
+++ b/elmstream/src/code.rs
@@ -78,6 +78,7 @@
     RoutesStale = 1117, 503, "no route fits, but what is known of the routes may be out of date";
     KeysStale = 1118, 503, "the key is not known, but what is known of keys may be out of date";
     WorkspaceLimit = 1119, 429, "the workspace is over its limit";
+    Harmful = 1120, 503, "backend servers have ended under this request, so it is sent to no other";
     DeadlinePassed = 1201, 504, "the deadline passed while the request was running";
     BackendFailed = 1202, 502, "the backend server failed after the request was sent";
     PeerLost = 1203, 502, "contact with the owning entry host was lost after the request was sent";
--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -201,6 +201,17 @@
         start(stream).await
     }
 
+    /// Whether nobody listens at an address, as after the end of its process.
+    ///
+    /// A connection that breaks says nothing by itself: an answer may be lost with it,
+    /// and a way may be cut, while the server lives on. One that is refused right after
+    /// does; a server that starts again at its address within that time is missed.
+    pub async fn refuses(&self, address: SocketAddr) -> bool {
+        metrics::counter!("elmstream_backend_connections").increment(1);
+        let error = stream(address).await.err();
+        error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Why connections that go silent do not break, the first time this is so.
     pub fn unbounded(&self) -> Option<io::Error> {
         self.unbounded.take()
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -1,6 +1,11 @@
 //! One host: its decisions and what they are connected to.
 
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use elmstream_steer::{
     Steer, settings,
@@ -27,6 +32,8 @@
     pub pool: Pool,
     /// What it writes.
     pub journal: Journal,
+    /// The list of refused requests is to be read again.
+    pub(crate) relist: Cell<bool>,
 }
 
 impl Edge {
@@ -47,13 +54,20 @@
             },
             clock::now(),
         );
-        Rc::new(Edge { settings, steer: RefCell::new(steer), pool: Pool::default(), journal })
+        Rc::new(Edge {
+            settings,
+            steer: RefCell::new(steer),
+            pool: Pool::default(),
+            journal,
+            relist: Cell::new(false),
+        })
     }
 
     /// Takes changed settings in; addresses and names stay as they were.
     pub fn reload(&self, settings: &Settings) {
         let kept = settings.host == self.settings.host;
         self.steer.borrow_mut().change(settings.domains.clone(), settings.bounds);
+        self.relist.set(true);
         self.journal.write("reload", json!({"host": settings.host.name, "same_host": kept}));
     }
 
--- a/elmstream_edge/src/fetch.rs
+++ b/elmstream_edge/src/fetch.rs
@@ -15,6 +15,7 @@
 use crate::{
     edge::Edge,
     fetches::{End, Fetches, HEDGE},
+    harm,
     peers::{ROWS, Rows},
 };
 
@@ -100,6 +101,10 @@
             true => steer.told_hosts(now, &fetched.hosts),
             false => fetched.hosts.iter().for_each(|host| steer.suppose(now, *host)),
         }
+        let refused = steer.hear_endings(now, &fetched.endings);
+        drop(steer);
+        harm::note(edge, &address.to_string(), &refused);
+        let mut steer = edge.steer.borrow_mut();
         if known.reading.is_none() {
             steer.untold();
             return Ok(());
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -19,7 +19,7 @@
     backend::{self, Exchange},
     callers::{self, Call},
     edge::Edge,
-    headers,
+    harm, headers,
 };
 
 /// Time that must be left for a request to be sent at all.
@@ -79,6 +79,12 @@
     let mut failed = None;
     while tried.servers.len() < call.route.attempts.max(1) as usize && call.left() > LEAST {
         let again = !tried.servers.is_empty();
+        if let Some(known) = harm::known(edge, call) {
+            if !unknown && failed.is_none() {
+                return harm::refuse(edge, call, &known);
+            }
+            break;
+        }
         let (route, service) = (&call.route, &call.service);
         let (key, returning) = (call.key, call.returning);
         let homes =
@@ -146,6 +152,7 @@
         return Try::NotRun;
     };
     let sent = clock::now();
+    let generations = harm::generations(edge, call);
     let knew = call.keyed && edge.steer.borrow_mut().learn(sent, index, call.key);
     let had_run = call.progress.may_have_run.replace(true);
     if let Some(counted) = &call.workspace {
@@ -157,7 +164,10 @@
     let (outcome, result) = match exchange {
         Err(_) => (Outcome::Silent, Try::Unknown),
         Ok(Exchange::NoConnection) => (Outcome::NoConnection, Try::NotRun),
-        Ok(Exchange::Broken) => (Outcome::Unknown, Try::Unknown),
+        Ok(Exchange::Broken) => {
+            harm::suspect(edge, call, (&id, address), generations).await;
+            (Outcome::Unknown, Try::Unknown)
+        }
         Ok(Exchange::Whole(parts, body)) => {
             tell(edge, index, &parts);
             let (outcome, result) = judge(edge, call, &id, parts, body);
@@ -227,6 +237,7 @@
         edge.pool.distrust(id);
         return (Some(Outcome::Unknown), Try::Unknown);
     }
+    harm::answered(edge, call);
     if parts.status.is_server_error() {
         return (Some(Outcome::Failed), Try::Failed(parts, body));
     }
--- /dev/null
+++ b/elmstream_edge/src/harm.rs
@@ -0,0 +1,192 @@
+//! Keeps requests under which servers end from further servers, and their list in the
+//! store.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use elmstream::{code::Code, time::MILLI};
+use elmstream_http::LocalBody;
+use elmstream_steer::{
+    digest::RequestDigest,
+    harm::{Harm, Turn, outdated},
+    hash,
+};
+use elmstreamd::clock;
+use futures_channel::oneshot;
+use http::{Response, StatusCode};
+use serde_json::{Value, json};
+
+use crate::{
+    Edge, Source, SourceError,
+    callers::{self, Call},
+    source::Harmful,
+};
+
+/// Time between two looks at whether the list is to be read or changed.
+const LOOK: Duration = Duration::from_millis(100);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Why a request is refused; none if it is not.
+pub(crate) fn known(edge: &Edge, call: &Call) -> Option<Harm> {
+    let steer = edge.steer.borrow();
+    if steer.harms().is_empty() {
+        return None;
+    }
+    steer.harms().refuses(call.digest(edge))
+}
+
+/// Generations of endings that are known of a request.
+pub(crate) fn generations(edge: &Edge, call: &Call) -> u8 {
+    let steer = edge.steer.borrow();
+    match steer.harms().is_empty() {
+        true => 0,
+        false => steer.harms().generation(call.digest(edge)),
+    }
+}
+
+/// Refuses a request.
+///
+/// It has not run and will not, and its caller is not asked back. The status is none that
+/// blames the caller, as a request that was beside a harmful one three times is refused
+/// as well.
+pub(crate) fn refuse(edge: &Edge, call: &Call, harm: &Harm) -> Response<LocalBody> {
+    metrics::counter!("elmstream_requests", "outcome" => "harmful").increment(1);
+    let code = Code::Harmful;
+    let fields = json!({
+        "id": call.id, "code": code.number(), "status": code.http_status(),
+        "content": call.digest(edge).hex(), "route": call.route.name, "service": call.service,
+        "workspace": call.workspace_name(), "took_ms": clock::now().since(call.came) / MILLI,
+        "servers_ended": harm.servers, "generations": harm.generations, "own": harm.own,
+        "last_s_ago": unix_s().saturating_sub(harm.last_s),
+        "version": edge.steer.borrow().version(),
+        "stale_ms": edge.steer.borrow().staleness(clock::now()) / MILLI,
+    });
+    edge.journal.request("harmful", fields);
+    callers::plain(code, StatusCode::SERVICE_UNAVAILABLE)
+}
+
+/// A request got a whole answer.
+pub(crate) fn answered(edge: &Edge, call: &Call) {
+    let mut steer = edge.steer.borrow_mut();
+    if !steer.harms().is_empty() {
+        steer.harms_mut().answered(clock::now(), call.digest(edge));
+    }
+}
+
+/// The connection to a server broke under a request, which was sent when so many
+/// `generations` of endings were known; returns when it is known whether the server ended.
+///
+/// What is found out counts also if the caller leaves meanwhile.
+pub(crate) async fn suspect(
+    edge: &Rc<Edge>,
+    call: &Call,
+    (id, address): (&str, SocketAddr),
+    generations: u8,
+) {
+    let (found, finding) = oneshot::channel();
+    let (edge, id, digest) = (edge.clone(), id.to_owned(), *call.digest(edge));
+    compio::runtime::spawn(async move {
+        if edge.pool.refuses(address).await {
+            ended(&edge, &id, digest, generations);
+        }
+        // Nobody waits any more if the caller has left.
+        let _ = found.send(());
+    })
+    .detach();
+    // The sender is dropped only with the runtime.
+    let _ = finding.await;
+}
+
+fn ended(edge: &Edge, id: &str, digest: RequestDigest, generations: u8) {
+    metrics::counter!("elmstream_servers_ended").increment(1);
+    let now = clock::now();
+    let turn = edge.steer.borrow_mut().ended(now, unix_s(), digest, hash::of(id), generations);
+    let fields = json!({
+        "server": id, "content": digest.hex(), "generation": generations.saturating_add(1),
+    });
+    edge.journal.belief("server_ended", fields);
+    if let Turn::Refused(harm) = turn {
+        note(edge, "itself", &[(digest, harm)]);
+    }
+}
+
+/// Writes down which requests are refused from now on, and who told.
+pub(crate) fn note(edge: &Edge, from: &str, refused: &[(RequestDigest, Harm)]) {
+    for (digest, harm) in refused {
+        edge.journal.write("refuses", told(digest, harm, from));
+    }
+}
+
+fn told(digest: &RequestDigest, harm: &Harm, from: &str) -> Value {
+    json!({
+        "content": digest.hex(), "servers_ended": harm.servers, "generations": harm.generations,
+        "own": harm.own, "from": from,
+    })
+}
+
+/// Reads the list at the start and when the settings are read again, and adds to it,
+/// until the process ends.
+pub(crate) async fn run<S: Source>(edge: Rc<Edge>, source: Rc<S>) {
+    let mut started = false;
+    loop {
+        let again = edge.relist.replace(false);
+        if let Err(error) = keep(&edge, &*source, !started, again).await {
+            edge.relist.set(again);
+            edge.journal.write("harmful_failed", json!({"error": error.to_string()}));
+            compio::time::sleep(PAUSE).await;
+            continue;
+        }
+        started = true;
+        compio::time::sleep(LOOK).await;
+        let mut steer = edge.steer.borrow_mut();
+        steer.harms_mut().forget(unix_s());
+        metrics::gauge!("elmstream_requests_refused").set(steer.harms().refused() as f64);
+    }
+}
+
+async fn keep<S: Source>(
+    edge: &Edge,
+    source: &S,
+    first: bool,
+    again: bool,
+) -> Result<(), SourceError> {
+    if first || again {
+        let harmful = source.harmful().await?;
+        edge.unreadable("harmful", &harmful.unreadable);
+        take_in(edge, &harmful, again);
+        // Nobody else clears the list.
+        for (digest, _) in harmful.listed.iter().filter(|(_, endings)| outdated(endings, unix_s()))
+        {
+            source.list_harmful(digest, &[]).await?;
+        }
+    }
+    let due = edge.steer.borrow().harms().to_list();
+    for (digest, endings) in due {
+        source.list_harmful(&digest, &endings).await?;
+        edge.steer.borrow_mut().harms_mut().listed(&digest);
+    }
+    Ok(())
+}
+
+/// Takes in what the store lists; requests that are no longer listed are let in again if
+/// that was asked for.
+fn take_in(edge: &Edge, harmful: &Harmful, lift: bool) {
+    let now = clock::now();
+    for (digest, endings) in &harmful.listed {
+        let refused = edge.steer.borrow_mut().hear_endings(now, endings);
+        edge.steer.borrow_mut().harms_mut().listed(digest);
+        note(edge, "store", &refused);
+    }
+    if !lift {
+        return;
+    }
+    let present: Vec<RequestDigest> = harmful.listed.iter().map(|(digest, _)| *digest).collect();
+    let lifted = edge.steer.borrow_mut().harms_mut().lift(now, unix_s(), &present);
+    for digest in lifted {
+        edge.journal.write("let_in_again", json!({"content": digest.hex()}));
+    }
+}
+
+fn unix_s() -> u64 {
+    clock::unix_ms() / 1_000
+}
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fetches;
 pub mod forward;
 pub mod gate;
+mod harm;
 pub mod headers;
 pub mod journal;
 pub mod lifecycle;
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -13,7 +13,7 @@
     Edge, Source, callers,
     connections::{Open, caller_options},
     gate::Gate,
-    peers, reader, registry, stop,
+    harm, peers, reader, registry, stop,
 };
 
 /// Why a host cannot start.
@@ -59,6 +59,7 @@
     spawn(peers::send(edge.clone(), socket.clone()));
     spawn(peers::tick(edge.clone(), socket.clone()));
     spawn(registry::run(edge.clone(), source.clone()));
+    spawn(harm::run(edge.clone(), source.clone()));
     for table in TABLES {
         spawn(reader::run(edge.clone(), source.clone(), table));
     }
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -11,6 +11,7 @@
 use elmstream_steer::{
     Steer,
     beat::{Beat, Known, Message},
+    harm::Ending,
     members,
     view::{Row, TABLES},
 };
@@ -20,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::{edge::Edge, fetch::Asking, gate::Gate};
+use crate::{edge::Edge, fetch::Asking, gate::Gate, harm};
 
 /// Path of the view's rows.
 pub(crate) const ROWS: &str = "/v1/rows";
@@ -53,6 +54,8 @@
     pub hosts: Vec<SocketAddr>,
     /// Whether these are all that the sender knows, and it knows where the others are.
     pub all_hosts: bool,
+    /// Ends of servers under requests that are refused; told to hosts that start.
+    pub endings: Vec<Ending>,
 }
 
 /// Sends beats until the process ends.
@@ -144,6 +147,7 @@
     if news.joined {
         edge.journal.belief("host_heard", json!({"host": beat.host.name}));
     }
+    harm::note(edge, &beat.host.name, &news.refused);
     for (table, _) in news.wanted {
         asking.offer(table, beat.host.peers, beat.known[table as usize].version);
     }
@@ -195,7 +199,8 @@
         let all_hosts = after == 0 && steer.knows_hosts();
         let mut hosts = hosts_told(&steer, all_hosts);
         hosts.push(edge.settings.host.peers);
-        Rows { known, rows: steer.view().since(table, after), hosts, all_hosts }
+        let endings = if after == 0 { steer.harms().all() } else { Vec::new() };
+        Rows { known, rows: steer.view().since(table, after), hosts, all_hosts, endings }
     };
     let bytes = postcard::to_allocvec(&rows).unwrap_or_default();
     let pace = Duration::from_micros(bytes.len() as u64 * MICROS_A_BYTE);
--- a/elmstream_edge/src/source.rs
+++ b/elmstream_edge/src/source.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use elmstream_steer::{
+    digest::RequestDigest,
+    harm::Ending,
     registry::{Edit, Listed},
     view::{Row, Table},
 };
@@ -66,7 +68,16 @@
     pub unreadable: Vec<String>,
 }
 
-/// A store with rules, servers and hosts.
+/// Requests that are refused, as the store lists them.
+#[derive(Debug, Default)]
+pub struct Harmful {
+    /// Requests, each with the ends of servers that decided it.
+    pub listed: Vec<(RequestDigest, Vec<Ending>)>,
+    /// Keys of rows that cannot be read.
+    pub unreadable: Vec<String>,
+}
+
+/// A store with rules, servers, hosts and requests that are refused.
 ///
 /// A call ends within its wait and [`ANSWER`] for each page. After one that failed no
 /// kept connection is used.
@@ -91,4 +102,14 @@
 
     /// Changes the list of hosts.
     fn edit_hosts(&self, edit: &Edit) -> impl Future<Output = Result<(), SourceError>>;
+
+    /// The list of requests that are refused.
+    fn harmful(&self) -> impl Future<Output = Result<Harmful, SourceError>>;
+
+    /// Lists one more, or takes one off if it comes without ends of servers.
+    fn list_harmful(
+        &self,
+        digest: &RequestDigest,
+        endings: &[Ending],
+    ) -> impl Future<Output = Result<(), SourceError>>;
 }
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -79,6 +79,7 @@
         lessons: Vec::new(),
         words: Vec::new(),
         fleet: 1,
+        endings: Vec::new(),
     };
     compio::runtime::spawn(async move {
         for number in 0.. {
--- a/elmstream_edge/tests/support/mod.rs
+++ b/elmstream_edge/tests/support/mod.rs
@@ -21,10 +21,12 @@
 };
 use elmstream_edge::{
     Edge, Settings, Source, SourceError, lifecycle,
-    source::{Hosts, Rows},
+    source::{Harmful, Hosts, Rows},
 };
 use elmstream_http::{Stopper, body, client};
 use elmstream_steer::{
+    digest::RequestDigest,
+    harm::Ending,
     model::{Configuration, Limits, Part, Repeat, Route, Server, Service},
     registry::{Edit, Listed},
     view::{Item, Key, Row, Table},
@@ -57,6 +59,7 @@
 pub struct Store {
     rows: Rc<RefCell<BTreeMap<Key, Row>>>,
     pub hosts: Rc<RefCell<Vec<SocketAddr>>>,
+    pub harmful: Rc<RefCell<BTreeMap<RequestDigest, Vec<Ending>>>>,
     version: Rc<Cell<u64>>,
     pub down: Rc<Cell<bool>>,
     pub calls: Rc<Cell<u64>>,
@@ -116,6 +119,25 @@
         hosts.retain(|peers| !edit.remove.contains(&name(peers.ip())));
         Ok(())
     }
+
+    async fn harmful(&self) -> Result<Harmful, SourceError> {
+        self.serve(Table::Rules, None)?;
+        let listed = self.harmful.borrow().clone().into_iter().collect();
+        Ok(Harmful { listed, unreadable: Vec::new() })
+    }
+
+    async fn list_harmful(
+        &self,
+        digest: &RequestDigest,
+        endings: &[Ending],
+    ) -> Result<(), SourceError> {
+        self.serve(Table::Rules, None)?;
+        match endings.is_empty() {
+            true => drop(self.harmful.borrow_mut().remove(digest)),
+            false => drop(self.harmful.borrow_mut().insert(*digest, endings.to_vec())),
+        }
+        Ok(())
+    }
 }
 
 /// A host that runs.
--- a/elmstream_soak/src/remote.rs
+++ b/elmstream_soak/src/remote.rs
@@ -4,10 +4,12 @@
 
 use elmstream_edge::{
     Source, SourceError,
-    source::{Hosts, Rows},
+    source::{Harmful, Hosts, Rows},
 };
 use elmstream_http::{LocalBody, body, client};
 use elmstream_steer::{
+    digest::RequestDigest,
+    harm::Ending,
     registry::{Edit, Listed},
     view::Table,
 };
@@ -131,4 +133,21 @@
         }
         Ok(())
     }
+
+    async fn harmful(&self) -> Result<Harmful, SourceError> {
+        let listed: Vec<(RequestDigest, Vec<Ending>)> =
+            self.get("/harmful".into(), Duration::ZERO).await?;
+        Ok(Harmful { listed, unreadable: Vec::new() })
+    }
+
+    async fn list_harmful(
+        &self,
+        digest: &RequestDigest,
+        endings: &[Ending],
+    ) -> Result<(), SourceError> {
+        let bytes = postcard::to_allocvec(endings).map_err(lost)?;
+        let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+        let path = format!("/list?content={}&endings={hex}", digest.hex());
+        self.get::<()>(path, Duration::ZERO).await
+    }
 }
--- a/elmstream_soak/src/store.rs
+++ b/elmstream_soak/src/store.rs
@@ -3,6 +3,7 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use elmstream_http::{LocalBody, body, server::Cut};
+use elmstream_steer::{digest::RequestDigest, harm::Ending};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -81,10 +82,28 @@
             world.hosts.borrow_mut().remove(text("name"));
             packed(&())
         }
+        "/harmful" => packed(&world.harmful.borrow().clone().into_iter().collect::<Vec<_>>()),
+        "/list" => {
+            list(world, text("content"), text("endings"));
+            packed(&())
+        }
         _ => packed(&*world.hosts.borrow()),
     }
 }
 
+/// Lists a refused request, or takes it off if no endings come with it.
+fn list(world: &World, content: &str, endings: &str) {
+    let digits = endings.as_bytes().chunks(2).map(|pair| std::str::from_utf8(pair).ok());
+    let bytes = digits.map(|pair| u8::from_str_radix(pair?, 16).ok());
+    let bytes: Option<Vec<u8>> = bytes.collect();
+    let endings: Option<Vec<Ending>> = bytes.and_then(|bytes| postcard::from_bytes(&bytes).ok());
+    let Some((digest, endings)) = RequestDigest::from_hex(content).zip(endings) else { return };
+    match endings.is_empty() {
+        true => drop(world.harmful.borrow_mut().remove(&digest)),
+        false => drop(world.harmful.borrow_mut().insert(digest, endings)),
+    }
+}
+
 fn rows(world: &World, table: u64, after: Option<u64>) -> Page {
     let all = world.rows.borrow();
     let wanted = all.values().filter(|row| {
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -10,6 +10,8 @@
 };
 
 use elmstream_steer::{
+    digest::RequestDigest,
+    harm::Ending,
     model::{Configuration, Limits, Part, Repeat, Route, Server, Service},
     view::{Item, Key, Row},
 };
@@ -69,6 +71,8 @@
     pub version: Cell<u64>,
     /// Hosts that are written down.
     pub hosts: RefCell<BTreeMap<String, SocketAddr>>,
+    /// Requests that are refused, with the ends of servers that decided it.
+    pub harmful: RefCell<BTreeMap<RequestDigest, Vec<Ending>>>,
     /// When the store was in trouble.
     pub troubles: RefCell<Troubles>,
     /// The troubles that the store is in; it behaves as the latest one says.
@@ -95,6 +99,7 @@
             rows: RefCell::default(),
             version: Cell::new(0),
             hosts: RefCell::default(),
+            harmful: RefCell::default(),
             troubles: RefCell::default(),
             modes: RefCell::default(),
             muted: Cell::default(),
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    harm::Ending,
     settings::Host,
     tally::{Report, Spread, Verdict},
     warmth::Lesson,
@@ -96,6 +97,8 @@
     pub words: Vec<Word>,
     /// Hosts that the sender itself knows to be running or not to have stopped.
     pub fleet: u32,
+    /// Ends of servers under requests, told for a while by all who learn of them.
+    pub endings: Vec<Ending>,
 }
 
 /// A datagram between hosts.
--- a/elmstream_steer/src/digest.rs
+++ b/elmstream_steer/src/digest.rs
@@ -26,7 +26,9 @@
 
     /// From hexadecimal digits.
     pub fn from_hex(text: &str) -> Option<RequestDigest> {
-        let number = u128::from_str_radix(text, 16).ok()?;
-        (text.len() == 2 * DIGEST).then(|| RequestDigest(number.to_be_bytes()))
+        // The number's own reader would take a sign.
+        let digits = text.len() == 2 * DIGEST && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = u128::from_str_radix(text, 16).ok().filter(|_| digits)?;
+        Some(RequestDigest(number.to_be_bytes()))
     }
 }
--- /dev/null
+++ b/elmstream_steer/src/harm.rs
@@ -0,0 +1,340 @@
+//! Requests under which backend servers end, counted over the whole fleet.
+//!
+//! A request that ends the server which begins to run it comes again under a new id, at
+//! any host, so it is known by a digest of its content. Each ending is told to all hosts
+//! with the start of the server, so two tellers of one ending count once. Endings are a
+//! set that only grows, or is voided, so hosts can merge what they hear in any order.
+//!
+//! Others were at work on the server that ended, and callers repeat harmless requests
+//! often. So endings count by generations: one counts beyond those before it only if its
+//! request was sent when they were known. Copies that are in flight while many servers
+//! are killed at once are of one generation, and the next whole answer voids them all.
+
+use std::collections::{BTreeMap, HashMap};
+
+use elmstream::time::{SECOND, Time};
+use serde::{Deserialize, Serialize};
+
+use crate::digest::RequestDigest;
+
+/// Generations of endings after which a request is refused.
+const GENERATIONS: u8 = 3;
+/// The same if as many servers as [`SERVERS`] have ended: copies that came at once end
+/// several servers in one generation, and few more may follow.
+const GENERATIONS_OF_SEVERAL: u8 = 2;
+/// Servers that may end under a request.
+const SERVERS: usize = 3;
+/// Endings that are kept of one request.
+const ENDINGS: usize = 16;
+/// Requests that are kept at most: with all endings 0.8 MB. Those that are not refused go
+/// first, of them those with the fewest generations, of these the oldest: each server that
+/// ends leaves as many as were at work there.
+const KEPT: usize = 1_024;
+/// Time for which what is new is told in each beat: beats are lost, and hosts of a large
+/// fleet are reached by turns, the last ones after 0.9 s.
+const TELL: u64 = 4 * SECOND;
+/// Endings in one beat, 33 bytes each, so that it stays one packet.
+const TOLD: usize = 12;
+/// Time after a whole answer in which endings that are heard of count as before it.
+const CLEARED: u64 = 2 * SECOND;
+/// Seconds after its last ending for which a request is suspected. Callers come back in
+/// seconds; a harmful one that comes more rarely ends one server each time.
+const SUSPECT_S: u64 = 600;
+/// Seconds after its last ending for which a request is refused. It may be harmless after
+/// the next release of its service.
+const REFUSE_S: u64 = 24 * 3_600;
+/// Seconds after which the store must list a refused request, unless it was lifted.
+const LISTED_S: u64 = 60;
+
+/// The end of a server under a request, as hosts tell it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Ending {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Hash of the server's start.
+    pub server: u64,
+    /// One more than the generations that were known when the request was sent.
+    pub generation: u8,
+    /// When it was seen, in seconds of the teller's time of day.
+    pub at_s: u64,
+    /// Whether it says nothing: the request has had a whole answer, or was let in again.
+    pub void: bool,
+}
+
+/// Why a request is refused, for lines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Harm {
+    /// Servers that have ended under it.
+    pub servers: usize,
+    /// Generations of their endings.
+    pub generations: u8,
+    /// When the last one was seen, in seconds of the teller's time of day.
+    pub last_s: u64,
+    /// Whether this host saw one of them itself.
+    pub own: bool,
+}
+
+/// What a change came to, for lines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Turn {
+    /// Nothing that is to be told at once.
+    None,
+    /// The count has grown to where it matters.
+    Grown,
+    /// The request is refused from now on.
+    Refused(Harm),
+}
+
+/// An ending as it is kept.
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    generation: u8,
+    at_s: u64,
+    void: bool,
+    /// When this host learned of it, or that it is void.
+    learned: Time,
+    /// When it was last told.
+    told: Time,
+}
+
+/// What is known of one request.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    endings: BTreeMap<u64, Mark>,
+    /// Whether this host saw an ending itself.
+    own: bool,
+    /// Whether the store lists it.
+    listed: bool,
+    /// Last whole answer that this host gave to it.
+    answered: Option<Time>,
+}
+
+impl Suspect {
+    fn counted(&self) -> impl Iterator<Item = &Mark> {
+        self.endings.values().filter(|mark| !mark.void)
+    }
+
+    fn generation(&self) -> u8 {
+        self.counted().map(|mark| mark.generation).max().unwrap_or(0)
+    }
+
+    fn refused(&self) -> bool {
+        let (generation, servers) = (self.generation(), self.counted().count());
+        generation >= GENERATIONS || generation >= GENERATIONS_OF_SEVERAL && servers >= SERVERS
+    }
+
+    fn last_s(&self) -> u64 {
+        self.endings.values().map(|mark| mark.at_s).max().unwrap_or(0)
+    }
+
+    fn harm(&self) -> Harm {
+        Harm {
+            servers: self.counted().count(),
+            generations: self.generation(),
+            last_s: self.last_s(),
+            own: self.own,
+        }
+    }
+
+    fn void(&mut self, now: Time) {
+        for mark in self.endings.values_mut().filter(|mark| !mark.void) {
+            mark.void = true;
+            mark.learned = now;
+        }
+    }
+}
+
+/// What one host knows of such requests.
+#[derive(Clone, Debug, Default)]
+pub struct Harms {
+    suspects: HashMap<RequestDigest, Suspect>,
+}
+
+impl Harms {
+    /// Whether no server has ended under any request, so that no digest is needed.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Generations of endings that are known of a request.
+    pub fn generation(&self, digest: &RequestDigest) -> u8 {
+        self.suspects.get(digest).map_or(0, Suspect::generation)
+    }
+
+    /// Servers that have ended under a request.
+    pub fn servers(&self, digest: &RequestDigest) -> usize {
+        self.suspects.get(digest).map_or(0, |suspect| suspect.counted().count())
+    }
+
+    /// Why a request is refused; none if it is not.
+    pub fn refuses(&self, digest: &RequestDigest) -> Option<Harm> {
+        let suspect = self.suspects.get(digest)?;
+        suspect.refused().then(|| suspect.harm())
+    }
+
+    /// A server ended under a request of this host, which was sent when so many
+    /// generations were `known`.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        unix_s: u64,
+        digest: RequestDigest,
+        server: u64,
+        known: u8,
+    ) -> Turn {
+        let generation = known.saturating_add(1);
+        let ending = Ending { digest, server, generation, at_s: unix_s, void: false };
+        let turn = self.hear(now, &ending);
+        if let Some(suspect) = self.suspects.get_mut(&digest) {
+            suspect.own = true;
+        }
+        turn
+    }
+
+    /// Takes in an ending that another host tells of.
+    pub fn hear(&mut self, now: Time, ending: &Ending) -> Turn {
+        if !self.suspects.contains_key(&ending.digest) {
+            self.make_room();
+        }
+        let suspect = self.suspects.entry(ending.digest).or_default();
+        let (before, was_refused) = (suspect.generation(), suspect.refused());
+        let cleared = suspect.answered.is_some_and(|at| now.since(at) < CLEARED);
+        let full = suspect.endings.len() >= ENDINGS;
+        match suspect.endings.get_mut(&ending.server) {
+            Some(mark) => {
+                if ending.void && !mark.void {
+                    mark.void = true;
+                    mark.learned = now;
+                }
+                // Of two tellers the one that knew less when it sent: that ending would
+                // have come anyway.
+                mark.generation = mark.generation.min(ending.generation);
+            }
+            None if full => {}
+            None => {
+                let Ending { generation, at_s, void, .. } = *ending;
+                let void = void || cleared;
+                let mark = Mark { generation, at_s, void, learned: now, told: Time(0) };
+                suspect.endings.insert(ending.server, mark);
+            }
+        }
+        match suspect.refused() {
+            true if !was_refused => Turn::Refused(suspect.harm()),
+            false if suspect.generation() > before.max(1) => Turn::Grown,
+            _ => Turn::None,
+        }
+    }
+
+    /// A request got a whole answer, so it is none that ends its server.
+    pub fn answered(&mut self, now: Time, digest: &RequestDigest) {
+        if let Some(suspect) = self.suspects.get_mut(digest) {
+            suspect.answered = Some(now);
+            suspect.void(now);
+        }
+    }
+
+    /// Endings that the next beat tells: those of refused requests first, and of these
+    /// the ones that were told longest ago.
+    pub fn tell(&mut self, now: Time) -> Vec<Ending> {
+        let mut due: Vec<(bool, Time, RequestDigest, u64)> = Vec::new();
+        for (digest, suspect) in &self.suspects {
+            let refused = suspect.refused();
+            let new = suspect.endings.iter().filter(|(_, mark)| now.since(mark.learned) < TELL);
+            due.extend(new.map(|(server, mark)| (!refused, mark.told, *digest, *server)));
+        }
+        due.sort_unstable();
+        due.truncate(TOLD);
+        let told = due.into_iter().filter_map(|(_, _, digest, server)| {
+            let mark = self.suspects.get_mut(&digest)?.endings.get_mut(&server)?;
+            mark.told = now;
+            Some(word(digest, server, mark))
+        });
+        told.collect()
+    }
+
+    /// A host has come, or is back: what is refused is told again.
+    pub fn tell_again(&mut self, now: Time) {
+        for suspect in self.suspects.values_mut().filter(|suspect| suspect.refused()) {
+            suspect.endings.values_mut().for_each(|mark| mark.learned = now);
+        }
+    }
+
+    /// All endings that are known of refused requests, for a host that starts.
+    pub fn all(&self) -> Vec<Ending> {
+        let refused = self.suspects.iter().filter(|(_, suspect)| suspect.refused());
+        refused.flat_map(|(digest, suspect)| words(*digest, suspect)).collect()
+    }
+
+    /// Endings of refused requests that this host has to write down in the store: it saw
+    /// one of them itself, and does not know them to be listed.
+    pub fn to_list(&self) -> Vec<(RequestDigest, Vec<Ending>)> {
+        let due = self.suspects.iter();
+        let due = due.filter(|(_, known)| known.own && !known.listed && known.refused());
+        due.map(|(digest, suspect)| (*digest, words(*digest, suspect).collect())).collect()
+    }
+
+    /// The store lists a request.
+    pub fn listed(&mut self, digest: &RequestDigest) {
+        if let Some(suspect) = self.suspects.get_mut(digest) {
+            suspect.listed = true;
+        }
+    }
+
+    /// Lets requests in again that the store no longer lists; which they are.
+    pub fn lift(
+        &mut self,
+        now: Time,
+        unix_s: u64,
+        present: &[RequestDigest],
+    ) -> Vec<RequestDigest> {
+        let mut lifted = Vec::new();
+        for (digest, suspect) in &mut self.suspects {
+            let due = suspect.listed || unix_s.saturating_sub(suspect.last_s()) > LISTED_S;
+            if suspect.refused() && due && !present.contains(digest) {
+                suspect.void(now);
+                lifted.push(*digest);
+            }
+        }
+        lifted
+    }
+
+    /// Requests that are refused now.
+    pub fn refused(&self) -> usize {
+        self.suspects.values().filter(|suspect| suspect.refused()).count()
+    }
+
+    /// Forgets what is long past.
+    pub fn forget(&mut self, unix_s: u64) {
+        self.suspects.retain(|_, suspect| {
+            let keep = if suspect.refused() { REFUSE_S } else { SUSPECT_S };
+            unix_s.saturating_sub(suspect.last_s()) < keep
+        });
+    }
+
+    /// Drops the request that matters least if there is no room for another.
+    fn make_room(&mut self) {
+        if self.suspects.len() < KEPT {
+            return;
+        }
+        let rank = |suspect: &Suspect| (suspect.refused(), suspect.generation(), suspect.last_s());
+        let least = self.suspects.iter().min_by_key(|(digest, known)| (rank(known), **digest));
+        if let Some(digest) = least.map(|(digest, _)| *digest) {
+            self.suspects.remove(&digest);
+        }
+    }
+}
+
+/// Whether a request is no longer refused for what has ended under it.
+pub fn outdated(endings: &[Ending], unix_s: u64) -> bool {
+    let last = endings.iter().map(|ending| ending.at_s).max().unwrap_or(0);
+    unix_s.saturating_sub(last) >= REFUSE_S
+}
+
+fn words(digest: RequestDigest, suspect: &Suspect) -> impl Iterator<Item = Ending> {
+    suspect.endings.iter().map(move |(server, mark)| word(digest, *server, mark))
+}
+
+fn word(digest: RequestDigest, server: u64, mark: &Mark) -> Ending {
+    let Mark { generation, at_s, void, .. } = *mark;
+    Ending { digest, server, generation, at_s, void }
+}
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -8,6 +8,8 @@
     beat::{Beat, Hears, Known, Load, Message},
     cold,
     demand::{Division, Region},
+    digest::RequestDigest,
+    harm::{Ending, Harm, Turn},
     hash,
     members::Targets,
     quota::Spreading,
@@ -81,6 +83,7 @@
             lessons: self.warmth.tell(),
             words: self.members.words(now),
             fleet: self.may_run(now) as u32,
+            endings: self.harms.tell(now),
         }
     }
 
@@ -163,7 +166,25 @@
                 self.view.confirm(now, table, known.version, reading);
             }
         }
-        Some(News { joined: heard.joined, wanted })
+        if heard.joined {
+            self.harms.tell_again(now);
+        }
+        let refused = self.hear_endings(now, &beat.endings);
+        Some(News { joined: heard.joined, wanted, refused })
+    }
+
+    /// Takes in ends of servers under requests; the requests that are refused from now on.
+    pub fn hear_endings(&mut self, now: Time, endings: &[Ending]) -> Vec<(RequestDigest, Harm)> {
+        let mut refused = Vec::new();
+        for ending in endings {
+            let turn = self.harms.hear(now, ending);
+            // Each host tells it on at once, so that it takes a few hops in any fleet.
+            self.urgent |= turn != Turn::None;
+            if let Turn::Refused(harm) = turn {
+                refused.push((ending.digest, harm));
+            }
+        }
+        refused
     }
 
     /// Remembers since when others have known more, until this host knows as much.
@@ -311,4 +332,6 @@
     pub joined: bool,
     /// Tables that its sender knows better, with the version known here.
     pub wanted: Vec<(Table, u64)>,
+    /// Requests that are refused from now on.
+    pub refused: Vec<(RequestDigest, Harm)>,
 }
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cold;
 pub mod demand;
 pub mod digest;
+pub mod harm;
 pub mod hash;
 pub mod hearing;
 pub mod key;
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -15,6 +15,8 @@
     calls::Calls,
     choose::{self, Ask, Choice, Scene},
     demand::{Count, Division},
+    digest::RequestDigest,
+    harm::{Harms, Turn},
     hash,
     lookup::{self, Ready},
     members::Members,
@@ -53,6 +55,7 @@
     pub(crate) warmth: Warmth,
     pub(crate) members: Members,
     pub(crate) budgets: Budgets,
+    pub(crate) harms: Harms,
     pub(crate) returns: Returns,
     pub(crate) number: u64,
     pub(crate) calls: Calls,
@@ -167,6 +170,7 @@
             warmth: Warmth::default(),
             members,
             budgets: Budgets::new(reader),
+            harms: Harms::default(),
             returns: Returns::default(),
             number: 0,
             calls: Calls::default(),
@@ -388,6 +392,33 @@
         self.budgets.spend(service)
     }
 
+    // Requests under which servers end.
+
+    /// What is known of them.
+    pub fn harms(&self) -> &Harms {
+        &self.harms
+    }
+
+    /// The same, to be changed; what other hosts must know is told by [`Steer::ended`].
+    pub fn harms_mut(&mut self) -> &mut Harms {
+        &mut self.harms
+    }
+
+    /// A server ended under a request, which was sent when so many generations of
+    /// endings were `known`.
+    pub fn ended(
+        &mut self,
+        now: Time,
+        unix_s: u64,
+        digest: RequestDigest,
+        server: u64,
+        known: u8,
+    ) -> Turn {
+        let turn = self.harms.ended(now, unix_s, digest, server, known);
+        self.urgent |= turn != Turn::None;
+        turn
+    }
+
     // Look-ups.
 
     /// Entry hosts for callers of a failure domain who want a host name.
--- /dev/null
+++ b/elmstream_steer/tests/harm.rs
@@ -0,0 +1,284 @@
+//! Requests under which servers end: who is refused, and how soon by all hosts.
+
+#[path = "support/harm.rs"]
+mod fleets;
+mod support;
+
+use elmstream_steer::{
+    Steer,
+    digest::RequestDigest,
+    harm::{Ending, Turn},
+};
+use fleets::{Figures, Fleet, Way, digest};
+use quickcheck::{TestResult, quickcheck};
+use support::{host, ms};
+
+/// Time in which a host must know what another one found out: half of the least time
+/// after which rules count a host as in touch again, 3 s.
+const KNOWN_BY_ALL: u64 = 1_500;
+const HARM: u64 = 1;
+const UNIX_S: u64 = 1_000_000;
+
+fn ending(request: u64, server: u64, generation: u8) -> Ending {
+    Ending { digest: digest(request), server, generation, at_s: UNIX_S, void: false }
+}
+
+fn refuses(host: &Steer, request: u64) -> bool {
+    host.harms().refuses(&digest(request)).is_some()
+}
+
+/// Lets hosts meet.
+fn met(hosts: usize, servers: usize, way: Way, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(hosts, servers, way, seed);
+    while fleet.at < 2_000 {
+        fleet.step();
+    }
+    fleet
+}
+
+#[test]
+fn all_hosts_of_any_fleet_refuse_a_request_soon_after_its_third_server() {
+    for hosts in [12, 75, 295, 1_205] {
+        let mut fleet = met(hosts, 40, Way::Generations, 1);
+        let (now, unix_s) = (fleet.now(), fleet.unix_s());
+        // One host saw all three, as its request was sent again and its caller came back.
+        for server in 0..3 {
+            let known = fleet.hosts[0].harms().generation(&digest(HARM));
+            fleet.hosts[0].ended(now, unix_s, digest(HARM), server, known);
+        }
+        let began = fleet.at;
+        while fleet.hosts.iter().any(|host| !refuses(host, HARM)) {
+            fleet.step();
+            let took = fleet.at - began;
+            assert!(took <= KNOWN_BY_ALL, "{hosts} hosts: not known by all after {took} ms");
+        }
+        println!("{hosts} hosts: known by all after {} ms", fleet.at - began);
+    }
+}
+
+/// A harmful request that comes `copies` at a time, each some seconds, beside others.
+fn harmful(way: Way, copies: usize, every: u64, seed: u64) -> Figures {
+    let mut fleet = met(12, 40, way, seed);
+    let until = fleet.at + 20_000;
+    let mut number = 1_000_000;
+    while fleet.at < until {
+        if fleet.at.is_multiple_of(every) {
+            for _ in 0..copies {
+                let host = fleet.draw(12);
+                fleet.ask(host, digest(HARM), true);
+            }
+        }
+        for _ in 0..4 {
+            let host = fleet.draw(12);
+            number += 1;
+            fleet.ask(host, digest(number), false);
+        }
+        fleet.step();
+    }
+    fleet.figures
+}
+
+#[test]
+fn a_harmful_request_ends_few_servers_however_it_comes() {
+    for (copies, every) in [(1, 500), (1, 5_000), (2, 500), (2, 5_000), (3, 500), (3, 5_000)] {
+        let mut worst = [Figures::default(); 2];
+        for seed in 0..8 {
+            for (worst, way) in worst.iter_mut().zip([Way::Generations, Way::Servers]) {
+                let figures = harmful(way, copies, every, seed);
+                worst.ended = worst.ended.max(figures.ended);
+                worst.late = worst.late.max(figures.late);
+                worst.refused = worst.refused.max(figures.refused);
+                worst.lost = worst.lost.max(figures.lost);
+            }
+        }
+        println!("{copies} copies each {every} ms: by generations {:?}", worst[0]);
+        println!("{copies} copies each {every} ms: by servers     {:?}", worst[1]);
+        assert!(worst[0].late <= 3, "{copies} copies each {every} ms: {:?}", worst[0]);
+        assert_eq!(worst[0].refused, 0);
+    }
+}
+
+/// Harmless requests that all are the same, while servers are killed.
+fn hot(way: Way, kills: &[(u64, usize)], seed: u64) -> Figures {
+    let mut fleet = met(12, 40, way, seed);
+    let began = fleet.at;
+    for (after, servers) in kills {
+        fleet.kill_at(began + after, *servers);
+    }
+    while fleet.at < began + 10_000 {
+        for _ in 0..8 {
+            let host = fleet.draw(12);
+            let request = fleet.draw(4) as u64 + 10;
+            fleet.ask(host, digest(request), false);
+        }
+        fleet.step();
+    }
+    fleet.figures
+}
+
+#[test]
+fn harmless_requests_that_all_are_the_same_are_never_refused_for_harm() {
+    let rolling: Vec<(u64, usize)> = (1..30).map(|n| (n * 300, 1 + n as usize % 3)).collect();
+    let troubles: [(&str, &[(u64, usize)]); 4] = [
+        ("30 of 40 at once", &[(500, 30)]),
+        ("30 of 40, again after 3 s", &[(500, 30), (3_500, 30)]),
+        ("a few at a time", &rolling),
+        ("all at once", &[(500, 40)]),
+    ];
+    let mut by_servers = 0;
+    for (name, kills) in troubles {
+        let mut sums = [Figures::default(); 2];
+        for seed in 0..8 {
+            for (sum, way) in sums.iter_mut().zip([Way::Generations, Way::Servers]) {
+                let figures = hot(way, kills, seed);
+                sum.refused += figures.refused;
+                sum.lost += figures.lost;
+                sum.answered += figures.answered;
+            }
+        }
+        println!("{name}: by generations {:?}", sums[0]);
+        println!("{name}: by servers     {:?}", sums[1]);
+        assert_eq!(sums[0].refused, 0, "{name}");
+        by_servers += sums[1].refused;
+    }
+    assert!(by_servers > 0, "counted by servers, some are refused");
+}
+
+#[test]
+fn two_tellers_of_one_ending_count_once_and_a_server_that_ends_twice_counts_twice() {
+    let mut one = host(0, ms(0));
+    one.hear_endings(ms(0), &[ending(HARM, 1, 1), ending(HARM, 1, 2), ending(HARM, 1, 3)]);
+    assert!(!refuses(&one, HARM));
+    one.hear_endings(ms(1), &[ending(HARM, 2, 2), ending(HARM, 3, 3)]);
+    assert!(refuses(&one, HARM));
+}
+
+#[test]
+fn a_whole_answer_clears_a_request_at_all_hosts() {
+    let (mut one, mut two) = (host(0, ms(0)), host(1, ms(0)));
+    for server in 0..3 {
+        one.ended(ms(0), UNIX_S, digest(HARM), server, server as u8);
+    }
+    two.hear(ms(10), &one.beat(ms(10)));
+    assert!(refuses(&one, HARM) && refuses(&two, HARM));
+    two.harms_mut().answered(ms(20), &digest(HARM));
+    one.hear(ms(30), &two.beat(ms(30)));
+    assert!(!refuses(&one, HARM) && !refuses(&two, HARM));
+    // Late news of the same endings brings nothing back.
+    two.hear(ms(40), &one.beat(ms(40)));
+    assert!(!refuses(&two, HARM));
+}
+
+#[test]
+fn a_host_that_was_away_is_told_again() {
+    let mut fleet = met(12, 40, Way::Generations, 3);
+    fleet.apart[5] = true;
+    let (now, unix_s) = (fleet.now(), fleet.unix_s());
+    for server in 0..3 {
+        fleet.hosts[0].ended(now, unix_s, digest(HARM), server, server as u8);
+    }
+    let began = fleet.at;
+    while fleet.at < began + 8_000 {
+        fleet.step();
+    }
+    assert!(!refuses(&fleet.hosts[5], HARM));
+    fleet.apart[5] = false;
+    let back = fleet.at;
+    while !refuses(&fleet.hosts[5], HARM) {
+        fleet.step();
+        assert!(fleet.at < back + KNOWN_BY_ALL, "not told after {} ms", fleet.at - back);
+    }
+}
+
+#[test]
+fn memory_is_bounded_and_refused_requests_stay() {
+    let mut one = host(0, ms(0));
+    for server in 0..3 {
+        one.ended(ms(0), UNIX_S, digest(HARM), server, server as u8);
+    }
+    for other in 0..20_000u64 {
+        one.ended(ms(1), UNIX_S + other / 100, digest(100 + other), other, 0);
+    }
+    assert!(refuses(&one, HARM));
+    let known = (0..20_000).filter(|other| one.harms().generation(&digest(100 + other)) > 0);
+    assert!(known.count() <= 1_024);
+    let beat = one.beat(ms(2));
+    let size = postcard::to_allocvec(&beat.endings).expect("it can be written").len();
+    assert!(size <= 500, "{size} bytes of a beat");
+}
+
+#[test]
+fn what_is_past_is_forgotten_the_sooner_the_less_is_known() {
+    let mut one = host(0, ms(0));
+    for server in 0..3 {
+        one.ended(ms(0), UNIX_S, digest(HARM), server, server as u8);
+    }
+    one.ended(ms(0), UNIX_S, digest(2), 9, 0);
+    one.harms_mut().forget(UNIX_S + 3_600);
+    assert!(refuses(&one, HARM), "callers come back for an hour");
+    assert_eq!(one.harms().generation(&digest(2)), 0);
+    one.harms_mut().forget(UNIX_S + 25 * 3_600);
+    assert!(one.harms().is_empty());
+}
+
+#[test]
+fn a_request_that_the_store_no_longer_lists_is_let_in_again_everywhere() {
+    let (mut one, mut two) = (host(0, ms(0)), host(1, ms(0)));
+    for server in 0..3 {
+        one.ended(ms(0), UNIX_S, digest(HARM), server, server as u8);
+    }
+    assert_eq!(one.harms().to_list().len(), 1);
+    one.harms_mut().listed(&digest(HARM));
+    assert!(one.harms().to_list().is_empty());
+    two.hear(ms(10), &one.beat(ms(10)));
+    assert!(two.harms().to_list().is_empty(), "only who saw an ending lists it");
+    assert!(one.harms_mut().lift(ms(20), UNIX_S, &[digest(HARM)]).is_empty());
+    assert_eq!(one.harms_mut().lift(ms(20), UNIX_S, &[]), [digest(HARM)]);
+    two.hear(ms(30), &one.beat(ms(30)));
+    assert!(!refuses(&one, HARM) && !refuses(&two, HARM));
+}
+
+#[test]
+fn a_digest_is_read_as_it_is_written() {
+    let known = digest(0xfeed);
+    assert_eq!(RequestDigest::from_hex(&known.hex()), Some(known));
+    assert_eq!(RequestDigest::from_hex("00"), None);
+    assert_eq!(RequestDigest::from_hex("+0000000000000000000000000000000"), None);
+}
+
+quickcheck! {
+    /// Hosts that hear the same endings in any order, each any number of times, agree.
+    fn the_order_of_news_does_not_matter(news: Vec<(u8, u8, u8, bool)>, seed: u64) -> TestResult {
+        let endings: Vec<Ending> = news
+            .iter()
+            .map(|(request, server, generation, void)| Ending {
+                void: *void,
+                ..ending(u64::from(request % 3), u64::from(server % 8), 1 + generation % 3)
+            })
+            .collect();
+        let mut shuffled = endings.clone();
+        shuffled.extend(endings.iter().copied());
+        shuffled.sort_by_key(|known| {
+            elmstream_steer::hash::pair(seed, known.server << 8 | u64::from(known.generation))
+        });
+        let (mut one, mut two) = (host(0, ms(0)), host(1, ms(0)));
+        one.hear_endings(ms(0), &endings);
+        two.hear_endings(ms(0), &shuffled);
+        let agree = (0..3).all(|request| {
+            refuses(&one, request) == refuses(&two, request)
+                && one.harms().generation(&digest(request)) == two.harms().generation(&digest(request))
+        });
+        TestResult::from_bool(agree)
+    }
+}
+
+#[test]
+fn what_matters_is_told_at_once() {
+    let mut one = host(0, ms(0));
+    one.beat(ms(0));
+    assert_eq!(one.ended(ms(0), UNIX_S, digest(HARM), 1, 0), Turn::None);
+    assert!(!one.urgent());
+    assert_eq!(one.ended(ms(0), UNIX_S, digest(HARM), 2, 1), Turn::Grown);
+    assert!(one.urgent());
+    assert!(matches!(one.ended(ms(0), UNIX_S, digest(HARM), 3, 2), Turn::Refused(_)));
+}
