Know a harmful request by its content, and by its content and caller

Cause: the caller's address was a part of the only digest, and copies of the harmful request came from several addresses. So each address began its own count.

Weighed: leaving the caller out (then a request that harms from one caller only is cleared by each answer that others get to the same, such as one path that all callers ask for), and counting by both digests, which this does. A request is refused by either.

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -14,7 +14,7 @@
     time::{MILLI, Time},
 };
 use elmstream_http::{LocalBody, Stop, body, server::Cut};
-use elmstream_steer::{digest::RequestDigest, hash, model::Route, routes};
+use elmstream_steer::{hash, model::Route, routes};
 use elmstreamd::clock;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
@@ -24,7 +24,7 @@
 
 use crate::{
     access::{self, Counted},
-    content,
+    content::Contents,
     edge::Edge,
     forward, headers,
 };
@@ -76,15 +76,15 @@
     pub workspace: Option<Counted>,
     /// How far it has come.
     pub progress: Rc<Progress>,
-    /// Its digest, once it was asked for.
-    pub digest: OnceCell<RequestDigest>,
+    /// Its digests, once they were asked for.
+    pub contents: OnceCell<Contents>,
 }
 
 impl Call {
-    /// Digest of what makes it the same as another one; made only if it is asked for, as
-    /// it takes all of the body.
-    pub fn digest(&self, edge: &Edge) -> &RequestDigest {
-        self.digest.get_or_init(|| content::digest(&edge.settings.content.secret, self))
+    /// Digests of what makes it the same as another one; made only if they are asked for,
+    /// as they take all of the body.
+    pub fn contents(&self, edge: &Edge) -> &Contents {
+        self.contents.get_or_init(|| Contents::of(&edge.settings.content.secret, self))
     }
 
     /// Name of its workspace; empty for none.
@@ -261,7 +261,7 @@
         returning,
         workspace,
         progress,
-        digest: OnceCell::new(),
+        contents: OnceCell::new(),
     }
 }
 
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -344,7 +344,7 @@
     let tries: Vec<_> = tries.collect();
     let fields = json!({
         "id": call.id, "code": code.number(), "key": call.key % 10_000,
-        "content": call.digest(edge).hex(),
+        "content": call.contents(edge).any.hex(),
         "route": call.route.name, "service": call.service, "status": status.as_u16(),
         "workspace": call.workspace_name(),
         "tried": tries, "took_ms": took / MILLI, "version": steer.version(),
--- a/elmstream_edge/src/harm.rs
+++ b/elmstream_edge/src/harm.rs
@@ -18,6 +18,7 @@
 use crate::{
     Edge, Source, SourceError,
     callers::{self, Call},
+    content::Contents,
     source::Harmful,
 };
 
@@ -26,21 +27,22 @@
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// Why a request is refused; none if it is not.
-pub(crate) fn known(edge: &Edge, call: &Call) -> Option<Harm> {
+/// By which digest a request is refused, and why; none if it is not.
+pub(crate) fn known(edge: &Edge, call: &Call) -> Option<(RequestDigest, Harm)> {
     let steer = edge.steer.borrow();
     if steer.harms().is_empty() {
         return None;
     }
-    steer.harms().refuses(call.digest(edge))
+    let digests = call.contents(edge).both().into_iter();
+    digests.filter_map(|digest| Some((digest, steer.harms().refuses(&digest)?))).next()
 }
 
-/// Generations of endings that are known of a request.
-pub(crate) fn generations(edge: &Edge, call: &Call) -> u8 {
+/// Generations of endings that are known of a request, by its digests.
+pub(crate) fn generations(edge: &Edge, call: &Call) -> [u8; 2] {
     let steer = edge.steer.borrow();
     match steer.harms().is_empty() {
-        true => 0,
-        false => steer.harms().generation(call.digest(edge)),
+        true => [0; 2],
+        false => call.contents(edge).both().map(|digest| steer.harms().generation(&digest)),
     }
 }
 
@@ -49,12 +51,16 @@
 /// It has not run and will not, and its caller is not asked back. The status is none that
 /// blames the caller, as a request that was beside a harmful one three times is refused
 /// as well.
-pub(crate) fn refuse(edge: &Edge, call: &Call, harm: &Harm) -> Response<LocalBody> {
+pub(crate) fn refuse(
+    edge: &Edge,
+    call: &Call,
+    (digest, harm): &(RequestDigest, Harm),
+) -> Response<LocalBody> {
     metrics::counter!("elmstream_requests", "outcome" => "harmful").increment(1);
     let code = Code::Harmful;
     let fields = json!({
         "id": call.id, "code": code.number(), "status": code.http_status(),
-        "content": call.digest(edge).hex(), "route": call.route.name, "service": call.service,
+        "content": digest.hex(), "route": call.route.name, "service": call.service,
         "workspace": call.workspace_name(), "took_ms": clock::now().since(call.came) / MILLI,
         "servers_ended": harm.servers, "generations": harm.generations, "own": harm.own,
         "last_s_ago": unix_s().saturating_sub(harm.last_s),
@@ -69,7 +75,9 @@
 pub(crate) fn answered(edge: &Edge, call: &Call) {
     let mut steer = edge.steer.borrow_mut();
     if !steer.harms().is_empty() {
-        steer.harms_mut().answered(clock::now(), call.digest(edge));
+        for digest in call.contents(edge).both() {
+            steer.harms_mut().answered(clock::now(), &digest);
+        }
     }
 }
 
@@ -81,13 +89,13 @@
     edge: &Rc<Edge>,
     call: &Call,
     (id, address): (&str, SocketAddr),
-    generations: u8,
+    generations: [u8; 2],
 ) {
     let (found, finding) = oneshot::channel();
-    let (edge, id, digest) = (edge.clone(), id.to_owned(), *call.digest(edge));
+    let (edge, id, contents) = (edge.clone(), id.to_owned(), *call.contents(edge));
     compio::runtime::spawn(async move {
         if edge.pool.refuses(address).await {
-            ended(&edge, &id, digest, generations);
+            ended(&edge, &id, &contents, generations);
         }
         // Nobody waits any more if the caller has left.
         let _ = found.send(());
@@ -97,16 +105,18 @@
     let _ = finding.await;
 }
 
-fn ended(edge: &Edge, id: &str, digest: RequestDigest, generations: u8) {
+fn ended(edge: &Edge, id: &str, contents: &Contents, generations: [u8; 2]) {
     metrics::counter!("elmstream_servers_ended").increment(1);
     let now = clock::now();
-    let turn = edge.steer.borrow_mut().ended(now, unix_s(), digest, hash::of(id), generations);
     let fields = json!({
-        "server": id, "content": digest.hex(), "generation": generations.saturating_add(1),
+        "server": id, "content": contents.any.hex(), "generation": generations[0].saturating_add(1),
     });
     edge.journal.belief("server_ended", fields);
-    if let Turn::Refused(harm) = turn {
-        note(edge, "itself", &[(digest, harm)]);
+    for (digest, known) in contents.both().into_iter().zip(generations) {
+        let turn = edge.steer.borrow_mut().ended(now, unix_s(), digest, hash::of(id), known);
+        if let Turn::Refused(harm) = turn {
+            note(edge, "itself", &[(digest, harm)]);
+        }
     }
 }
 
