--- a/elmstream_edge/tests/harm.rs
+++ b/elmstream_edge/tests/harm.rs
@@ -8,7 +8,8 @@
 use elmstream::code::Code;
 use elmstream_steer::{model::Repeat, view::Key};
 use support::{
-    Running, Store, ask, ask_from, configuration, converse, good, ip, run, server, start, until,
+    CLOSE, Running, Store, ask, ask_from, backend, configuration, converse, good, ip, run, server,
+    serving, start, until,
 };
 
 /// Time that a server works on a harmful request before it ends.
@@ -184,3 +185,88 @@
         assert!(farm.ended.get() <= 3, "{} servers ended", farm.ended.get());
     });
 }
+
+/// Has all servers end that it takes until a request is refused.
+async fn until_refused(farm: &Farm, hosts: &[Running]) {
+    for copy in 0..12 {
+        let host = &hosts[copy % hosts.len()];
+        ask(host.callers, &format!("u-{copy}"), "/harm").await;
+        if host.edge.steer.borrow().harms().refused() > 0 {
+            return;
+        }
+        compio::time::sleep(PAUSE).await;
+    }
+    panic!("not refused after {} servers", farm.ended.get());
+}
+
+/// Status and code of a host's answer to the harmful request.
+async fn harmed(host: &Running) -> (u16, String) {
+    let answer = ask(host.callers, "again", "/harm").await.expect("an answer");
+    let code = answer.headers.get("elmstream-code").and_then(|code| code.to_str().ok());
+    assert!(!answer.headers.contains_key("retry-after"), "nobody is asked back");
+    (answer.status.as_u16(), code.unwrap_or_default().to_owned())
+}
+
+fn refused() -> (u16, String) {
+    (503, Code::Harmful.number().to_string())
+}
+
+#[test]
+fn hosts_that_start_after_all_have_gone_refuse_it_from_the_store() {
+    run(async || {
+        let (farm, hosts) = Farm::with(24, 2, Repeat::Safe).await;
+        until_refused(&farm, &hosts).await;
+        let listed = || !farm.store.harmful.borrow().is_empty();
+        assert!(until(CONTACT, listed).await, "it is listed");
+        let before = farm.ended.get();
+        let new = farm.host(&[]);
+        farm.ready(&new).await;
+        let knows = || new.edge.steer.borrow().harms().refused() > 0;
+        assert!(until(CONTACT, knows).await);
+        assert_eq!(harmed(&new).await, refused());
+        assert_eq!(farm.ended.get(), before);
+    });
+}
+
+#[test]
+fn a_host_that_starts_while_the_store_is_away_refuses_it_as_the_others_do() {
+    run(async || {
+        let (farm, hosts) = Farm::with(24, 2, Repeat::Safe).await;
+        until_refused(&farm, &hosts).await;
+        farm.store.down.set(true);
+        let new = farm.host(&hosts);
+        farm.ready(&new).await;
+        let knows = || new.edge.steer.borrow().harms().refused() > 0;
+        assert!(until(CONTACT, knows).await);
+        assert_eq!(harmed(&new).await, refused());
+    });
+}
+
+#[test]
+fn an_operator_lets_a_request_in_again() {
+    run(async || {
+        let (farm, hosts) = Farm::with(24, 2, Repeat::Safe).await;
+        until_refused(&farm, &hosts).await;
+        let listed = || farm.store.harmful.borrow().len() >= 2;
+        assert!(until(CONTACT, listed).await, "both digests are listed");
+        farm.store.harmful.borrow_mut().clear();
+        let first = &hosts[0].edge;
+        first.reload(&first.settings);
+        let let_in = || hosts.iter().all(|host| host.edge.steer.borrow().harms().refused() == 0);
+        assert!(until(CONTACT, let_in).await, "by all hosts");
+    });
+}
+
+/// The connection breaks and the server lives on: that says nothing against a request.
+#[test]
+fn answers_that_are_lost_refuse_nothing() {
+    run(async || {
+        let (cut, _) = backend(ip(), |_| CLOSE.to_vec()).await;
+        let (_store, host) = serving(Repeat::Safe, &[cut]).await;
+        for copy in 0..20 {
+            let answer = ask(host.callers, &format!("c-{copy}"), "/lost").await;
+            assert_eq!(answer.expect("an answer").status, 502);
+        }
+        assert!(host.edge.steer.borrow().harms().is_empty());
+    });
+}
