Leave a server that ended under a request at once, on all hosts

Cause: the entry of a server that ends stays in the store for three heartbeats. Until then each host found out by failed connections of its own, which use up tries and retry budget; and the broken request counted as a failure of the server.

Change: the end of a server's start, seen here or told by another host, makes it unreachable for 2 s without counting as a failure; a known end needs no second look. A start is told apart by its id and what the store says of its birth.

--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -136,6 +136,7 @@
         ("ended", _) => "the host was stopped, and its grace time was over before the request was",
         ("answered", _) => "a server answered; the status is its own",
         ("unknown", Some("silent")) => "the server did not answer in the request's time",
+        ("unknown", Some("server_ended")) => "the server ended under it; it may have run",
         ("unknown", Some("broken")) => {
             "the connection broke, or the answer was cut or another request's; it may have run"
         }
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -19,7 +19,8 @@
     backend::{self, Exchange},
     callers::{self, Call},
     edge::Edge,
-    harm, headers,
+    harm::{self, Suspected},
+    headers,
 };
 
 /// Time that must be left for a request to be sent at all.
@@ -141,13 +142,13 @@
     let target = {
         let steer = edge.steer.borrow();
         let entry = steer.servers().get(index);
-        entry.map(|entry| (entry.id.clone(), entry.server.address))
+        entry.map(|entry| (entry.id.clone(), entry.server.address, entry.start()))
     };
-    let addressed = target.and_then(|(id, address)| {
+    let addressed = target.and_then(|(id, address, start)| {
         let request = request(edge, call, &id)?;
-        Some((id, address, request))
+        Some((id, address, start, request))
     });
-    let Some((id, address, request)) = addressed else {
+    let Some((id, address, start, request)) = addressed else {
         flight.outcome = Outcome::NoConnection;
         return Try::NotRun;
     };
@@ -165,8 +166,11 @@
         Err(_) => (Outcome::Silent, Try::Unknown),
         Ok(Exchange::NoConnection) => (Outcome::NoConnection, Try::NotRun),
         Ok(Exchange::Broken) => {
-            harm::suspect(edge, call, (&id, address), generations).await;
-            (Outcome::Unknown, Try::Unknown)
+            let server = Suspected { id: id.clone(), address, start };
+            match harm::ended(edge, call, server, generations).await {
+                true => (Outcome::Ended, Try::Unknown),
+                false => (Outcome::Unknown, Try::Unknown),
+            }
         }
         Ok(Exchange::Whole(parts, body)) => {
             tell(edge, index, &parts);
--- a/elmstream_edge/src/harm.rs
+++ b/elmstream_edge/src/harm.rs
@@ -8,7 +8,6 @@
 use elmstream_steer::{
     digest::RequestDigest,
     harm::{Harm, Turn, outdated},
-    hash,
 };
 use elmstreamd::clock;
 use futures_channel::oneshot;
@@ -81,39 +80,53 @@
     }
 }
 
-/// The connection to a server broke under a request, which was sent when so many
-/// `generations` of endings were known; returns when it is known whether the server ended.
+/// A server whose connection broke under a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Suspected {
+    /// Its id.
+    pub id: String,
+    /// Where it took requests.
+    pub address: SocketAddr,
+    /// What tells its start from others.
+    pub start: u64,
+}
+
+/// Whether a server ended under a request, which was sent when so many `generations` of
+/// endings were known.
 ///
 /// What is found out counts also if the caller leaves meanwhile.
-pub(crate) async fn suspect(
+pub(crate) async fn ended(
     edge: &Rc<Edge>,
     call: &Call,
-    (id, address): (&str, SocketAddr),
+    server: Suspected,
     generations: [u8; 2],
-) {
+) -> bool {
     let (found, finding) = oneshot::channel();
-    let (edge, id, contents) = (edge.clone(), id.to_owned(), *call.contents(edge));
+    let (edge, contents) = (edge.clone(), *call.contents(edge));
     compio::runtime::spawn(async move {
-        if edge.pool.refuses(address).await {
-            ended(&edge, &id, &contents, generations);
+        let known = edge.steer.borrow().harms().knows_end(server.start);
+        let ended = known || edge.pool.refuses(server.address).await;
+        if ended {
+            count(&edge, &server, &contents, generations);
         }
         // Nobody waits any more if the caller has left.
-        let _ = found.send(());
+        let _ = found.send(ended);
     })
     .detach();
     // The sender is dropped only with the runtime.
-    let _ = finding.await;
+    finding.await.unwrap_or(false)
 }
 
-fn ended(edge: &Edge, id: &str, contents: &Contents, generations: [u8; 2]) {
+fn count(edge: &Edge, server: &Suspected, contents: &Contents, generations: [u8; 2]) {
     metrics::counter!("elmstream_servers_ended").increment(1);
     let now = clock::now();
     let fields = json!({
-        "server": id, "content": contents.any.hex(), "generation": generations[0].saturating_add(1),
+        "server": server.id, "content": contents.any.hex(),
+        "generation": generations[0].saturating_add(1),
     });
     edge.journal.belief("server_ended", fields);
     for (digest, known) in contents.both().into_iter().zip(generations) {
-        let turn = edge.steer.borrow_mut().ended(now, unix_s(), digest, hash::of(id), known);
+        let turn = edge.steer.borrow_mut().ended(now, unix_s(), digest, server.start, known);
         if let Turn::Refused(harm) = turn {
             note(edge, "itself", &[(digest, harm)]);
         }
@@ -149,7 +162,7 @@
         started = true;
         compio::time::sleep(LOOK).await;
         let mut steer = edge.steer.borrow_mut();
-        steer.harms_mut().forget(unix_s());
+        steer.harms_mut().forget(clock::now(), unix_s());
         metrics::gauge!("elmstream_requests_refused").set(steer.harms().refused() as f64);
     }
 }
--- a/elmstream_steer/src/harm.rs
+++ b/elmstream_steer/src/harm.rs
@@ -35,6 +35,9 @@
 const TELL: u64 = 4 * SECOND;
 /// Endings in one beat, 33 bytes each, so that it stays one packet.
 const TOLD: usize = 12;
+/// Time for which the end of a server's start is remembered: no host sends to it longer
+/// than its entry stays in the store, some seconds.
+const ENDED: u64 = 60 * SECOND;
 /// Time after a whole answer in which endings that are heard of count as before it.
 const CLEARED: u64 = 2 * SECOND;
 /// Seconds after its last ending for which a request is suspected. Callers come back in
@@ -148,6 +151,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Harms {
     suspects: HashMap<RequestDigest, Suspect>,
+    /// Starts of servers that have ended, and when this host learned of it.
+    ended: HashMap<u64, Time>,
 }
 
 impl Harms {
@@ -156,6 +161,11 @@
         self.suspects.is_empty()
     }
 
+    /// Whether a start of a server is known to have ended.
+    pub fn knows_end(&self, server: u64) -> bool {
+        self.ended.contains_key(&server)
+    }
+
     /// Generations of endings that are known of a request.
     pub fn generation(&self, digest: &RequestDigest) -> u8 {
         self.suspects.get(digest).map_or(0, Suspect::generation)
@@ -196,6 +206,7 @@
         if !self.suspects.contains_key(&ending.digest) {
             self.make_room();
         }
+        self.ended.entry(ending.server).or_insert(now);
         let suspect = self.suspects.entry(ending.digest).or_default();
         let (before, was_refused) = (suspect.generation(), suspect.refused());
         let cleared = suspect.answered.is_some_and(|at| now.since(at) < CLEARED);
@@ -304,7 +315,8 @@
     }
 
     /// Forgets what is long past.
-    pub fn forget(&mut self, unix_s: u64) {
+    pub fn forget(&mut self, now: Time, unix_s: u64) {
+        self.ended.retain(|_, at| now.since(*at) < ENDED);
         self.suspects.retain(|_, suspect| {
             let keep = if suspect.refused() { REFUSE_S } else { SUSPECT_S };
             unix_s.saturating_sub(suspect.last_s()) < keep
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -177,6 +177,7 @@
     pub fn hear_endings(&mut self, now: Time, endings: &[Ending]) -> Vec<(RequestDigest, Harm)> {
         let mut refused = Vec::new();
         for ending in endings {
+            self.leave_ended(now, ending.server);
             let turn = self.harms.hear(now, ending);
             // Each host tells it on at once, so that it takes a few hops in any fleet.
             self.urgent |= turn != Turn::None;
@@ -187,6 +188,19 @@
         refused
     }
 
+    /// Leaves a server whose start has ended, the first time that this is heard.
+    ///
+    /// Its entry stays in the store for some seconds; until then each host would find out
+    /// by a failed connection of its own, which uses up a try of a request.
+    pub(crate) fn leave_ended(&mut self, now: Time, server: u64) {
+        if self.harms.knows_end(server) {
+            return;
+        }
+        if let Some(entry) = self.servers.all_mut().find(|entry| entry.start() == server) {
+            entry.end(now);
+        }
+    }
+
     /// Remembers since when others have known more, until this host knows as much.
     fn lacks(&mut self, now: Time, table: Table, version: u64) {
         let own = self.knows_up_to(table);
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -119,6 +119,8 @@
     NoConnection,
     /// It was sent, and what became of it is not known.
     Unknown,
+    /// The server ended after it was sent.
+    Ended,
     /// No answer in time.
     Silent,
     /// The caller left.
@@ -143,6 +145,7 @@
             Outcome::Elsewhere => "elsewhere",
             Outcome::NoConnection => "no_connection",
             Outcome::Unknown => "broken",
+            Outcome::Ended => "server_ended",
             Outcome::Silent => "silent",
             Outcome::Left => "left",
         }
@@ -316,6 +319,21 @@
         self.told = Some((requests, now));
     }
 
+    /// Its process has ended, as this host saw or another one told.
+    ///
+    /// That says nothing of how it works: it is gone, or another start takes its place.
+    pub fn end(&mut self, now: Time) {
+        self.down_until = now + DOWN_MAX;
+    }
+
+    /// What tells this start of it from others, alike on all hosts.
+    pub fn start(&self) -> u64 {
+        match self.server.born {
+            0 => self.hash,
+            born => hash::pair(self.hash, born),
+        }
+    }
+
     /// Takes in what became of a request that was sent.
     pub fn done(&mut self, now: Time, outcome: Outcome, pace: &mut Pace) {
         self.own = self.own.saturating_sub(1);
@@ -343,6 +361,7 @@
                 self.failures += 1;
                 self.down_until = now + pause.min(DOWN_MAX);
             }
+            Outcome::Ended => self.end(now),
             // Others were answered meanwhile, so this one was lost.
             Outcome::Silent if !self.unheard(now) => self.fail(now, true),
             Outcome::Silent => {}
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -414,6 +414,7 @@
         server: u64,
         known: u8,
     ) -> Turn {
+        self.leave_ended(now, server);
         let turn = self.harms.ended(now, unix_s, digest, server, known);
         self.urgent |= turn != Turn::None;
         turn
--- a/elmstream_steer/tests/harm.rs
+++ b/elmstream_steer/tests/harm.rs
@@ -5,13 +5,15 @@
 mod support;
 
 use elmstream_steer::{
-    Steer,
+    Choice, Steer,
     digest::RequestDigest,
     harm::{Ending, Turn},
+    model::Repeat,
+    servers::Outcome,
 };
 use fleets::{Figures, Fleet, Way, digest};
 use quickcheck::{TestResult, quickcheck};
-use support::{host, ms};
+use support::{host, ms, ready, route, send, servers};
 
 /// Time in which a host must know what another one found out: half of the least time
 /// after which rules count a host as in touch again, 3 s.
@@ -214,10 +216,10 @@
         one.ended(ms(0), UNIX_S, digest(HARM), server, server as u8);
     }
     one.ended(ms(0), UNIX_S, digest(2), 9, 0);
-    one.harms_mut().forget(UNIX_S + 3_600);
+    one.harms_mut().forget(ms(0), UNIX_S + 3_600);
     assert!(refuses(&one, HARM), "callers come back for an hour");
     assert_eq!(one.harms().generation(&digest(2)), 0);
-    one.harms_mut().forget(UNIX_S + 25 * 3_600);
+    one.harms_mut().forget(ms(0), UNIX_S + 25 * 3_600);
     assert!(one.harms().is_empty());
 }
 
@@ -282,3 +284,25 @@
     assert!(one.urgent());
     assert!(matches!(one.ended(ms(0), UNIX_S, digest(HARM), 3, 2), Turn::Refused(_)));
 }
+
+/// An end is no failure of the server, and all leave it at once.
+#[test]
+fn a_server_that_ended_is_left_by_all_hosts_at_once() {
+    let mut hosts: Vec<Steer> = (0..2).map(|n| ready(n, ms(0), servers(1))).collect();
+    let route = route(Repeat::Safe, &[]);
+    let Choice::Send(index) = send(&mut hosts[0], ms(0), &route, 7) else { panic!("a server") };
+    let start = hosts[0].servers().get(index).expect("it was chosen").start();
+    hosts[0].done(ms(10), index, Outcome::Ended);
+    hosts[0].ended(ms(10), UNIX_S, digest(HARM), start, 0);
+    let told = hosts[0].beat(ms(10));
+    hosts[1].hear(ms(20), &told);
+    for host in &mut hosts {
+        let chosen = send(host, ms(30), &route, 7);
+        let Choice::Send(other) = chosen else { panic!("another server") };
+        assert_ne!(host.servers().get(other).expect("it was chosen").start(), start);
+        let ended = host.servers().all().find(|(_, entry)| entry.start() == start);
+        let (_, ended) = ended.expect("it is still listed");
+        assert_eq!(ended.failing(ms(30)), 0.0);
+        assert!(!ended.silent(ms(30), host.servers().pace("shop")));
+    }
+}
