End waits by the clock that counts suspension, and send what time is left then

Cause: timers, and ages by Instant, go by the steady clock, which stands still while a host is suspended. A request's wait that was running then went on for all that had been left of it; kept connections to servers and to the store counted as fresh; a stop took its grace time anew; a request whose connection came up meanwhile was sent with the time it had had before.

Change: waits for answers of servers, store and other hosts and those of the stop look at the other clock each 200 ms (elmstreamd::waits); what is ready counts first, and what came meanwhile is read. Ages of kept connections go by the same clock. A request is made when its connection is there, and not sent without time (outcome not_sent). A line 'suspended' tells how long the host was away.

--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -141,6 +141,7 @@
             "the connection broke, or the answer was cut or another request's; it may have run"
         }
         (_, Some("no_connection")) => "the server took no connection; it did not run",
+        (_, Some("not_sent")) => "its time was over before a connection came up; it did not run",
         (_, Some("full")) => "the server said that it is full; it did not run",
         (_, Some("elsewhere")) => "another server has the address now; it did not run",
         ("not_run_budget", _) => "servers did not run it, and the retry budget was used up",
--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -5,13 +5,15 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle};
 use cyper_core::HyperStream;
+use elmstream::time::Time;
 use elmstream_http::{LocalBody, body, client};
+use elmstreamd::{clock, waits};
 use http::{HeaderMap, Request, header, response};
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -42,9 +44,9 @@
     sender: SendRequest<LocalBody>,
     /// Drives the connection; ends with it.
     _driver: JoinHandle<()>,
-    until: Instant,
+    until: Time,
     /// When its last answer was whole.
-    answered: Instant,
+    answered: Time,
 }
 
 /// A request that was sent and has no answer yet, until this is dropped.
@@ -55,14 +57,16 @@
 struct Unanswered<'a> {
     pool: &'a Pool,
     id: &'a str,
-    sent: Instant,
+    sent: Time,
     broken: bool,
     answered: bool,
 }
 
 impl Drop for Unanswered<'_> {
     fn drop(&mut self) {
-        if !self.answered && (self.broken || self.sent.elapsed() >= DOUBT) {
+        if !self.answered
+            && (self.broken || clock::now().since(self.sent) >= DOUBT.as_micros() as u64)
+        {
             self.pool.doubt(self.id, self.sent);
         }
     }
@@ -82,6 +86,8 @@
 pub enum Exchange {
     /// No connection came up; nothing was sent.
     NoConnection,
+    /// The time for the request was over; nothing was sent.
+    NoTime,
     /// The whole answer.
     Whole(response::Parts, Bytes),
     /// It was sent, and no whole answer came.
@@ -90,18 +96,22 @@
 
 impl Pool {
     /// Sends a request and reads its whole answer.
+    ///
+    /// `request` makes it once a connection is there, so that it carries the time that is
+    /// left then: a connection may take 0.4 s, and the host may be suspended meanwhile.
+    /// With none left there is no request, and nothing is sent.
     pub async fn exchange(
         &self,
         id: &str,
         address: SocketAddr,
-        request: Request<LocalBody>,
+        request: impl Fn() -> Option<Request<LocalBody>>,
     ) -> Exchange {
         let Some(connection) = self.take(id, address).await else {
             return Exchange::NoConnection;
         };
-        let sent = Instant::now();
+        let sent = clock::now();
         let mut waits = Unanswered { pool: self, id, sent, broken: false, answered: false };
-        let exchange = self.exchange_over(connection, id, address, request).await;
+        let exchange = self.exchange_over(connection, id, address, &request).await;
         waits.broken = matches!(exchange, Exchange::Broken);
         waits.answered = matches!(exchange, Exchange::Whole(..));
         exchange
@@ -112,15 +122,16 @@
         mut connection: Connection,
         id: &str,
         address: SocketAddr,
-        request: Request<LocalBody>,
+        request: &impl Fn() -> Option<Request<LocalBody>>,
     ) -> Exchange {
-        let answer = match connection.sender.try_send_request(request).await {
+        let Some(made) = request() else { return Exchange::NoTime };
+        let answer = match connection.sender.try_send_request(made).await {
             Ok(answer) => answer,
             Err(mut error) => {
                 // Nothing was sent if the request comes back: the connection had
                 // been closed while it rested.
                 return match error.take_message() {
-                    Some(request) => self.exchange_anew(address, request).await,
+                    Some(_) => self.exchange_anew(address, request).await,
                     None => Exchange::Broken,
                 };
             }
@@ -129,9 +140,14 @@
     }
 
     /// The same over a new connection, whose end is not waited for.
-    async fn exchange_anew(&self, address: SocketAddr, request: Request<LocalBody>) -> Exchange {
+    async fn exchange_anew(
+        &self,
+        address: SocketAddr,
+        request: &impl Fn() -> Option<Request<LocalBody>>,
+    ) -> Exchange {
         let Ok(mut connection) = self.connect(address).await else { return Exchange::NoConnection };
-        match connection.sender.try_send_request(request).await {
+        let Some(made) = request() else { return Exchange::NoTime };
+        match connection.sender.try_send_request(made).await {
             Ok(answer) => self.read("", connection, answer).await,
             Err(_) => Exchange::Broken,
         }
@@ -148,8 +164,8 @@
             return Exchange::Broken;
         };
         if let Some(rest) = rest(&parts.headers) {
-            connection.answered = Instant::now();
-            connection.until = connection.answered + rest;
+            connection.answered = clock::now();
+            connection.until = connection.answered + rest.as_micros() as u64;
             self.give(id, connection);
         }
         Exchange::Whole(parts, whole.to_bytes())
@@ -160,7 +176,7 @@
         loop {
             let idle = self.idle.borrow_mut().get_mut(id).and_then(Vec::pop);
             let Some(mut connection) = idle else { return self.connect(address).await.ok() };
-            let fresh = Instant::now() < connection.until && !connection.sender.is_closed();
+            let fresh = clock::now() < connection.until && !connection.sender.is_closed();
             if fresh && connection.sender.is_ready() && connection.sender.ready().await.is_ok() {
                 return Some(connection);
             }
@@ -181,7 +197,7 @@
 
     /// Drops connections that rested too long, or whose server is not `known`.
     pub fn sweep(&self, known: impl Fn(&str) -> bool) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|id, connections| {
             connections
@@ -218,7 +234,7 @@
     }
 
     /// Drops the connections to a server that have not answered since.
-    fn doubt(&self, id: &str, since: Instant) {
+    fn doubt(&self, id: &str, since: Time) {
         if let Some(connections) = self.idle.borrow_mut().get_mut(id) {
             connections.retain(|connection| connection.answered > since);
         }
@@ -250,8 +266,8 @@
 /// Opens a connection to a backend server, and tells whether it breaks if it goes
 /// silent.
 pub async fn stream(address: SocketAddr) -> io::Result<(TcpStream, io::Result<()>)> {
-    let connecting = compio::time::timeout(CONNECT, TcpStream::connect(address));
-    let stream = connecting.await.map_err(|_| io::ErrorKind::TimedOut)??;
+    let connecting = waits::within_next(CONNECT, TcpStream::connect(address));
+    let stream = connecting.await.ok_or(io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
     let bounded = client::bound_silence(&stream, SILENCE);
     Ok((stream, bounded))
@@ -264,8 +280,9 @@
         // The request's own future tells of an error.
         let _ = connection.await;
     });
-    let now = Instant::now();
-    Ok(Connection { sender, _driver: driver, until: now + IDLE, answered: now })
+    let now = clock::now();
+    let until = now + IDLE.as_micros() as u64;
+    Ok(Connection { sender, _driver: driver, until, answered: now })
 }
 
 /// A body to send.
--- a/elmstream_edge/src/fetch.rs
+++ b/elmstream_edge/src/fetch.rs
@@ -7,7 +7,7 @@
 use elmstream::time::Time;
 use elmstream_http::{body, client};
 use elmstream_steer::{hash, view::Table};
-use elmstreamd::clock;
+use elmstreamd::{clock, waits};
 use http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use serde_json::json;
@@ -91,8 +91,8 @@
 
 /// Fetches the rows of a table after a version, and the addresses of hosts.
 async fn fetch(edge: &Edge, address: SocketAddr, table: Table, after: u64) -> io::Result<()> {
-    let fetched = compio::time::timeout(FETCH, get(address, table, after)).await;
-    let fetched = fetched.map_err(|_| io::ErrorKind::TimedOut)??;
+    let fetched = waits::within_next(FETCH, get(address, table, after)).await;
+    let fetched = fetched.ok_or(io::ErrorKind::TimedOut)??;
     let now = clock::now();
     let known = fetched.known[table as usize];
     let changes = {
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -11,7 +11,7 @@
     model::Repeat,
     servers::{Index, Outcome},
 };
-use elmstreamd::clock;
+use elmstreamd::{clock, waits};
 use http::{HeaderValue, Request, Response, StatusCode, header, response};
 use serde_json::json;
 
@@ -144,11 +144,7 @@
         let entry = steer.servers().get(index);
         entry.map(|entry| (entry.id.clone(), entry.server.address, entry.start()))
     };
-    let addressed = target.and_then(|(id, address, start)| {
-        let request = request(edge, call, &id)?;
-        Some((id, address, start, request))
-    });
-    let Some((id, address, start, request)) = addressed else {
+    let Some((id, address, start)) = target else {
         flight.outcome = Outcome::NoConnection;
         return Try::NotRun;
     };
@@ -159,20 +155,21 @@
     if let Some(counted) = &call.workspace {
         counted.sent();
     }
-    let exchange = edge.pool.exchange(&id, address, request);
-    let exchange = compio::time::timeout(call.left(), exchange).await;
+    let exchange = edge.pool.exchange(&id, address, || request(edge, call, &id));
+    let exchange = waits::within(call.until, exchange).await;
     let micros = clock::now().since(sent);
     let (outcome, result) = match exchange {
-        Err(_) => (Outcome::Silent, Try::Unknown),
-        Ok(Exchange::NoConnection) => (Outcome::NoConnection, Try::NotRun),
-        Ok(Exchange::Broken) => {
+        None => (Outcome::Silent, Try::Unknown),
+        Some(Exchange::NoConnection) => (Outcome::NoConnection, Try::NotRun),
+        Some(Exchange::NoTime) => (Outcome::NotSent, Try::NotRun),
+        Some(Exchange::Broken) => {
             let server = Suspected { id: id.clone(), address, start };
             match harm::ended(edge, call, server, generations).await {
                 true => (Outcome::Ended, Try::Unknown),
                 false => (Outcome::Unknown, Try::Unknown),
             }
         }
-        Ok(Exchange::Whole(parts, body)) => {
+        Some(Exchange::Whole(parts, body)) => {
             tell(edge, index, &parts);
             let (outcome, result) = judge(edge, call, &id, parts, body);
             (outcome.unwrap_or(Outcome::Answered { micros, knew }), result)
@@ -189,8 +186,11 @@
     result
 }
 
-/// The request as the server gets it.
+/// The request as the server gets it; none if no time is left for it.
 fn request(edge: &Edge, call: &Call, id: &str) -> Option<Request<LocalBody>> {
+    if call.left() <= LEAST {
+        return None;
+    }
     let names = &edge.settings.headers;
     let mut request = Request::new(backend::sendable(&call.body));
     *request.method_mut() = call.method.clone();
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -1,6 +1,6 @@
 //! Start of a host, up to its end.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Instant};
+use std::{io, net::SocketAddr, rc::Rc};
 
 use compio::net::{TcpListener, UdpSocket};
 use elmstream_http::{Notice, Stop, Stopper, server};
@@ -92,7 +92,7 @@
 
     terminated.await;
     // All that follows is held against this moment: what is late adds nothing.
-    let asked = Instant::now();
+    let asked = clock::now();
     notice.give();
     stop::tell(&edge, &socket).await;
     stop::end(&edge, asked, stopper, ends, async { drop(serving.await) }).await;
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -224,8 +224,13 @@
 
 /// Lets time pass for the decisions until the process ends.
 pub async fn tick(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
+    let mut suspension = clock::Suspension::default();
     for count in 0u64.. {
         compio::time::sleep(TICK).await;
+        if let Some(away) = suspension.look() {
+            metrics::counter!("elmstream_suspensions").increment(1);
+            edge.journal.write("suspended", json!({"for_ms": away / MILLI}));
+        }
         report(&edge, &socket).await;
         if count.is_multiple_of(SEEDS_EVERY) {
             for seed in &edge.settings.seeds {
--- a/elmstream_edge/src/stop.rs
+++ b/elmstream_edge/src/stop.rs
@@ -1,13 +1,11 @@
 //! The planned stop of a host.
 
-use std::{
-    pin::pin,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use compio::net::UdpSocket;
+use elmstream::time::{MILLI, Time};
 use elmstream_http::Stopper;
+use elmstreamd::waits;
 use serde_json::json;
 
 use crate::{Edge, peers};
@@ -35,22 +33,23 @@
 /// requests; `serving` resolves when all connections are closed.
 pub(crate) async fn end(
     edge: &Edge,
-    asked: Instant,
+    asked: Time,
     stopper: Stopper,
     ends: Stopper,
     serving: impl Future<Output = ()>,
 ) {
     let settings = edge.settings.stop;
-    let end = asked + Duration::from_millis(settings.grace_ms).saturating_sub(END_MARGIN);
-    let last_answers = end.checked_sub(LAST_ANSWERS).unwrap_or(asked);
-    compio::time::sleep_until(asked + Duration::from_millis(settings.notice_ms)).await;
+    let grace = Duration::from_millis(settings.grace_ms).saturating_sub(END_MARGIN);
+    let last_answers = asked + grace.saturating_sub(LAST_ANSWERS).as_micros() as u64;
+    let end = asked + grace.as_micros() as u64;
+    waits::until(asked + settings.notice_ms * MILLI).await;
     stopper.stop();
     let mut serving = pin!(serving);
-    if compio::time::timeout_at(last_answers, serving.as_mut()).await.is_ok() {
+    if waits::within(last_answers, serving.as_mut()).await.is_some() {
         return;
     }
     ends.stop();
-    if compio::time::timeout_at(end, serving).await.is_err() {
+    if waits::within(end, serving).await.is_none() {
         edge.journal.write("stop_unfinished", json!({"host": edge.settings.host.name}));
     }
 }
--- a/elmstream_edge/tests/backend.rs
+++ b/elmstream_edge/tests/backend.rs
@@ -39,7 +39,7 @@
 /// A server to which connections rest.
 async fn warm(pool: &Pool) -> (SocketAddr, Got) {
     let (address, got) = backend(ip(), moody).await;
-    let slow = (0..RESTING).map(|_| pool.exchange(ID, address, request("/slow", 0)));
+    let slow = (0..RESTING).map(|_| pool.exchange(ID, address, || Some(request("/slow", 0))));
     for exchange in join_all(slow).await {
         assert!(matches!(exchange, Exchange::Whole(..)), "{exchange:?}");
     }
@@ -68,7 +68,7 @@
         let address = listener.local_addr().expect("an address");
         let pool = Pool::default();
         let began = Instant::now();
-        let exchange = pool.exchange(ID, address, request("/", LARGE));
+        let exchange = pool.exchange(ID, address, || Some(request("/", LARGE)));
         let exchange = compio::time::timeout(Duration::from_secs(6), exchange).await;
         assert!(matches!(exchange, Ok(Exchange::Broken)), "{exchange:?}");
         assert!(began.elapsed() >= SILENCE, "after {:?}", began.elapsed());
@@ -80,9 +80,9 @@
     run(async || {
         let pool = Pool::default();
         let (address, got) = warm(&pool).await;
-        let cut = pool.exchange(ID, address, request("/cut", 0)).await;
+        let cut = pool.exchange(ID, address, || Some(request("/cut", 0))).await;
         assert!(matches!(cut, Exchange::Broken), "{cut:?}");
-        let next = pool.exchange(ID, address, request("/", 0)).await;
+        let next = pool.exchange(ID, address, || Some(request("/", 0))).await;
         assert!(matches!(next, Exchange::Whole(..)), "{next:?}");
         assert_eq!(got.connections.get(), RESTING + 1);
     });
@@ -93,10 +93,10 @@
     run(async || {
         let pool = Pool::default();
         let (address, got) = warm(&pool).await;
-        let mute = pool.exchange(ID, address, request("/mute", 0));
+        let mute = pool.exchange(ID, address, || Some(request("/mute", 0)));
         let mute = compio::time::timeout(DOUBT + Duration::from_millis(50), mute).await;
         assert!(mute.is_err(), "{mute:?}");
-        let next = pool.exchange(ID, address, request("/", 0)).await;
+        let next = pool.exchange(ID, address, || Some(request("/", 0))).await;
         assert!(matches!(next, Exchange::Whole(..)), "{next:?}");
         assert_eq!(got.connections.get(), RESTING + 1);
     });
@@ -107,10 +107,10 @@
     run(async || {
         let pool = Pool::default();
         let (address, got) = warm(&pool).await;
-        let mute = pool.exchange(ID, address, request("/mute", 0));
+        let mute = pool.exchange(ID, address, || Some(request("/mute", 0)));
         let mute = compio::time::timeout(Duration::from_millis(50), mute).await;
         assert!(mute.is_err(), "{mute:?}");
-        pool.exchange(ID, address, request("/", 0)).await;
+        pool.exchange(ID, address, || Some(request("/", 0))).await;
         assert_eq!(got.connections.get(), RESTING);
     });
 }
@@ -120,15 +120,27 @@
     run(async || {
         let pool = Pool::default();
         let (address, got) = warm(&pool).await;
-        let mute = pool.exchange(ID, address, request("/mute", 0));
+        let mute = pool.exchange(ID, address, || Some(request("/mute", 0)));
         let mute = compio::time::timeout(DOUBT + Duration::from_millis(50), mute);
         let other = async {
             compio::time::sleep(DOUBT / 2).await;
-            pool.exchange(ID, address, request("/", 0)).await
+            pool.exchange(ID, address, || Some(request("/", 0))).await
         };
         let (mute, other) = futures_util::future::join(mute, other).await;
         assert!(mute.is_err() && matches!(other, Exchange::Whole(..)), "{other:?}");
-        pool.exchange(ID, address, request("/", 0)).await;
+        pool.exchange(ID, address, || Some(request("/", 0))).await;
         assert_eq!(got.connections.get(), RESTING);
     });
 }
+
+/// The host was suspended while the connection came up, say.
+#[test]
+fn a_request_whose_time_is_over_before_a_connection_is_there_is_not_sent() {
+    run(async || {
+        let (address, got) = backend(ip(), moody).await;
+        let pool = Pool::default();
+        let exchange = pool.exchange(ID, address, || None).await;
+        assert!(matches!(exchange, Exchange::NoTime), "{exchange:?}");
+        assert!(got.requests.borrow().is_empty());
+    });
+}
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -117,6 +117,8 @@
     Elsewhere,
     /// No connection came up; nothing was sent.
     NoConnection,
+    /// Its time was over before a connection was there; nothing was sent.
+    NotSent,
     /// It was sent, and what became of it is not known.
     Unknown,
     /// The server ended after it was sent.
@@ -144,6 +146,7 @@
             Outcome::Full => "full",
             Outcome::Elsewhere => "elsewhere",
             Outcome::NoConnection => "no_connection",
+            Outcome::NotSent => "not_sent",
             Outcome::Unknown => "broken",
             Outcome::Ended => "server_ended",
             Outcome::Silent => "silent",
@@ -362,6 +365,7 @@
                 self.down_until = now + pause.min(DOWN_MAX);
             }
             Outcome::Ended => self.end(now),
+            Outcome::NotSent => {}
             // Others were answered meanwhile, so this one was lost.
             Outcome::Silent if !self.unheard(now) => self.fail(now, true),
             Outcome::Silent => {}
--- a/elmstreamd/src/clock.rs
+++ b/elmstreamd/src/clock.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::OnceLock,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
 use elmstream::time::Time;
@@ -34,3 +34,37 @@
     let start = *START.get_or_init(now);
     now().since(start)
 }
+
+/// Time by which the clocks may differ without a suspension, for reading one after the
+/// other on a busy host.
+const APART: u64 = 200_000;
+
+/// Finds out whether the host was suspended.
+#[derive(Clone, Copy, Debug)]
+pub struct Suspension {
+    boot: Time,
+    steady: Instant,
+}
+
+impl Default for Suspension {
+    fn default() -> Suspension {
+        Suspension { boot: now(), steady: Instant::now() }
+    }
+}
+
+impl Suspension {
+    /// For how many microseconds the host was suspended since the last look; none if it
+    /// was not.
+    pub fn look(&mut self) -> Option<u64> {
+        let last = std::mem::take(self);
+        let steady = self.steady.duration_since(last.steady).as_micros() as u64;
+        away(self.boot.since(last.boot), steady)
+    }
+}
+
+/// By how many microseconds the clock that counts suspension went on more than the steady
+/// one; none if it may be by chance.
+pub fn away(boot: u64, steady: u64) -> Option<u64> {
+    let away = boot.saturating_sub(steady);
+    (away >= APART).then_some(away)
+}
--- a/elmstreamd/src/lib.rs
+++ b/elmstreamd/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod telemetry;
 pub mod ticker;
 pub mod tickets;
+pub mod waits;
