Soak: servers that end under one request, and the same harmless requests beside it

Six servers of a service of their own, each with its listener, end under one content and come back as other starts, while hosts are killed, stopped, frozen, cut from the store and restarted all at once. Checked: harmful requests that calm hosts must know reach servers three times at most; nothing harmless is ever refused for harm; with the rule left out (--break harm) it is noticed.

--- a/elmstream_soak/src/callers.rs
+++ b/elmstream_soak/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
+use elmstream::code::Code;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
@@ -118,6 +119,9 @@
             return;
         }
         let mut ledger = world.ledger.borrow_mut();
+        if answer.code == Code::Harmful.number() {
+            ledger.harm_refused(id);
+        }
         match answer.status {
             200 => {}
             401 => {
--- a/elmstream_soak/src/ledger.rs
+++ b/elmstream_soak/src/ledger.rs
@@ -1,8 +1,8 @@
 //! What callers and backend servers saw, and which promises that breaks.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
-use crate::{trouble::Troubles, workspaces};
+use crate::{fragile, trouble::Troubles, workspaces};
 
 /// A connection that ends this soon after a request's last byte may have been closed
 /// before the request came.
@@ -69,9 +69,24 @@
     pub calm: bool,
 }
 
+/// Requests under which servers end.
+#[derive(Debug, Default)]
+struct Harm {
+    /// When servers ended under them.
+    ended: Vec<u64>,
+    /// Those that were sent to hosts that must know of them.
+    known: HashSet<String>,
+    /// Those of them that reached servers.
+    late: usize,
+}
+
+/// Harmful requests that may still reach servers by hosts that must know of them.
+const STILL: usize = 3;
+
 /// All that was seen.
 #[derive(Debug, Default)]
 pub struct Ledger {
+    harm: Harm,
     /// When requests of the limited workspace ran.
     limited: VecDeque<u64>,
     requests: HashMap<String, Entry>,
@@ -136,6 +151,44 @@
         }
     }
 
+    /// A server has ended under a harmful request.
+    pub fn harm_ended(&mut self, now: u64) {
+        self.count("server ended");
+        self.harm.ended.push(now);
+    }
+
+    /// When the third server ended; never, as long as it has not.
+    pub fn harm_third(&self) -> u64 {
+        self.harm.ended.get(2).copied().unwrap_or(u64::MAX / 2)
+    }
+
+    /// A harmful request is sent to a host, that must know of it or not.
+    pub fn harm_sent(&mut self, id: &str, known: bool) {
+        if known {
+            self.harm.known.insert(id.to_owned());
+        }
+    }
+
+    /// A harmful request begins to run.
+    pub fn harm_arrived(&mut self, id: &str) {
+        self.harm.late += usize::from(self.harm.known.contains(id));
+        let late = self.harm.late;
+        if late > STILL {
+            let ended = self.harm.ended.len();
+            self.violate(format!(
+                "{id} ran, {late} after hosts had to know; {ended} servers ended"
+            ));
+        }
+    }
+
+    /// A request was refused for the servers that end under it.
+    pub fn harm_refused(&mut self, id: &str) {
+        self.count("refused for harm");
+        if !id.starts_with(fragile::BAD) {
+            self.violate(format!("{id} was refused for harm, and does none"));
+        }
+    }
+
     /// A request of the limited workspace runs.
     pub fn limited_ran(&mut self, now: u64) {
         let (most, window) = workspaces::bound();
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backend;
 pub mod callers;
 pub mod faults;
+pub mod fragile;
 pub mod host;
 pub mod ledger;
 pub mod listen;
--- a/elmstream_soak/src/soak.rs
+++ b/elmstream_soak/src/soak.rs
@@ -14,6 +14,7 @@
     backend,
     callers::{self, Hosts},
     faults::{self, Event},
+    fragile,
     process::{Place, Process},
     store, strike, watch,
     world::{HOSTS_MAX, PINS, SHOP, ServerMode, World},
@@ -24,6 +25,8 @@
 /// Callers at once, beside one for each so many hosts.
 const CALLERS: usize = 8;
 const HOSTS_A_CALLER: usize = 4;
+/// Callers of the service whose servers end.
+const FRAGILE_CALLERS: u64 = 3;
 /// Hosts that are started at once: a start takes some of the machine.
 const STARTED_AT_ONCE: usize = 10;
 /// Time between such starts, and after the last one.
@@ -128,6 +131,7 @@
         world.servers.borrow_mut().insert(id.clone(), ServerMode::Well);
         world.serve(&id, &service, address, false);
     }
+    fragile::start(world);
     world.configure(1);
     static SOAKS: AtomicU8 = AtomicU8::new(0);
     let soak = SOAKS.fetch_add(1, Ordering::Relaxed);
@@ -152,6 +156,9 @@
     let calling: Vec<_> = (0..callers as u64)
         .map(|n| compio::runtime::spawn(callers::run(world.clone(), hosts.clone(), n, until)))
         .collect();
+    let harming =
+        (0..FRAGILE_CALLERS).map(|n| fragile::run(world.clone(), hosts.clone(), n, until));
+    let harming: Vec<_> = harming.map(compio::runtime::spawn).collect();
     let mut running: Vec<_> = Vec::new();
     for event in events {
         while world.now() < begin + event.at {
@@ -165,7 +172,7 @@
     for task in running {
         let _ = task.await;
     }
-    for task in calling {
+    for task in calling.into_iter().chain(harming) {
         let _ = task.await;
     }
     drop(watching);
--- a/elmstream_soak/src/wire.rs
+++ b/elmstream_soak/src/wire.rs
@@ -31,6 +31,8 @@
     pub body: String,
     /// Whether the connection must not be used again.
     pub close: bool,
+    /// The numbered code of a host's own answer; 0 for none.
+    pub code: u16,
 }
 
 /// How an exchange ended.
@@ -129,11 +131,12 @@
     let first = lines.next().unwrap_or_default();
     let status = first.strip_prefix("HTTP/1.1 ").and_then(|rest| rest.get(..3)?.parse().ok());
     let status = status.ok_or_else(|| format!("an answer begins with {first:?}"))?;
-    let (mut length, mut close) = (None, false);
+    let (mut length, mut close, mut code) = (None, false, 0);
     for (name, value) in lines.filter_map(|line| line.split_once(':')) {
         let value = value.trim();
         match name.to_ascii_lowercase().as_str() {
             "content-length" => length = value.parse::<usize>().ok(),
+            "elmstream-code" => code = value.parse().unwrap_or(0),
             "connection" => close = value.eq_ignore_ascii_case("close"),
             _ => {}
         }
@@ -144,5 +147,5 @@
     }
     let whole = body.len() == length;
     let body = String::from_utf8_lossy(body).into_owned();
-    Ok(whole.then_some(Answer { status, body, close }))
+    Ok(whole.then_some(Answer { status, body, close, code }))
 }
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -16,7 +16,7 @@
     view::{Item, Key, Row},
 };
 
-use crate::{ledger::Ledger, trouble::Troubles, workspaces};
+use crate::{fragile, ledger::Ledger, trouble::Troubles, workspaces};
 
 /// Services with which a configuration shows its version. A host that lags by as many
 /// versions would seem to be ahead; at one change each 350 ms that takes 22 s.
@@ -204,13 +204,15 @@
 
 fn configuration(version: u64) -> Configuration {
     let pin = format!("pin-{}", version % PINS);
-    let services = (0..PINS).map(|n| format!("pin-{n}")).chain([SHOP.to_owned()]);
+    let services =
+        (0..PINS).map(|n| format!("pin-{n}")).chain([SHOP.to_owned(), fragile::SERVICE.to_owned()]);
     Configuration {
         version,
         routes: vec![
             route("/safe/", Repeat::Safe, SHOP),
             route("/once/", Repeat::Once, SHOP),
             route("/pin/", Repeat::Safe, &pin),
+            route("/harm/", Repeat::Safe, fragile::SERVICE),
         ],
         services: services.map(|name| Service { name, cold_ms: 0, cold_per_s: 9.0 }).collect(),
         limits: Limits::default(),
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -8,14 +8,18 @@
     soak::{self, Options, Report},
 };
 
-fn soak(seed: u64, seconds: u64, broken: Option<&str>) -> Report {
-    let options = Options {
+fn options(seed: u64, seconds: u64, broken: Option<&str>) -> Options {
+    Options {
         seed,
         seconds,
         processes: 4,
         broken: broken.map(str::to_owned),
         program: Some(env!("CARGO_BIN_EXE_elmstream_soak").into()),
-    };
+    }
+}
+
+fn soak(seed: u64, seconds: u64, broken: Option<&str>) -> Report {
+    let options = options(seed, seconds, broken);
     let runtime = Runtime::new().expect("a runtime");
     runtime.block_on(soak::run(&options, Duration::from_secs(seconds)))
 }
@@ -60,6 +64,16 @@
     }
 }
 
+/// The third server ends in the first second; 6.5 s later all calm hosts must know.
+#[test]
+fn a_request_that_goes_on_ending_servers_is_noticed() {
+    let options = options(2, 10, Some("harm"));
+    let runtime = Runtime::new().expect("a runtime");
+    let calm = Vec::new();
+    let report = runtime.block_on(soak::run_events(&options, Duration::from_secs(10), calm));
+    assert!(report.violations().iter().any(|text| text.contains("had to know")), "{report}");
+}
+
 #[test]
 fn a_seed_gives_the_same_faults_again() {
     assert_eq!(faults::draw(7, 60_000, 5, 5), faults::draw(7, 60_000, 5, 5));
--- a/elmstream_soak/tests/wire.rs
+++ b/elmstream_soak/tests/wire.rs
@@ -8,7 +8,7 @@
     for length in 0..bytes.len() {
         assert_eq!(parse(&bytes[..length]), Ok(None), "{length} bytes");
     }
-    let answer = Answer { status: 200, body: "abcd".into(), close: false };
+    let answer = Answer { status: 200, body: "abcd".into(), close: false, code: 0 };
     assert_eq!(parse(bytes), Ok(Some(answer)));
 }
 
@@ -16,7 +16,7 @@
 fn a_connection_that_is_to_be_closed_is_known() {
     let bytes =
         b"HTTP/1.1 503 Service Unavailable\r\nConnection: Close\r\nContent-Length: 0\r\n\r\n";
-    let answer = Answer { status: 503, body: String::new(), close: true };
+    let answer = Answer { status: 503, body: String::new(), close: true, code: 0 };
     assert_eq!(parse(bytes), Ok(Some(answer)));
 }
 
