List a refused request by one host; no more generations than endings; tell only what is new

Found by the extended test of the lift: one leftover end of the third generation refused a request whose other ends were void. Generations count no more than endings now.

Beats with nothing to tell no longer look through what is known.

--- a/elmstream_edge/src/harm.rs
+++ b/elmstream_edge/src/harm.rs
@@ -7,7 +7,7 @@
 use elmstream_http::LocalBody;
 use elmstream_steer::{
     digest::RequestDigest,
-    harm::{Harm, Turn, outdated},
+    harm::{Harm, ToList, Turn, outdated},
 };
 use elmstreamd::clock;
 use futures_channel::oneshot;
@@ -183,8 +183,16 @@
             source.list_harmful(digest, &[]).await?;
         }
     }
-    let due = edge.steer.borrow().harms().to_list();
-    for (digest, endings) in due {
+    let due = edge.steer.borrow().harms().to_list(clock::now());
+    if due.iter().any(|due| !due.first) {
+        let harmful = source.harmful().await?;
+        for (digest, _) in &harmful.listed {
+            edge.steer.borrow_mut().harms_mut().listed(digest);
+        }
+    }
+    // What was let in again, or found to be listed, meanwhile is not due any more.
+    let due = edge.steer.borrow().harms().to_list(clock::now());
+    for ToList { digest, endings, .. } in due {
         source.list_harmful(&digest, &endings).await?;
         edge.steer.borrow_mut().harms_mut().listed(&digest);
     }
--- a/elmstream_steer/src/harm.rs
+++ b/elmstream_steer/src/harm.rs
@@ -46,6 +46,9 @@
 /// Seconds after its last ending for which a request is refused. It may be harmless after
 /// the next release of its service.
 const REFUSE_S: u64 = 24 * 3_600;
+/// Time after which a host looks whether another one has listed a request: longer than a
+/// call to a store that answers slowly, 0.6 s, and a second one.
+const LIST_LATER: u64 = 2 * SECOND;
 /// Seconds after which the store must list a refused request, unless it was lifted.
 const LISTED_S: u64 = 60;
 
@@ -100,12 +103,27 @@
     told: Time,
 }
 
+/// A refused request that is to be listed in the store.
+#[derive(Clone, Debug)]
+pub struct ToList {
+    /// The request.
+    pub digest: RequestDigest,
+    /// Ends of servers under it.
+    pub endings: Vec<Ending>,
+    /// Whether it is this host's to list it; else only if nobody has.
+    pub first: bool,
+}
+
 /// What is known of one request.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     endings: BTreeMap<u64, Mark>,
     /// Whether this host saw an ending itself.
     own: bool,
+    /// Whether it saw the one for which the request is refused.
+    decided: bool,
+    /// When it began to refuse the request.
+    refused_at: Option<Time>,
     /// Whether the store lists it.
     listed: bool,
     /// Last whole answer that this host gave to it.
@@ -117,8 +135,11 @@
         self.endings.values().filter(|mark| !mark.void)
     }
 
+    /// Generations of endings; no more than there are endings, as those before may have
+    /// been voided or not be known here.
     fn generation(&self) -> u8 {
-        self.counted().map(|mark| mark.generation).max().unwrap_or(0)
+        let last = self.counted().map(|mark| mark.generation).max().unwrap_or(0);
+        last.min(self.counted().count() as u8)
     }
 
     fn refused(&self) -> bool {
@@ -153,6 +174,8 @@
     suspects: HashMap<RequestDigest, Suspect>,
     /// Starts of servers that have ended, and when this host learned of it.
     ended: HashMap<u64, Time>,
+    /// When this host last learned of anything that is to be told.
+    news: Option<Time>,
 }
 
 impl Harms {
@@ -197,6 +220,7 @@
         let turn = self.hear(now, &ending);
         if let Some(suspect) = self.suspects.get_mut(&digest) {
             suspect.own = true;
+            suspect.decided |= matches!(turn, Turn::Refused(_));
         }
         turn
     }
@@ -207,6 +231,7 @@
             self.make_room();
         }
         self.ended.entry(ending.server).or_insert(now);
+        self.news = Some(now);
         let suspect = self.suspects.entry(ending.digest).or_default();
         let (before, was_refused) = (suspect.generation(), suspect.refused());
         let cleared = suspect.answered.is_some_and(|at| now.since(at) < CLEARED);
@@ -230,7 +255,10 @@
             }
         }
         match suspect.refused() {
-            true if !was_refused => Turn::Refused(suspect.harm()),
+            true if !was_refused => {
+                suspect.refused_at = Some(now);
+                Turn::Refused(suspect.harm())
+            }
             false if suspect.generation() > before.max(1) => Turn::Grown,
             _ => Turn::None,
         }
@@ -241,12 +269,17 @@
         if let Some(suspect) = self.suspects.get_mut(digest) {
             suspect.answered = Some(now);
             suspect.void(now);
+            self.news = Some(now);
         }
     }
 
     /// Endings that the next beat tells: those of refused requests first, and of these
     /// the ones that were told longest ago.
     pub fn tell(&mut self, now: Time) -> Vec<Ending> {
+        // Beats are many, and mostly there is nothing to tell.
+        if self.news.is_none_or(|at| now.since(at) >= TELL) {
+            return Vec::new();
+        }
         let mut due: Vec<(bool, Time, RequestDigest, u64)> = Vec::new();
         for (digest, suspect) in &self.suspects {
             let refused = suspect.refused();
@@ -265,6 +298,7 @@
 
     /// A host has come, or is back: what is refused is told again.
     pub fn tell_again(&mut self, now: Time) {
+        self.news = Some(now);
         for suspect in self.suspects.values_mut().filter(|suspect| suspect.refused()) {
             suspect.endings.values_mut().for_each(|mark| mark.learned = now);
         }
@@ -276,12 +310,22 @@
         refused.flat_map(|(digest, suspect)| words(*digest, suspect)).collect()
     }
 
-    /// Endings of refused requests that this host has to write down in the store: it saw
-    /// one of them itself, and does not know them to be listed.
-    pub fn to_list(&self) -> Vec<(RequestDigest, Vec<Ending>)> {
-        let due = self.suspects.iter();
-        let due = due.filter(|(_, known)| known.own && !known.listed && known.refused());
-        due.map(|(digest, suspect)| (*digest, words(*digest, suspect).collect())).collect()
+    /// Refused requests that this host has to write down in the store, as it saw an ending
+    /// itself and does not know them to be listed.
+    ///
+    /// The host that saw the last one does it at once. The others look some time later
+    /// whether it did: one that wrote as well could undo an operator's lift.
+    pub fn to_list(&self, now: Time) -> Vec<ToList> {
+        let mut due = Vec::new();
+        for (digest, suspect) in &self.suspects {
+            let since = suspect.refused_at.map_or(0, |at| now.since(at));
+            let turn = suspect.decided || suspect.own && since >= LIST_LATER;
+            if turn && !suspect.listed && suspect.refused() {
+                let endings = words(*digest, suspect).collect();
+                due.push(ToList { digest: *digest, endings, first: suspect.decided });
+            }
+        }
+        due
     }
 
     /// The store lists a request.
@@ -303,6 +347,7 @@
             let due = suspect.listed || unix_s.saturating_sub(suspect.last_s()) > LISTED_S;
             if suspect.refused() && due && !present.contains(digest) {
                 suspect.void(now);
+                self.news = Some(now);
                 lifted.push(*digest);
             }
         }
--- a/elmstream_steer/tests/harm.rs
+++ b/elmstream_steer/tests/harm.rs
@@ -237,6 +237,18 @@
     }
 }
 
+#[test]
+fn what_is_new_is_told_for_a_while_and_then_no_more() {
+    let mut one = host(0, ms(0));
+    one.ended(ms(0), UNIX_S, digest(HARM), 1, 0);
+    assert_eq!(one.beat(ms(100)).endings.len(), 1);
+    assert_eq!(one.beat(ms(3_900)).endings.len(), 1);
+    assert!(one.beat(ms(4_100)).endings.is_empty());
+    // It is void now, which is new.
+    one.harms_mut().answered(ms(5_000), &digest(HARM));
+    assert!(one.beat(ms(5_100)).endings[0].void);
+}
+
 #[test]
 fn memory_is_bounded_and_refused_requests_stay() {
     let mut one = host(0, ms(0));
@@ -274,11 +286,15 @@
     for server in 0..3 {
         one.ended(ms(0), UNIX_S, digest(HARM), server, server as u8);
     }
-    assert_eq!(one.harms().to_list().len(), 1);
+    assert!(one.harms().to_list(ms(0))[0].first);
     one.harms_mut().listed(&digest(HARM));
-    assert!(one.harms().to_list().is_empty());
+    assert!(one.harms().to_list(ms(0)).is_empty());
     two.hear(ms(10), &one.beat(ms(10)));
-    assert!(two.harms().to_list().is_empty(), "only who saw an ending lists it");
+    assert!(two.harms().to_list(ms(9_000)).is_empty(), "only who saw an ending lists it");
+    // One that saw another one looks later whether it is listed.
+    two.ended(ms(10), UNIX_S, digest(HARM), 9, 2);
+    assert!(two.harms().to_list(ms(1_000)).is_empty());
+    assert!(two.harms().to_list(ms(2_100)).iter().all(|due| !due.first));
     assert!(one.harms_mut().lift(ms(20), UNIX_S, &[digest(HARM)]).is_empty());
     assert_eq!(one.harms_mut().lift(ms(20), UNIX_S, &[]), [digest(HARM)]);
     two.hear(ms(30), &one.beat(ms(30)));
