--- a/elmstream_steer/src/harm.rs
+++ b/elmstream_steer/src/harm.rs
@@ -10,23 +10,19 @@
 //! request was sent when they were known. Copies that are in flight while many servers
 //! are killed at once are of one generation, and the next whole answer voids them all.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 use elmstream::time::{SECOND, Time};
-use serde::{Deserialize, Serialize};
 
-use crate::digest::RequestDigest;
+pub use crate::suspect::{Ending, Harm};
+use crate::{
+    digest::RequestDigest,
+    suspect::{Mark, Suspect, word, words},
+};
 
-/// Generations of endings after which a request is refused.
-const GENERATIONS: u8 = 3;
-/// The same if as many servers as [`SERVERS`] have ended: copies that came at once end
-/// several servers in one generation, and few more may follow.
-const GENERATIONS_OF_SEVERAL: u8 = 2;
-/// Servers that may end under a request.
-const SERVERS: usize = 3;
 /// Endings that are kept of one request.
 const ENDINGS: usize = 16;
-/// Requests that are kept at most: with all endings 0.8 MB. Those that are not refused go
+/// Requests that are kept at most: with all endings some 1.3 MB. Those that are not refused go
 /// first, of them those with the fewest generations, of these the oldest: each server that
 /// ends leaves as many as were at work there.
 const KEPT: usize = 1_024;
@@ -52,34 +48,6 @@
 /// Seconds after which the store must list a refused request, unless it was lifted.
 const LISTED_S: u64 = 60;
 
-/// The end of a server under a request, as hosts tell it.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Ending {
-    /// The request.
-    pub digest: RequestDigest,
-    /// Hash of the server's start.
-    pub server: u64,
-    /// One more than the generations that were known when the request was sent.
-    pub generation: u8,
-    /// When it was seen, in seconds of the teller's time of day.
-    pub at_s: u64,
-    /// Whether it says nothing: the request has had a whole answer, or was let in again.
-    pub void: bool,
-}
-
-/// Why a request is refused, for lines.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Harm {
-    /// Servers that have ended under it.
-    pub servers: usize,
-    /// Generations of their endings.
-    pub generations: u8,
-    /// When the last one was seen, in seconds of the teller's time of day.
-    pub last_s: u64,
-    /// Whether this host saw one of them itself.
-    pub own: bool,
-}
-
 /// What a change came to, for lines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Turn {
@@ -91,18 +59,6 @@
     Refused(Harm),
 }
 
-/// An ending as it is kept.
-#[derive(Clone, Copy, Debug)]
-struct Mark {
-    generation: u8,
-    at_s: u64,
-    void: bool,
-    /// When this host learned of it, or that it is void.
-    learned: Time,
-    /// When it was last told.
-    told: Time,
-}
-
 /// A refused request that is to be listed in the store.
 #[derive(Clone, Debug)]
 pub struct ToList {
@@ -114,60 +70,6 @@
     pub first: bool,
 }
 
-/// What is known of one request.
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    endings: BTreeMap<u64, Mark>,
-    /// Whether this host saw an ending itself.
-    own: bool,
-    /// Whether it saw the one for which the request is refused.
-    decided: bool,
-    /// When it began to refuse the request.
-    refused_at: Option<Time>,
-    /// Whether the store lists it.
-    listed: bool,
-    /// Last whole answer that this host gave to it.
-    answered: Option<Time>,
-}
-
-impl Suspect {
-    fn counted(&self) -> impl Iterator<Item = &Mark> {
-        self.endings.values().filter(|mark| !mark.void)
-    }
-
-    /// Generations of endings; no more than there are endings, as those before may have
-    /// been voided or not be known here.
-    fn generation(&self) -> u8 {
-        let last = self.counted().map(|mark| mark.generation).max().unwrap_or(0);
-        last.min(self.counted().count() as u8)
-    }
-
-    fn refused(&self) -> bool {
-        let (generation, servers) = (self.generation(), self.counted().count());
-        generation >= GENERATIONS || generation >= GENERATIONS_OF_SEVERAL && servers >= SERVERS
-    }
-
-    fn last_s(&self) -> u64 {
-        self.endings.values().map(|mark| mark.at_s).max().unwrap_or(0)
-    }
-
-    fn harm(&self) -> Harm {
-        Harm {
-            servers: self.counted().count(),
-            generations: self.generation(),
-            last_s: self.last_s(),
-            own: self.own,
-        }
-    }
-
-    fn void(&mut self, now: Time) {
-        for mark in self.endings.values_mut().filter(|mark| !mark.void) {
-            mark.void = true;
-            mark.learned = now;
-        }
-    }
-}
-
 /// What one host knows of such requests.
 #[derive(Clone, Debug, Default)]
 pub struct Harms {
@@ -386,12 +288,3 @@
     let last = endings.iter().map(|ending| ending.at_s).max().unwrap_or(0);
     unix_s.saturating_sub(last) >= REFUSE_S
 }
-
-fn words(digest: RequestDigest, suspect: &Suspect) -> impl Iterator<Item = Ending> {
-    suspect.endings.iter().map(move |(server, mark)| word(digest, *server, mark))
-}
-
-fn word(digest: RequestDigest, server: u64, mark: &Mark) -> Ending {
-    let Mark { generation, at_s, void, .. } = *mark;
-    Ending { digest, server, generation, at_s, void }
-}
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod settings;
 pub mod start;
 pub mod steer;
+mod suspect;
 pub mod tally;
 pub mod usage;
 pub mod view;
