Let a request in again by an empty list in its row, not by the row's absence

Found on rereading: a SIGHUP that comes while the row of a refused request has not been written (the store away, all who saw an end killed) would have let it in again, and a host that neither wrote nor read the row could not lift it for a minute. Now an operator puts an empty list in the row, and any host that is told to read its settings spreads it.

--- a/elmstream_edge/src/harm.rs
+++ b/elmstream_edge/src/harm.rs
@@ -153,7 +153,7 @@
     let mut started = false;
     loop {
         let again = edge.relist.replace(false);
-        if let Err(error) = keep(&edge, &*source, !started, again).await {
+        if let Err(error) = keep(&edge, &*source, again || !started).await {
             edge.relist.set(again);
             edge.journal.write("harmful_failed", json!({"error": error.to_string()}));
             compio::time::sleep(PAUSE).await;
@@ -167,16 +167,11 @@
     }
 }
 
-async fn keep<S: Source>(
-    edge: &Edge,
-    source: &S,
-    first: bool,
-    again: bool,
-) -> Result<(), SourceError> {
-    if first || again {
+async fn keep<S: Source>(edge: &Edge, source: &S, read: bool) -> Result<(), SourceError> {
+    if read {
         let harmful = source.harmful().await?;
         edge.unreadable("harmful", &harmful.unreadable);
-        take_in(edge, &harmful, again);
+        take_in(edge, &harmful);
         // Nobody else clears the list.
         for (digest, _) in harmful.listed.iter().filter(|(_, endings)| outdated(endings, unix_s()))
         {
@@ -199,22 +194,18 @@
     Ok(())
 }
 
-/// Takes in what the store lists; requests that are no longer listed are let in again if
-/// that was asked for.
-fn take_in(edge: &Edge, harmful: &Harmful, lift: bool) {
+/// Takes in what the store lists. A request that is listed without ends of servers is let
+/// in again: a row that is not there may only not have been written yet.
+fn take_in(edge: &Edge, harmful: &Harmful) {
     let now = clock::now();
     for (digest, endings) in &harmful.listed {
         let refused = edge.steer.borrow_mut().hear_endings(now, endings);
-        edge.steer.borrow_mut().harms_mut().listed(digest);
         note(edge, "store", &refused);
-    }
-    if !lift {
-        return;
-    }
-    let present: Vec<RequestDigest> = harmful.listed.iter().map(|(digest, _)| *digest).collect();
-    let lifted = edge.steer.borrow_mut().harms_mut().lift(now, unix_s(), &present);
-    for digest in lifted {
-        edge.journal.write("let_in_again", json!({"content": digest.hex()}));
+        let mut steer = edge.steer.borrow_mut();
+        steer.harms_mut().listed(digest);
+        if endings.is_empty() && steer.harms_mut().lift(now, digest) {
+            edge.journal.write("let_in_again", json!({"content": digest.hex()}));
+        }
     }
 }
 
--- a/elmstream_edge/tests/harm.rs
+++ b/elmstream_edge/tests/harm.rs
@@ -18,6 +18,8 @@
 const BACK: Duration = Duration::from_millis(200);
 /// Time in which all hosts must have learned what a host has seen.
 const CONTACT: Duration = Duration::from_secs(1);
+/// Time by which each host that saw an end has looked whether it is listed.
+const LISTED_LATER: Duration = Duration::from_millis(2_500);
 /// Pause between two copies of a request.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Servers that a harmful request may still reach once all hosts have to know it.
@@ -249,11 +251,14 @@
         until_refused(&farm, &hosts).await;
         let listed = || farm.store.harmful.borrow().len() >= 2;
         assert!(until(CONTACT, listed).await, "both digests are listed");
-        farm.store.harmful.borrow_mut().clear();
-        let first = &hosts[0].edge;
-        first.reload(&first.settings);
+        farm.store.harmful.borrow_mut().values_mut().for_each(Vec::clear);
+        // Any host will do; this one may neither have written nor read the list.
+        let other = &hosts[1].edge;
+        other.reload(&other.settings);
         let let_in = || hosts.iter().all(|host| host.edge.steer.borrow().harms().refused() == 0);
         assert!(until(CONTACT, let_in).await, "by all hosts");
+        compio::time::sleep(LISTED_LATER).await;
+        assert!(let_in() && farm.store.harmful.borrow().values().all(Vec::is_empty));
     });
 }
 
--- a/elmstream_steer/src/harm.rs
+++ b/elmstream_steer/src/harm.rs
@@ -45,8 +45,6 @@
 /// Time after which a host looks whether another one has listed a request: longer than a
 /// call to a store that answers slowly, 0.6 s, and a second one.
 const LIST_LATER: u64 = 2 * SECOND;
-/// Seconds after which the store must list a refused request, unless it was lifted.
-const LISTED_S: u64 = 60;
 
 /// What a change came to, for lines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -237,23 +235,13 @@
         }
     }
 
-    /// Lets requests in again that the store no longer lists; which they are.
-    pub fn lift(
-        &mut self,
-        now: Time,
-        unix_s: u64,
-        present: &[RequestDigest],
-    ) -> Vec<RequestDigest> {
-        let mut lifted = Vec::new();
-        for (digest, suspect) in &mut self.suspects {
-            let due = suspect.listed || unix_s.saturating_sub(suspect.last_s()) > LISTED_S;
-            if suspect.refused() && due && !present.contains(digest) {
-                suspect.void(now);
-                self.news = Some(now);
-                lifted.push(*digest);
-            }
-        }
-        lifted
+    /// Lets a request in again, as an operator asks for; whether it was refused.
+    pub fn lift(&mut self, now: Time, digest: &RequestDigest) -> bool {
+        let Some(suspect) = self.suspects.get_mut(digest) else { return false };
+        let refused = suspect.refused();
+        suspect.void(now);
+        self.news = Some(now);
+        refused
     }
 
     /// Requests that are refused now.
@@ -283,8 +271,9 @@
     }
 }
 
-/// Whether a request is no longer refused for what has ended under it.
+/// Whether a listed request is no longer refused for what has ended under it. One without
+/// ends was let in again by an operator, whose it is to take that off the list.
 pub fn outdated(endings: &[Ending], unix_s: u64) -> bool {
-    let last = endings.iter().map(|ending| ending.at_s).max().unwrap_or(0);
-    unix_s.saturating_sub(last) >= REFUSE_S
+    let last = endings.iter().map(|ending| ending.at_s).max();
+    last.is_some_and(|last| unix_s.saturating_sub(last) >= REFUSE_S)
 }
--- a/elmstream_steer/tests/harm.rs
+++ b/elmstream_steer/tests/harm.rs
@@ -281,7 +281,7 @@
 }
 
 #[test]
-fn a_request_that_the_store_no_longer_lists_is_let_in_again_everywhere() {
+fn a_request_that_an_operator_lets_in_again_is_so_everywhere() {
     let (mut one, mut two) = (host(0, ms(0)), host(1, ms(0)));
     for server in 0..3 {
         one.ended(ms(0), UNIX_S, digest(HARM), server, server as u8);
@@ -295,8 +295,8 @@
     two.ended(ms(10), UNIX_S, digest(HARM), 9, 2);
     assert!(two.harms().to_list(ms(1_000)).is_empty());
     assert!(two.harms().to_list(ms(2_100)).iter().all(|due| !due.first));
-    assert!(one.harms_mut().lift(ms(20), UNIX_S, &[digest(HARM)]).is_empty());
-    assert_eq!(one.harms_mut().lift(ms(20), UNIX_S, &[]), [digest(HARM)]);
+    assert!(!one.harms_mut().lift(ms(20), &digest(2)), "it is not refused");
+    assert!(one.harms_mut().lift(ms(20), &digest(HARM)));
     two.hear(ms(30), &one.beat(ms(30)));
     assert!(!refuses(&one, HARM) && !refuses(&two, HARM));
 }
