Forget void ends first when those of one request are many

Found on rereading: a request that was often beside servers that end, and cleared each time, filled its sixteen ends with void ones, and was then not known when it became harmful. The test failed before.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -84,6 +84,7 @@
             if !unknown && failed.is_none() {
                 return harm::refuse(edge, call, &known);
             }
+            // It was sent before that was known, so it may have run.
             break;
         }
         let (route, service) = (&call.route, &call.service);
--- a/elmstream_steer/src/harm.rs
+++ b/elmstream_steer/src/harm.rs
@@ -20,7 +20,7 @@
     suspect::{Mark, Suspect, word, words},
 };
 
-/// Endings that are kept of one request.
+/// Endings that are kept of one request; those that are void go first.
 const ENDINGS: usize = 16;
 /// Requests that are kept at most: with all endings some 1.3 MB. Those that are not refused go
 /// first, of them those with the fewest generations, of these the oldest: each server that
@@ -135,6 +135,9 @@
         let suspect = self.suspects.entry(ending.digest).or_default();
         let (before, was_refused) = (suspect.generation(), suspect.refused());
         let cleared = suspect.answered.is_some_and(|at| now.since(at) < CLEARED);
+        if !suspect.endings.contains_key(&ending.server) && suspect.endings.len() >= ENDINGS {
+            suspect.drop_void();
+        }
         let full = suspect.endings.len() >= ENDINGS;
         match suspect.endings.get_mut(&ending.server) {
             Some(mark) => {
--- a/elmstream_steer/src/suspect.rs
+++ b/elmstream_steer/src/suspect.rs
@@ -109,6 +109,15 @@
         }
     }
 
+    /// Forgets the void ending that has been known for the longest time.
+    pub fn drop_void(&mut self) {
+        let void = self.endings.iter().filter(|(_, mark)| mark.void);
+        let oldest = void.min_by_key(|(_, mark)| mark.learned).map(|(server, _)| *server);
+        if let Some(server) = oldest {
+            self.endings.remove(&server);
+        }
+    }
+
     /// None of what has ended speaks against the request any more.
     pub fn void(&mut self, now: Time) {
         for mark in self.endings.values_mut().filter(|mark| !mark.void) {
--- a/elmstream_steer/tests/harm.rs
+++ b/elmstream_steer/tests/harm.rs
@@ -249,6 +249,22 @@
     assert!(one.beat(ms(5_100)).endings[0].void);
 }
 
+/// A harmless request was beside many servers that ended; then a release makes it harmful.
+#[test]
+fn a_request_that_was_cleared_often_is_still_known_when_it_becomes_harmful() {
+    let mut one = host(0, ms(0));
+    for server in 0..40u64 {
+        one.ended(ms(server * 10_000), UNIX_S, digest(HARM), server, 0);
+        one.harms_mut().answered(ms(server * 10_000 + 100), &digest(HARM));
+    }
+    assert!(!refuses(&one, HARM));
+    for server in 40..43u64 {
+        let known = one.harms().generation(&digest(HARM));
+        one.ended(ms(500_000 + server), UNIX_S, digest(HARM), server, known);
+    }
+    assert!(refuses(&one, HARM));
+}
+
 #[test]
 fn memory_is_bounded_and_refused_requests_stay() {
     let mut one = host(0, ms(0));
