Sight: a line tells when a backend server names a limit, and which

No line or metric said that a host had seen a limit, so a host that does not read it and one that keeps to it by itself looked alike. What a server says of itself is read in one place now (hints), and only from an answer that is this server's: the load of another server that has the address was taken for this one's before.

Nothing goes by the limit yet.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -21,6 +21,7 @@
     edge::Edge,
     harm::{self, Suspected},
     headers,
+    hints::Hints,
 };
 
 /// Time that must be left for a request to be sent at all.
@@ -171,8 +172,12 @@
             }
         }
         Some(Exchange::Whole(parts, body)) => {
-            tell(edge, index, &parts);
+            let hints = Hints::read(&edge.settings.headers, &parts);
             let (outcome, result) = judge(edge, call, &id, parts, body);
+            // What is not this server's answer says nothing of it.
+            if !matches!(outcome, Some(Outcome::Unknown | Outcome::Elsewhere)) {
+                hints.take(edge, index);
+            }
             (outcome.unwrap_or(Outcome::Answered { micros, knew }), result)
         }
     };
@@ -203,15 +208,6 @@
     Some(request)
 }
 
-/// Takes in what the server says of its load.
-fn tell(edge: &Edge, index: Index, parts: &response::Parts) {
-    let Some(load) = headers::text(&parts.headers, &edge.settings.headers.load) else { return };
-    let mut numbers = load.split(',').map(|part| part.trim().parse::<u32>());
-    if let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next()) {
-        edge.steer.borrow_mut().tell(clock::now(), index, running + waiting);
-    }
-}
-
 /// What a whole answer means; one that is not the request's is none.
 ///
 /// No outcome is told if the request was answered.
--- a/elmstream_edge/src/headers.rs
+++ b/elmstream_edge/src/headers.rs
@@ -32,6 +32,9 @@
     /// Requests running, waiting, and slots of a backend server.
     #[serde(deserialize_with = "name")]
     pub load: HeaderName,
+    /// Requests a second that a backend server in need takes from all hosts together.
+    #[serde(deserialize_with = "name")]
+    pub server_limit: HeaderName,
     /// Present in each success of a backend server.
     #[serde(deserialize_with = "name")]
     pub signature: HeaderName,
@@ -55,6 +58,7 @@
             server: HeaderName::from_static("elmstream-server"),
             not_run: HeaderName::from_static("elmstream-not-run"),
             load: HeaderName::from_static("elmstream-load"),
+            server_limit: HeaderName::from_static("elmstream-server-limit"),
             signature: HeaderName::from_static("elmstream-signature"),
             key: header::AUTHORIZATION,
             key_scheme: "Bearer".into(),
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -1,7 +1,7 @@
 //! An entry host that sends to any backend server.
 //!
 //! [`Edge`] holds the decisions of `elmstream_steer` and connects them: callers
-//! (`callers`, `access`, `forward`), backend servers (`backend`), the other hosts (`peers`, `fetch`)
+//! (`callers`, `access`, `forward`), backend servers (`backend`, `hints`), the other hosts (`peers`, `fetch`)
 //! and the store (`reader`, over a [`Source`] that an adapter brings).
 
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
@@ -18,6 +18,7 @@
 pub mod gate;
 mod harm;
 pub mod headers;
+mod hints;
 pub mod journal;
 pub mod lifecycle;
 pub mod peers;
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod returns;
 pub mod routes;
 pub mod server;
+pub mod server_limit;
 pub mod servers;
 pub mod settings;
 pub mod start;
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -2,7 +2,7 @@
 
 use elmstream::time::{MILLI, SECOND, Time};
 
-use crate::{hash, model::Server};
+use crate::{hash, model::Server, server_limit::PerSecond};
 
 /// Weight of one more answer in the mean of answer times.
 const MEAN_WEIGHT: f64 = 0.05;
@@ -89,6 +89,8 @@
     refused_until: Time,
     /// Requests that it last said to have, and when.
     told: Option<(u32, Time)>,
+    /// Limit that it named in its last answer.
+    pub limit: Option<PerSecond>,
     /// Part of lately answered requests that failed, 0 to 1.
     failing: f64,
     /// Mean answer time against the service's, 1 for alike.
@@ -212,6 +214,7 @@
             down_until: Time(0),
             refused_until: Time(0),
             told: None,
+            limit: None,
             failing: 0.0,
             slowness: 1.0,
             judged: now,
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -27,6 +27,7 @@
     registry::Registry,
     returns::Returns,
     routes::RouteTable,
+    server_limit::PerSecond,
     servers::{Index, Outcome, ServerTable},
     settings::{Bounds, Settings},
     tally::Heard,
@@ -378,6 +379,12 @@
         }
     }
 
+    /// A server named a limit in an answer, or none; whether that is another one than before.
+    pub fn names_limit(&mut self, _now: Time, index: Index, limit: Option<PerSecond>) -> bool {
+        let Some(entry) = self.servers.get_mut(index) else { return false };
+        std::mem::replace(&mut entry.limit, limit) != limit
+    }
+
     /// A server works on a request of a key; whether it was taken to know it.
     ///
     /// It counts as knowing it from then on, so that the key's next requests, from
