Keep the limit that a backend server names over all hosts together

Callers saw lookups served while two servers in need got 77 requests in 4 s where 27 are allowed, and 21 where 16 are, for as long as they named their limits. Cause: hosts took of an answer's headers none but the load; the limit went to the caller.

An answer's limit is taken in, told to the other hosts (beats, at once when it is new) and shared out: a few hosts of the server's region, by rendezvous hashing, send to it, each no faster than its part. That holds because a sender can save up one request at most: in 4 s 2 + 5 x limit come, 5 + 6 x limit are allowed; where part of the fleet is not heard, its part is left to it. Laxer words count only 0.3 s later, so an answer on its way does not lift a limit.

Test of three hosts: 58 requests in 4 s before (17 allowed), passes now.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -274,6 +274,7 @@
         "workspace": call.workspace_name(), "priority": call.priority(),
         "reason": format!("{:?}", refusal.reason), "retry_ms": refusal.retry_ms,
         "servers": refusal.servers, "free": refusal.free, "load_percent": refusal.load,
+        "limited": refusal.limited,
         "took_ms": took / MILLI, "returning": call.returning,
         "version": edge.steer.borrow().version(),
         "stale_ms": edge.steer.borrow().staleness(clock::now()) / MILLI,
@@ -286,7 +287,7 @@
 fn code(reason: Reason, tried: &Tried) -> Code {
     let last = tried.notes.last().map(|(_, outcome, _)| *outcome);
     match reason {
-        Reason::NoServer | Reason::Full => Code::NoCapacity,
+        Reason::NoServer | Reason::Limited | Reason::Full => Code::NoCapacity,
         Reason::Budget => Code::RetryBudget,
         Reason::Tries if last == Some(Outcome::NoConnection) => Code::BackendConnect,
         Reason::Tries => Code::BackendShed,
--- a/elmstream_edge/src/hints.rs
+++ b/elmstream_edge/src/hints.rs
@@ -60,14 +60,20 @@
                 return;
             }
         };
-        if steer.names_limit(now, index, limit) {
-            let server = steer.servers().get(index).map(|entry| entry.id.as_str());
-            let fields = json!({"server": server, "per_s": limit.map(PerSecond::value)});
-            edge.journal.belief("server_limit", fields);
+        if steer.names_limit(now, index, limit)
+            && let Some(entry) = steer.servers().get(index)
+        {
+            note_limit(edge, "itself", &entry.id, limit);
         }
     }
 }
 
+/// Writes down the limit that a server names, and who heard it.
+pub fn note_limit(edge: &Edge, from: &str, server: &str, limit: Option<PerSecond>) {
+    let fields = json!({"server": server, "per_s": limit.map(PerSecond::value), "from": from});
+    edge.journal.belief("server_limit", fields);
+}
+
 /// Running and waiting requests of `running,waiting,slots`.
 fn requests(load: &str) -> Option<u32> {
     let mut numbers = load.split(',').map(|part| part.trim().parse::<u32>());
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -23,7 +23,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::{edge::Edge, fetch::Asking, gate::Gate, harm};
+use crate::{edge::Edge, fetch::Asking, gate::Gate, harm, hints};
 
 /// Path of the view's rows.
 pub(crate) const ROWS: &str = "/v1/rows";
@@ -148,6 +148,9 @@
         edge.journal.belief("host_heard", json!({"host": beat.host.name}));
     }
     harm::note(edge, &beat.host.name, &news.refused);
+    for (server, limit) in &news.limits {
+        hints::note_limit(edge, &beat.host.name, server, *limit);
+    }
     for (table, _) in news.wanted {
         asking.offer(table, beat.host.peers, &beat.known[table as usize]);
     }
@@ -249,6 +252,7 @@
         let (held_back, unanswered) = steer.limits_seen(clock::now());
         metrics::gauge!("elmstream_store_era").set(steer.era() as f64);
         metrics::gauge!("elmstream_store_rows_held").set(steer.view().held_count() as f64);
+        metrics::gauge!("elmstream_servers_limited").set(steer.limited_servers() as f64);
         metrics::gauge!("elmstream_workspaces_held_back").set(held_back as f64);
         metrics::gauge!("elmstream_workspaces_unanswered").set(unanswered as f64);
         edge.pool.sweep(|id| steer.servers().find(id).is_some());
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -84,6 +84,7 @@
         words: Vec::new(),
         fleet: 1,
         endings: Vec::new(),
+        limits: Vec::new(),
     };
     compio::runtime::spawn(async move {
         for number in 0.. {
--- a/elmstream_edge/tests/server_limit.rs
+++ b/elmstream_edge/tests/server_limit.rs
@@ -78,6 +78,15 @@
 /// Order of events: both servers began to name a limit in all their answers; ten hosts
 /// passed these on to their callers, and sent on as before for as long as the servers named
 /// it. No server turned a request away, so nothing else told the hosts to send less.
+///
+/// Cause: an answer's headers went to its caller, and hosts took none of them but the load.
+/// The limit also counts for all hosts together, so it has to be known to those that the
+/// server has not answered, and shared out.
+///
+/// Evidence: what the servers got was the same before and after they named the limit, until
+/// the end. Each host by itself sent less than the limit, so that alone does not tell
+/// whether each kept to it; this test does: 58 requests came where three hosts that keep to
+/// it each for itself send 24.
 #[test]
 fn a_server_that_names_a_limit_gets_no_more_from_all_hosts_together() {
     run(async || {
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     harm::Ending,
+    server_limit::LimitTold,
     settings::Host,
     tally::{Report, Spread, Verdict},
     version::StoreVersion,
@@ -103,6 +104,8 @@
     pub fleet: u32,
     /// Ends of servers under requests, told for a while by all who learn of them.
     pub endings: Vec<Ending>,
+    /// Limits that servers named to the sender, or no longer do.
+    pub limits: Vec<LimitTold>,
 }
 
 /// A datagram between hosts.
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -103,12 +103,14 @@
     pub free: u32,
     /// Occupied part of their slots, in hundredths.
     pub load: u32,
+    /// Servers that may take none of this host's requests now, for the limit they named.
+    pub limited: u32,
 }
 
 impl Refusal {
     /// A refusal for which no server was considered.
     pub fn of(reason: Reason, retry_ms: u64) -> Refusal {
-        Refusal { reason, retry_ms, servers: 0, free: 0, load: 0 }
+        Refusal { reason, retry_ms, servers: 0, free: 0, load: 0, limited: 0 }
     }
 }
 
@@ -117,6 +119,8 @@
 pub enum Reason {
     /// No server of the service may take it.
     NoServer,
+    /// Each of them named a limit, and this host's part of it is used up.
+    Limited,
     /// It would wait too long at each of them.
     Full,
     /// Servers did not run it, and the retry budget allows no further one.
@@ -171,12 +175,25 @@
     free: u32,
     slots: u32,
     used: u32,
+    /// Servers that are left out for their limit, and when this host may send to the first
+    /// of them.
+    limited: u32,
+    limited_until: Option<Time>,
 }
 
 impl<'a> Field<'a> {
     fn new(regions: usize) -> Field<'a> {
         let ranks = vec![Vec::new(); regions];
-        Field { ranks, emptiest: None, count: 0, free: 0, slots: 0, used: 0 }
+        Field {
+            ranks,
+            emptiest: None,
+            count: 0,
+            free: 0,
+            slots: 0,
+            used: 0,
+            limited: 0,
+            limited_until: None,
+        }
     }
 
     fn add(&mut self, candidate: Candidate<'a>) {
@@ -197,6 +214,16 @@
         }
     }
 
+    /// Leaves a server out for its limit.
+    fn leave_limited(&mut self, entry: &Entry) {
+        self.limited += 1;
+        let next = entry.limited.next();
+        self.limited_until = match self.limited_until {
+            Some(until) => Some(next.map_or(until, |next| next.min(until))),
+            None => next,
+        };
+    }
+
     /// Occupied part of all servers' slots.
     fn load(&self) -> f64 {
         f64::from(self.used) / f64::from(self.slots.max(1))
@@ -208,7 +235,7 @@
     let pace = scene.servers.pace(ask.service);
     let field = field(scene, ask, pace);
     if field.count == 0 {
-        return Choice::Refuse(Refusal::of(Reason::NoServer, NO_SERVER_RETRY_MS));
+        return Choice::Refuse(none(scene.now, &field));
     }
     let load = field.load();
     let mut best: Option<(f64, Index)> = None;
@@ -239,11 +266,20 @@
             servers: field.count,
             free: field.free,
             load: (load * 100.0) as u32,
+            limited: field.limited,
             ..Refusal::of(Reason::Full, retry_ms(least_wait))
         }),
     }
 }
 
+/// The refusal of a request that no server may take.
+fn none(now: Time, field: &Field<'_>) -> Refusal {
+    let until = field.limited_until.map(|until| until.since(now) as f64 / MILLI as f64);
+    let retry = until.map_or(NO_SERVER_RETRY_MS, retry_ms);
+    let reason = if field.limited > 0 { Reason::Limited } else { Reason::NoServer };
+    Refusal { limited: field.limited, ..Refusal::of(reason, retry) }
+}
+
 /// Servers that may take the request.
 fn field<'a>(scene: &Scene<'a>, ask: &Ask<'_>, pace: Pace) -> Field<'a> {
     let order = scene.division.order(scene.place.1, ask.key);
@@ -253,6 +289,10 @@
         if !allowed(scene, ask, index, entry) || !cold_allows(scene, entry) {
             continue;
         }
+        if !limit_allows(scene, entry) {
+            field.leave_limited(entry);
+            continue;
+        }
         let place = order.iter().position(|name| *name == entry.region).unwrap_or(order.len());
         let weight = hash::pair(entry.hash, ask.key);
         let occupied = entry.occupied(scene.now);
@@ -291,6 +331,12 @@
     !entry.cold(scene.now) || (entry.cold_sender && scene.hosts_known && due)
 }
 
+/// Whether the limit that a server named lets this host send there now.
+fn limit_allows(scene: &Scene<'_>, entry: &Entry) -> bool {
+    let limited = &entry.limited;
+    limited.limit().is_none() || (scene.hosts_known && limited.allows(scene.now))
+}
+
 /// Time until a slot is free, in milliseconds.
 fn wait_ms(now: Time, candidate: &Candidate<'_>, pace: Pace) -> f64 {
     let slots = candidate.entry.server.slots.max(1);
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -1,6 +1,9 @@
 //! Tells the other hosts what this one knows and does, and takes in what they say.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
 
 use elmstream::time::{SECOND, Time};
 
@@ -13,6 +16,7 @@
     hash,
     members::Targets,
     quota::Spreading,
+    server_limit::{LimitTold, PerSecond},
     servers::{Entry, Pace},
     steer::{Change, State, Steer, Told},
     tally::{Report, Spread, Verdict},
@@ -22,6 +26,8 @@
 
 /// Time between two divisions of the requests among regions.
 const DIVIDE: u64 = SECOND;
+/// Limits of servers that one beat tells at most.
+const LIMITS: usize = 24;
 /// Silent servers of one host from which on it is asked whether most are.
 const DOUBTED: usize = 4;
 
@@ -89,7 +95,21 @@
             words: self.members.words(now),
             fleet: self.may_run(now) as u32,
             endings: self.harms.tell(now),
+            limits: self.limits_told(now),
+        }
+    }
+
+    /// Limits that servers named to this host; in a beat with many, others the next time.
+    fn limits_told(&self, now: Time) -> Vec<LimitTold> {
+        let told = |entry: &Entry| entry.limited.tell(now, entry.hash, entry.start());
+        let mut limits: Vec<LimitTold> =
+            self.servers.all().filter_map(|(_, entry)| told(entry)).collect();
+        if limits.len() > LIMITS {
+            let begin = self.number as usize * LIMITS % limits.len();
+            limits.rotate_left(begin);
+            limits.truncate(LIMITS);
         }
+        limits
     }
 
     /// Hosts that may be running, this one included, as far as this host itself knows.
@@ -179,7 +199,8 @@
             self.harms.tell_again(now);
         }
         let refused = self.hear_endings(now, &beat.endings);
-        Some(News { joined: heard.joined, wanted, refused })
+        let limits = self.hear_limits(now, &beat.limits);
+        Some(News { joined: heard.joined, wanted, refused, limits })
     }
 
     /// Takes in ends of servers under requests; the requests that are refused from now on.
@@ -197,6 +218,21 @@
         refused
     }
 
+    /// Takes in limits that servers named to another host; those that are new.
+    fn hear_limits(&mut self, now: Time, told: &[LimitTold]) -> Vec<(String, Option<PerSecond>)> {
+        let mut new = Vec::new();
+        for told in told {
+            let Some(entry) = self.servers.by_hash(told.server) else { continue };
+            if entry.start() as u32 == told.start && entry.limited.hear_of(now, told) {
+                new.push((entry.id.clone(), told.limit));
+            }
+        }
+        if !new.is_empty() {
+            self.pick_limited(now);
+        }
+        new
+    }
+
     /// Leaves a server whose start has ended, the first time that this is heard.
     ///
     /// Its entry stays in the store for some seconds; until then each host would find out
@@ -305,12 +341,33 @@
         }
     }
 
+    /// Finds out which servers with a limit this host may send to, and how fast.
+    pub(crate) fn pick_limited(&mut self, now: Time) {
+        let part = self.heard as f64 / self.fleet.max(self.heard).max(1) as f64;
+        let (members, near) = (&self.members, &self.settings.host.region);
+        let own = self.places.first().copied().unwrap_or_default();
+        let mut by_region: HashMap<String, Vec<u64>> = HashMap::new();
+        for entry in self.servers.all_mut() {
+            if entry.limited.limit().is_none() {
+                entry.limited.pick(now, own, &[], entry.hash, part);
+                continue;
+            }
+            let region = &entry.region;
+            let hosts = by_region.entry(region.clone()).or_insert_with(|| match region == near {
+                true => [vec![own], members.places_in(now, region).unwrap_or_default()].concat(),
+                false => members.places_in(now, region).unwrap_or_else(|| self.places.clone()),
+            });
+            entry.limited.pick(now, own, hosts, entry.hash, part);
+        }
+    }
+
     /// What time alone brings about; called every 100 ms or so.
     pub fn tick(&mut self, now: Time) -> Vec<Change> {
         let lost = self.members.expire(now);
         self.recount();
         self.count_hosts(now);
         self.pick_cold(now);
+        self.pick_limited(now);
         self.divide(now);
         self.view.forget(now);
         let mut changes = self.end_holds(now);
@@ -358,4 +415,6 @@
     pub wanted: Vec<(Table, StoreVersion)>,
     /// Requests that are refused from now on.
     pub refused: Vec<(RequestDigest, Harm)>,
+    /// Servers that name another limit, or none any more.
+    pub limits: Vec<(String, Option<PerSecond>)>,
 }
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -308,6 +308,19 @@
         live.chain(self.tried.values().map(|tried| tried.place))
     }
 
+    /// The same of one region; none if no host of it was heard lately.
+    ///
+    /// Of hosts that were only named the region is not known, so they count in each.
+    pub fn places_in(&self, now: Time, region: &str) -> Option<Vec<u64>> {
+        let near = self.live(now).filter(|member| member.host.region == region);
+        let mut places: Vec<u64> = near.map(|member| member.place).collect();
+        if places.is_empty() {
+            return None;
+        }
+        places.extend(self.tried.values().map(|tried| tried.place));
+        Some(places)
+    }
+
     /// Other hosts that may be running: all that did not say that they stop, for as long as
     /// a host that is silent may only be cut off, and those named lately.
     pub fn may_run(&self, now: Time) -> usize {
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -2,7 +2,7 @@
 
 use elmstream::time::{MILLI, SECOND, Time};
 
-use crate::{hash, model::Server, server_limit::PerSecond};
+use crate::{hash, model::Server, server_limit::Limited};
 
 /// Weight of one more answer in the mean of answer times.
 const MEAN_WEIGHT: f64 = 0.05;
@@ -89,8 +89,8 @@
     refused_until: Time,
     /// Requests that it last said to have, and when.
     told: Option<(u32, Time)>,
-    /// Limit that it named in its last answer.
-    pub limit: Option<PerSecond>,
+    /// The limit that it names, and this host's part in it.
+    pub limited: Limited,
     /// Part of lately answered requests that failed, 0 to 1.
     failing: f64,
     /// Mean answer time against the service's, 1 for alike.
@@ -214,7 +214,7 @@
             down_until: Time(0),
             refused_until: Time(0),
             told: None,
-            limit: None,
+            limited: Limited::default(),
             failing: 0.0,
             slowness: 1.0,
             judged: now,
@@ -318,6 +318,7 @@
         if self.cold(now) {
             self.cold_sent = Some(now);
         }
+        self.limited.sent(now);
     }
 
     /// What the server said of its load.
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -380,9 +380,19 @@
     }
 
     /// A server named a limit in an answer, or none; whether that is another one than before.
-    pub fn names_limit(&mut self, _now: Time, index: Index, limit: Option<PerSecond>) -> bool {
+    pub fn names_limit(&mut self, now: Time, index: Index, limit: Option<PerSecond>) -> bool {
         let Some(entry) = self.servers.get_mut(index) else { return false };
-        std::mem::replace(&mut entry.limit, limit) != limit
+        let new = entry.limited.hear(now, limit);
+        if new {
+            self.urgent = true;
+            self.pick_limited(now);
+        }
+        new
+    }
+
+    /// Servers whose limit this host knows of.
+    pub fn limited_servers(&self) -> usize {
+        self.servers.all().filter(|(_, entry)| entry.limited.limit().is_some()).count()
     }
 
     /// A server works on a request of a key; whether it was taken to know it.
--- /dev/null
+++ b/elmstream_steer/tests/server_limits.rs
@@ -0,0 +1,176 @@
+//! Limits that backend servers name hold whatever hosts know of each other.
+
+#[path = "support/needy.rs"]
+mod needy;
+mod support;
+
+use elmstream_steer::{
+    Choice, hash,
+    model::Repeat,
+    server_limit::{PerSecond, senders},
+    servers::Outcome,
+};
+use needy::{CONTACT, Need, World};
+use support::{beats, ms, ready, route, send, server, servers};
+
+/// Callers' requests a second for each server, when none is in need.
+const USUAL: f64 = 15.0;
+/// When servers begin to be in need.
+const FROM: u64 = 2_000;
+
+fn need(server: &str, limit: f64, from: u64, to: u64) -> Need {
+    Need { server: server.into(), limit, from, to }
+}
+
+/// A few of many servers name limits; all are loaded as usual.
+fn some_in_need(hosts: usize, limits: &[f64], seed: u64) -> World {
+    let each = 5;
+    let mut world = World::new(hosts, each, seed);
+    for (n, limit) in limits.iter().enumerate() {
+        world.needs.push(need(&format!("s-a1-{n}"), *limit, FROM, 16_000));
+    }
+    world.run(16_000, USUAL * 4.0 * each as f64);
+    world
+}
+
+#[test]
+fn a_limit_holds_over_fleets_of_any_size() {
+    for hosts in [1, 3, 12, 75, 240] {
+        let limits = [0.0, 0.5, 2.0, 3.7, 14.0];
+        let world = some_in_need(hosts, &limits, hosts as u64);
+        assert!(world.beyond() <= 0.0, "{} more than allowed, {hosts} hosts", world.beyond());
+        assert_eq!(world.refused, 0, "the others have room, {hosts} hosts");
+        for need in &world.needs {
+            let rate = world.rate(&need.server, FROM + CONTACT, 16_000);
+            assert!(rate > 0.0, "{} is still used, {hosts} hosts", need.server);
+        }
+    }
+}
+
+#[test]
+fn a_fleet_whose_servers_all_name_limits_serves_most_of_what_they_take() {
+    for hosts in [12, 75] {
+        let mut world = World::new(hosts, 5, 9);
+        let ids: Vec<String> = servers(5).iter().map(|row| row.key.to_string()).collect();
+        for id in &ids {
+            let id = id.rsplit(' ').next().expect("an id");
+            world.needs.push(need(id, 4.0, FROM, 16_000));
+        }
+        world.run(16_000, USUAL * 20.0);
+        let rates: f64 =
+            world.needs.iter().map(|need| world.rate(&need.server, FROM + CONTACT, 16_000)).sum();
+        let part = rates / (4.0 * ids.len() as f64);
+        assert!(world.beyond() <= 0.0, "{} more than allowed", world.beyond());
+        assert!(part >= 0.8, "{part:.2} of the limits, {hosts} hosts");
+    }
+}
+
+#[test]
+fn a_server_that_is_well_again_is_used_as_before() {
+    for hosts in [12, 75] {
+        let mut world = World::new(hosts, 5, 4);
+        world.needs.push(need("s-a1-0", 2.0, FROM, 10_000));
+        world.run(18_000, USUAL * 20.0);
+        let before = world.rate("s-a1-0", 1_000, FROM);
+        let after = world.rate("s-a1-0", 12_000, 18_000);
+        assert!(after >= 0.7 * before, "{after:.1} a second, {before:.1} before, {hosts} hosts");
+    }
+}
+
+/// Fleets and troubles drawn by a seed: limits that change and end, restarts one by one and
+/// of many, and halves that lose each other for seconds.
+fn drawn(seed: u64) -> f64 {
+    let hosts = 1 + hash::pair(seed, 1) as usize % 60;
+    let mut world = World::new(hosts, 3, seed);
+    let mut at = FROM;
+    let limits = [0.0, 0.4, 1.0, 2.0, 3.7, 9.0, 14.0];
+    for n in 0..3 {
+        let to = 8_000 + world.draw(12_000) as u64;
+        let limit = limits[world.draw(limits.len())];
+        world.needs.push(need(&format!("s-b1-{n}"), limit, FROM, to));
+        let next = limits[world.draw(limits.len())];
+        world.needs.push(need(&format!("s-b1-{n}"), next, to, 24_000));
+    }
+    while at < 22_000 {
+        let per_s = USUAL * 12.0 * [0.1, 0.6, 1.0][world.draw(3)];
+        at += 200 + world.draw(3_000) as u64;
+        world.run(at, per_s);
+        match world.draw(4) {
+            0 => {
+                let host = world.draw(hosts);
+                world.restart(host);
+            }
+            1 => {
+                let some = 1 + world.draw(hosts);
+                (0..some).for_each(|host| world.restart(host));
+            }
+            2 => (0..hosts).for_each(|host| world.part[host] = host % 2),
+            _ => world.part.fill(0),
+        }
+    }
+    world.run(24_000, USUAL * 12.0);
+    world.beyond()
+}
+
+#[test]
+fn drawn_fleets_keep_the_limits() {
+    let draws = std::env::var("DRAWS").ok().and_then(|text| text.parse().ok()).unwrap_or(40);
+    for seed in 0..draws {
+        let beyond = drawn(seed);
+        assert!(beyond <= 0.0, "{beyond} more than allowed, seed {seed}");
+    }
+}
+
+#[test]
+fn an_answer_that_was_on_its_way_does_not_end_a_limit() {
+    let mut host = ready(0, ms(0), vec![server("s", "a1", 10)]);
+    let index = host.servers().find("s").expect("it is known");
+    let limit = PerSecond::parse("2.5");
+    assert!(host.names_limit(ms(1_000), index, limit));
+    assert!(!host.names_limit(ms(1_100), index, None));
+    assert!(host.names_limit(ms(1_500), index, None), "it is over");
+}
+
+#[test]
+fn hosts_tell_each_other_of_limits_of_the_start_that_named_them() {
+    let rows = vec![server("s", "a1", 10), server("t", "a1", 10)];
+    let mut fleet: Vec<_> = (0..3).map(|n| ready(n, ms(0), rows.clone())).collect();
+    let index = fleet[0].servers().find("s").expect("it is known");
+    fleet[0].names_limit(ms(1_000), index, PerSecond::parse("2"));
+    beats(ms(1_050), &mut fleet, |_, _| true);
+    assert!(fleet.iter().all(|host| host.limited_servers() == 1));
+    fleet[0].names_limit(ms(2_000), index, None);
+    beats(ms(2_050), &mut fleet, |_, _| true);
+    assert!(fleet.iter().all(|host| host.limited_servers() == 0));
+}
+
+#[test]
+fn a_refusal_for_limits_says_when_there_is_room_again() {
+    let mut host = ready(0, ms(0), vec![server("s", "a1", 10)]);
+    let index = host.servers().find("s").expect("it is known");
+    host.names_limit(ms(5_000), index, PerSecond::parse("2"));
+    let route = route(Repeat::Safe, &[]);
+    let mut refused = 0;
+    for at in (5_000..9_000).step_by(50) {
+        match send(&mut host, ms(at), &route, 1) {
+            Choice::Send(index) => {
+                host.done(ms(at), index, Outcome::Answered { micros: 1_000, knew: true });
+            }
+            Choice::Refuse(refusal) => {
+                refused += 1;
+                assert_eq!(refusal.limited, 1);
+                assert!((250..=800).contains(&refusal.retry_ms), "{} ms", refusal.retry_ms);
+            }
+        }
+    }
+    assert!(refused > 0);
+}
+
+#[test]
+fn only_numbers_of_requests_are_limits() {
+    for text in ["", "-1", "NaN", "inf", "2 a second", "1e400"] {
+        assert_eq!(PerSecond::parse(text), None, "{text}");
+    }
+    assert_eq!(PerSecond::parse(" 3.25 ").map(PerSecond::value), Some(3.25));
+    assert_eq!(senders(PerSecond::parse("0").expect("a limit"), 0.3), 1);
+}
--- a/elmstream_steer/tests/support/harm.rs
+++ b/elmstream_steer/tests/support/harm.rs
@@ -5,7 +5,7 @@
 use elmstream::time::{MILLI, Time};
 use elmstream_steer::{Steer, beat::Beat, digest::RequestDigest, hash, members};
 
-use super::support::{address, ms, ready, servers};
+use super::support::{address, ms, place, ready, servers};
 
 /// Time between two steps, in milliseconds.
 pub const STEP: u64 = 10;
@@ -317,19 +317,9 @@
             let beat = self.hosts[from].beat(now);
             let targets = self.hosts[from].targets(now, round + 1);
             for to in targets.near.iter().chain(&targets.far) {
-                let to = usize::from(to.port() == 80) * place(*to);
+                let to = place(*to);
                 self.later(WAY, to, Event::Beat(Box::new(beat.clone())));
             }
         }
     }
 }
-
-fn place(address: std::net::SocketAddr) -> usize {
-    match address.ip() {
-        std::net::IpAddr::V4(ip) => {
-            let [_, _, high, low] = ip.octets();
-            (usize::from(high) << 8 | usize::from(low)) - 2_000
-        }
-        std::net::IpAddr::V6(_) => unreachable!("addresses are of IPv4"),
-    }
-}
--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -2,7 +2,10 @@
 
 #![allow(dead_code)]
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, SocketAddr},
+};
 
 use elmstream::time::{MILLI, Time};
 use elmstream_steer::{
@@ -26,6 +29,17 @@
     SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 80))
 }
 
+/// The number of the host that others reach at an address.
+pub fn place(address: SocketAddr) -> usize {
+    match address.ip() {
+        IpAddr::V4(ip) => {
+            let [_, _, high, low] = ip.octets();
+            (usize::from(high) << 8 | usize::from(low)) - 2_000
+        }
+        IpAddr::V6(_) => unreachable!("addresses are of IPv4"),
+    }
+}
+
 /// A host's decisions, by its number.
 pub fn host(number: usize, now: Time) -> Steer {
     started(number, now, 1)
