Sight: lines tell that a backend server leaves, and that it asks for rest

No line said that a host had seen either word in an answer, so hosts that do not read it and hosts that keep it to themselves looked alike. Nothing goes by them yet.

--- a/elmstream_edge/src/headers.rs
+++ b/elmstream_edge/src/headers.rs
@@ -35,6 +35,9 @@
     /// Requests a second that a backend server in need takes from all hosts together.
     #[serde(deserialize_with = "name")]
     pub server_limit: HeaderName,
+    /// Present in each answer of a backend server that is about to leave.
+    #[serde(deserialize_with = "name")]
+    pub server_leaving: HeaderName,
     /// Present in each success of a backend server.
     #[serde(deserialize_with = "name")]
     pub signature: HeaderName,
@@ -59,6 +62,7 @@
             not_run: HeaderName::from_static("elmstream-not-run"),
             load: HeaderName::from_static("elmstream-load"),
             server_limit: HeaderName::from_static("elmstream-server-limit"),
+            server_leaving: HeaderName::from_static("elmstream-server-leaving"),
             signature: HeaderName::from_static("elmstream-signature"),
             key: header::AUTHORIZATION,
             key_scheme: "Bearer".into(),
--- a/elmstream_edge/src/hints.rs
+++ b/elmstream_edge/src/hints.rs
@@ -1,9 +1,11 @@
 //! What a backend server says of itself beside its answer.
 
-use elmstream_steer::{server_limit::PerSecond, servers::Index};
+use std::time::Duration;
+
+use elmstream_steer::{Steer, server_limit::PerSecond, servers::Index};
 use elmstreamd::clock;
-use http::response;
-use serde_json::json;
+use http::{StatusCode, header, response};
+use serde_json::{Value, json};
 
 use crate::{
     edge::Edge,
@@ -17,6 +19,10 @@
     load: Option<u32>,
     /// The limit that it names.
     limit: Said,
+    /// Whether it is about to leave.
+    leaving: bool,
+    /// How long it wants nothing from this host, if it turned the request away.
+    rest: Option<Duration>,
 }
 
 /// A limit, as an answer names it.
@@ -42,7 +48,8 @@
                 named.map_or(Said::Unreadable, Said::Limit)
             }
         };
-        Hints { load, limit }
+        let leaving = parts.headers.get(&names.server_leaving).is_some_and(|value| value != "0");
+        Hints { load, limit, leaving, rest: rest(parts) }
     }
 
     /// Takes them in; the answer must be known to be this server's.
@@ -52,6 +59,14 @@
         if let Some(requests) = self.load {
             steer.tell(now, index, requests);
         }
+        if self.leaving && steer.says_leaving(now, index) {
+            note(edge, &steer, index, "server_leaving", json!({"from": "itself"}));
+        }
+        if let Some(rest) = self.rest
+            && steer.asks_for_rest(now, index, rest)
+        {
+            note(edge, &steer, index, "server_rests", json!({"for_ms": rest.as_millis() as u64}));
+        }
         let limit = match self.limit {
             Said::None => None,
             Said::Limit(limit) => Some(limit),
@@ -68,6 +83,23 @@
     }
 }
 
+/// Writes down what a server said of itself.
+fn note(edge: &Edge, steer: &Steer, index: Index, event: &str, mut fields: Value) {
+    fields["server"] = steer.servers().get(index).map(|entry| entry.id.as_str()).into();
+    edge.journal.belief(event, fields);
+}
+
+/// How long a server wants nothing, in an answer by which it turns a request away.
+///
+/// A date is taken for nothing: it goes by a time of day that the two need not share.
+fn rest(parts: &response::Parts) -> Option<Duration> {
+    let turned_away =
+        matches!(parts.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+    let told = turned_away.then(|| headers::text(&parts.headers, &header::RETRY_AFTER))??;
+    let seconds: f64 = told.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok().filter(|rest| !rest.is_zero())
+}
+
 /// Writes down the limit that a server names, and who heard it.
 pub fn note_limit(edge: &Edge, from: &str, server: &str, limit: Option<PerSecond>) {
     let fields = json!({"server": server, "per_s": limit.map(PerSecond::value), "from": from});
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -91,6 +91,10 @@
     told: Option<(u32, Time)>,
     /// The limit that it names, and this host's part in it.
     pub limited: Limited,
+    /// Whether it said that it is about to leave.
+    pub leaving: bool,
+    /// It wants nothing from this host until then.
+    pub rests_until: Time,
     /// Part of lately answered requests that failed, 0 to 1.
     failing: f64,
     /// Mean answer time against the service's, 1 for alike.
@@ -215,6 +219,8 @@
             refused_until: Time(0),
             told: None,
             limited: Limited::default(),
+            leaving: false,
+            rests_until: Time(0),
             failing: 0.0,
             slowness: 1.0,
             judged: now,
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -6,6 +6,7 @@
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use elmstream::time::{SECOND, Time};
@@ -390,6 +391,21 @@
         new
     }
 
+    /// A server said in an answer that it is about to leave; whether that is new.
+    pub fn says_leaving(&mut self, _now: Time, index: Index) -> bool {
+        let Some(entry) = self.servers.get_mut(index) else { return false };
+        !std::mem::replace(&mut entry.leaving, true)
+    }
+
+    /// A server turned a request away and wants nothing from this host for a time; whether
+    /// it was not at rest before.
+    pub fn asks_for_rest(&mut self, now: Time, index: Index, rest: Duration) -> bool {
+        let Some(entry) = self.servers.get_mut(index) else { return false };
+        let rested = now >= entry.rests_until;
+        entry.rests_until = entry.rests_until.max(now + rest.as_micros() as u64);
+        rested
+    }
+
     /// Servers whose limit this host knows of.
     pub fn limited_servers(&self) -> usize {
         self.servers.all().filter(|(_, entry)| entry.limited.limit().is_some()).count()
