Send nothing more to a backend server that says in an answer that it leaves

Callers' requests went to a server for 13 s after its answers had begun to say that it leaves, two of them more than 2 s after hosts had passed such an answer on. Cause: hosts went by the store's entry alone, and the store was away.

The word counts from the answer on and for the start of the server, not for its entry: an entry that still says ready, a whole reading, one that went and came back take it not back; another start does. Hosts tell each other for as long as the server is in their tables, so one that starts learns it too. It is asked once more when the connection is there, as that may take 0.4 s.

Test of two hosts with the store away: 41 requests in 2 s before, none now.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -157,7 +157,7 @@
     if let Some(counted) = &call.workspace {
         counted.sent();
     }
-    let exchange = edge.pool.exchange(&id, address, || request(edge, call, &id));
+    let exchange = edge.pool.exchange(&id, address, || request(edge, call, index, &id));
     let exchange = waits::within(call.until, exchange).await;
     let micros = clock::now().since(sent);
     let (outcome, result) = match exchange {
@@ -192,9 +192,10 @@
     result
 }
 
-/// The request as the server gets it; none if no time is left for it.
-fn request(edge: &Edge, call: &Call, id: &str) -> Option<Request<LocalBody>> {
-    if call.left() <= LEAST {
+/// The request as the server gets it; none if no time is left for it, or the server has
+/// said meanwhile that it wants none.
+fn request(edge: &Edge, call: &Call, index: Index, id: &str) -> Option<Request<LocalBody>> {
+    if call.left() <= LEAST || !edge.steer.borrow().lets_go(index) {
         return None;
     }
     let names = &edge.settings.headers;
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -148,6 +148,10 @@
         edge.journal.belief("host_heard", json!({"host": beat.host.name}));
     }
     harm::note(edge, &beat.host.name, &news.refused);
+    for server in &news.leaving {
+        let fields = json!({"server": server, "from": beat.host.name});
+        edge.journal.belief("server_leaving", fields);
+    }
     for (server, limit) in &news.limits {
         hints::note_limit(edge, &beat.host.name, server, *limit);
     }
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -85,6 +85,7 @@
         fleet: 1,
         endings: Vec::new(),
         limits: Vec::new(),
+        leaving_servers: Vec::new(),
     };
     compio::runtime::spawn(async move {
         for number in 0.. {
--- a/elmstream_edge/tests/server_says.rs
+++ b/elmstream_edge/tests/server_says.rs
@@ -93,6 +93,13 @@
 /// Order of events: the store gave no answers; a server began to leave and could only say so
 /// in its answers, as its word did not reach the store; hosts passed these answers on and
 /// sent it more requests.
+///
+/// Cause: whether a server leaves was read from its entry in the store and nowhere else; of
+/// an answer's headers hosts took none but the load for themselves.
+///
+/// Evidence: requests went on until the store was back, also at hosts that had passed
+/// such answers on, and stopped in the second in which its entry said so; nothing that had
+/// waited was among them, as they had come seconds after the word.
 #[test]
 fn a_server_that_says_it_leaves_gets_nothing_more_without_the_store() {
     run(async || {
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -106,6 +106,8 @@
     pub endings: Vec<Ending>,
     /// Limits that servers named to the sender, or no longer do.
     pub limits: Vec<LimitTold>,
+    /// Starts of servers that said in answers that they are about to leave, by their hashes.
+    pub leaving_servers: Vec<u64>,
 }
 
 /// A datagram between hosts.
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -318,7 +318,7 @@
 /// Whether the server may get the request at all.
 fn allowed(scene: &Scene<'_>, ask: &Ask<'_>, index: Index, entry: &Entry) -> bool {
     ask.at_home(&entry.region)
-        && !entry.server.draining
+        && !entry.departs()
         && !scene.evacuated.contains(&entry.server.domain)
         && !ask.tried.contains(&index)
         && entry.reachable(scene.now)
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -96,6 +96,7 @@
             fleet: self.may_run(now) as u32,
             endings: self.harms.tell(now),
             limits: self.limits_told(now),
+            leaving_servers: self.leavings_told(),
         }
     }
 
@@ -200,7 +201,9 @@
         }
         let refused = self.hear_endings(now, &beat.endings);
         let limits = self.hear_limits(now, &beat.limits);
-        Some(News { joined: heard.joined, wanted, refused, limits })
+        let leaving = &beat.leaving_servers;
+        let leaving = leaving.iter().filter_map(|start| self.learn_leaving(now, *start)).collect();
+        Some(News { joined: heard.joined, wanted, refused, limits, leaving })
     }
 
     /// Takes in ends of servers under requests; the requests that are refused from now on.
@@ -300,7 +303,7 @@
             let mut regions: BTreeMap<String, Region> =
                 names.map(|name| (name.clone(), Region::default())).collect();
             for (_, entry) in self.servers.of(&service) {
-                let used = !entry.server.draining && !self.evacuated.contains(&entry.server.domain);
+                let used = !entry.departs() && !self.evacuated.contains(&entry.server.domain);
                 if used && let Some(region) = regions.get_mut(&entry.region) {
                     region.slots += f64::from(entry.server.slots);
                 }
@@ -370,6 +373,7 @@
         self.pick_limited(now);
         self.divide(now);
         self.view.forget(now);
+        self.leavings.expire(now);
         let mut changes = self.end_holds(now);
         let lapsed =
             self.servers.all().filter(|(_, entry)| entry.lapses.is_some_and(|at| now >= at));
@@ -417,4 +421,6 @@
     pub refused: Vec<(RequestDigest, Harm)>,
     /// Servers that name another limit, or none any more.
     pub limits: Vec<(String, Option<PerSecond>)>,
+    /// Servers that are about to leave.
+    pub leaving: Vec<String>,
 }
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod hearing;
 mod kept;
 pub mod key;
+mod leaving;
 pub mod lookup;
 pub mod members;
 pub mod model;
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -254,10 +254,14 @@
                 let region = region.cloned().unwrap_or_default();
                 if self.started_anew(id, &server) {
                     // Nothing that was learned of the one before holds for this one.
-                    self.remove(id);
+                    self.forget_start(id);
                     changes.push(Change::Server(id.clone(), State::Restarted));
                 }
-                self.servers.put(now, id, &server, &region);
+                let index = self.servers.put(now, id, &server, &region);
+                if let Some(entry) = self.servers.get_mut(index) {
+                    // Its entry may have gone and come back, or be older than its word.
+                    entry.leaving = self.leavings.knows(entry.start());
+                }
                 let state = if server.draining { State::Draining } else { State::Ready };
                 self.urgent |= server.draining;
                 changes.push(Change::Server(id.clone(), state));
@@ -271,7 +275,7 @@
                 if now < self.lenient_until
                     && let Some(index) = self.servers.find(id)
                     && let Some(entry) = self.servers.get_mut(index)
-                    && !entry.server.draining
+                    && !entry.departs()
                 {
                     entry.lapses = Some(now + LAPSE);
                     changes.push(Change::Server(id.clone(), State::Lapsed));
@@ -299,6 +303,15 @@
         changes.push(Change::Server(id.to_owned(), State::Gone));
     }
 
+    /// Another start has come under a server's id.
+    fn forget_start(&mut self, id: &str) {
+        let known = self.servers.find(id).and_then(|index| self.servers.get(index));
+        if let Some(start) = known.map(|entry| entry.start()) {
+            self.leavings.forget(start);
+        }
+        self.remove(id);
+    }
+
     pub(crate) fn remove(&mut self, id: &str) {
         if let Some(index) = self.servers.find(id) {
             self.warmth.forget(index);
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -239,6 +239,11 @@
         }
     }
 
+    /// Whether it is about to leave, by the store or by its own word.
+    pub fn departs(&self) -> bool {
+        self.server.draining || self.leaving
+    }
+
     /// Whether it counts as cold.
     pub fn cold(&self, now: Time) -> bool {
         now < self.cold_until
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -20,6 +20,7 @@
     era::Holds,
     harm::{Harms, Turn},
     hash,
+    leaving::Leavings,
     lookup::{self, Ready},
     members::Members,
     model::{Limits, Route},
@@ -53,6 +54,7 @@
     pub(crate) evacuated: BTreeSet<String>,
     pub(crate) cold: HashMap<String, (u64, f64)>,
     pub(crate) servers: ServerTable,
+    pub(crate) leavings: Leavings,
     pub(crate) counts: HashMap<String, Count>,
     pub(crate) divisions: HashMap<String, Division>,
     pub(crate) divided: Time,
@@ -190,6 +192,7 @@
             evacuated: BTreeSet::new(),
             cold: HashMap::new(),
             servers: ServerTable::default(),
+            leavings: Leavings::default(),
             counts: HashMap::new(),
             divisions: HashMap::new(),
             divided: Time(0),
@@ -392,9 +395,16 @@
     }
 
     /// A server said in an answer that it is about to leave; whether that is new.
-    pub fn says_leaving(&mut self, _now: Time, index: Index) -> bool {
-        let Some(entry) = self.servers.get_mut(index) else { return false };
-        !std::mem::replace(&mut entry.leaving, true)
+    pub fn says_leaving(&mut self, now: Time, index: Index) -> bool {
+        let start = self.servers.get(index).map(|entry| entry.start());
+        start.is_some_and(|start| self.learn_leaving(now, start).is_some())
+    }
+
+    /// Whether what a server has said since it was chosen still lets a request go there.
+    ///
+    /// A connection may take 0.4 s to come up.
+    pub fn lets_go(&self, index: Index) -> bool {
+        self.servers.get(index).is_some_and(|entry| !entry.leaving)
     }
 
     /// A server turned a request away and wants nothing from this host for a time; whether
