Give a backend server the rest that it asks a host for

Callers' lookups were refused (one in ten) or late (one in ten) for 9 s in which six servers turned all requests away and asked for rest: hosts sent them as much as before, and a request that met two of them was lost. Cause: a server that turns a request away counted as full for 60 ms, and nobody read the time in its answer.

The time counts for this host and from the answer on, by the clock that counts suspension; a later, shorter one ends nothing early, one without measure ends after 10 min, and each host adds up to a tenth, so that not all are back at once. It stands before the choice of a server and once more when the connection is there, so no second try or trial goes round it.

Test: 16 requests in a rest before, at most two now, and all callers served. The test lets the host earn a repeat first: a trace showed that its first request found no retry budget (1116), which is so at each start.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -195,7 +195,7 @@
 /// The request as the server gets it; none if no time is left for it, or the server has
 /// said meanwhile that it wants none.
 fn request(edge: &Edge, call: &Call, index: Index, id: &str) -> Option<Request<LocalBody>> {
-    if call.left() <= LEAST || !edge.steer.borrow().lets_go(index) {
+    if call.left() <= LEAST || !edge.steer.borrow().lets_go(clock::now(), index) {
         return None;
     }
     let names = &edge.settings.headers;
@@ -275,7 +275,7 @@
         "workspace": call.workspace_name(), "priority": call.priority(),
         "reason": format!("{:?}", refusal.reason), "retry_ms": refusal.retry_ms,
         "servers": refusal.servers, "free": refusal.free, "load_percent": refusal.load,
-        "limited": refusal.limited,
+        "spared": refusal.spared,
         "took_ms": took / MILLI, "returning": call.returning,
         "version": edge.steer.borrow().version(),
         "stale_ms": edge.steer.borrow().staleness(clock::now()) / MILLI,
@@ -288,7 +288,7 @@
 fn code(reason: Reason, tried: &Tried) -> Code {
     let last = tried.notes.last().map(|(_, outcome, _)| *outcome);
     match reason {
-        Reason::NoServer | Reason::Limited | Reason::Full => Code::NoCapacity,
+        Reason::NoServer | Reason::Spared | Reason::Full => Code::NoCapacity,
         Reason::Budget => Code::RetryBudget,
         Reason::Tries if last == Some(Outcome::NoConnection) => Code::BackendConnect,
         Reason::Tries => Code::BackendShed,
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -55,6 +55,10 @@
 const RETRY_MIN_MS: f64 = 250.0;
 const RETRY_MAX_MS: f64 = 800.0;
 
+/// The same if all servers asked for rest or named limits: they say when themselves.
+const SPARED_MIN_MS: u64 = 250;
+const SPARED_MAX_MS: u64 = 10_000;
+
 /// A request that wants a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
@@ -103,14 +107,14 @@
     pub free: u32,
     /// Occupied part of their slots, in hundredths.
     pub load: u32,
-    /// Servers that may take none of this host's requests now, for the limit they named.
-    pub limited: u32,
+    /// Servers that get nothing from this host now, as they asked for rest or named a limit.
+    pub spared: u32,
 }
 
 impl Refusal {
     /// A refusal for which no server was considered.
     pub fn of(reason: Reason, retry_ms: u64) -> Refusal {
-        Refusal { reason, retry_ms, servers: 0, free: 0, load: 0, limited: 0 }
+        Refusal { reason, retry_ms, servers: 0, free: 0, load: 0, spared: 0 }
     }
 }
 
@@ -119,8 +123,8 @@
 pub enum Reason {
     /// No server of the service may take it.
     NoServer,
-    /// Each of them named a limit, and this host's part of it is used up.
-    Limited,
+    /// Each of them asked for rest, or named a limit of which this host's part is used up.
+    Spared,
     /// It would wait too long at each of them.
     Full,
     /// Servers did not run it, and the retry budget allows no further one.
@@ -175,10 +179,10 @@
     free: u32,
     slots: u32,
     used: u32,
-    /// Servers that are left out for their limit, and when this host may send to the first
-    /// of them.
-    limited: u32,
-    limited_until: Option<Time>,
+    /// Servers that are left out for their rest or their limit, and when this host may send
+    /// to the first of them.
+    spared: u32,
+    spared_until: Option<Time>,
 }
 
 impl<'a> Field<'a> {
@@ -191,8 +195,8 @@
             free: 0,
             slots: 0,
             used: 0,
-            limited: 0,
-            limited_until: None,
+            spared: 0,
+            spared_until: None,
         }
     }
 
@@ -214,13 +218,12 @@
         }
     }
 
-    /// Leaves a server out for its limit.
-    fn leave_limited(&mut self, entry: &Entry) {
-        self.limited += 1;
-        let next = entry.limited.next();
-        self.limited_until = match self.limited_until {
-            Some(until) => Some(next.map_or(until, |next| next.min(until))),
-            None => next,
+    /// Leaves a server out; this host may send to it at a time, if that is known.
+    fn spare(&mut self, until: Option<Time>) {
+        self.spared += 1;
+        self.spared_until = match (self.spared_until, until) {
+            (Some(known), Some(until)) => Some(known.min(until)),
+            (known, until) => known.or(until),
         };
     }
 
@@ -266,7 +269,7 @@
             servers: field.count,
             free: field.free,
             load: (load * 100.0) as u32,
-            limited: field.limited,
+            spared: field.spared,
             ..Refusal::of(Reason::Full, retry_ms(least_wait))
         }),
     }
@@ -274,10 +277,12 @@
 
 /// The refusal of a request that no server may take.
 fn none(now: Time, field: &Field<'_>) -> Refusal {
-    let until = field.limited_until.map(|until| until.since(now) as f64 / MILLI as f64);
-    let retry = until.map_or(NO_SERVER_RETRY_MS, retry_ms);
-    let reason = if field.limited > 0 { Reason::Limited } else { Reason::NoServer };
-    Refusal { limited: field.limited, ..Refusal::of(reason, retry) }
+    if field.spared == 0 {
+        return Refusal::of(Reason::NoServer, NO_SERVER_RETRY_MS);
+    }
+    let until = field.spared_until.map(|until| until.since(now) / MILLI);
+    let retry = until.map_or(NO_SERVER_RETRY_MS, |until| until.clamp(SPARED_MIN_MS, SPARED_MAX_MS));
+    Refusal { spared: field.spared, ..Refusal::of(Reason::Spared, retry) }
 }
 
 /// Servers that may take the request.
@@ -289,8 +294,12 @@
         if !allowed(scene, ask, index, entry) || !cold_allows(scene, entry) {
             continue;
         }
+        if entry.rests(scene.now) {
+            field.spare(Some(entry.rests_until));
+            continue;
+        }
         if !limit_allows(scene, entry) {
-            field.leave_limited(entry);
+            field.spare(entry.limited.next());
             continue;
         }
         let place = order.iter().position(|name| *name == entry.region).unwrap_or(order.len());
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -38,6 +38,8 @@
 const DOWN_MAX: u64 = 2 * SECOND;
 /// How long a server that said it is full counts as full.
 const FULL: u64 = 60 * MILLI;
+/// Longest rest that a server gets in one go; it is asked again then.
+const REST_MAX: u64 = 600 * SECOND;
 /// How long a load that a server told counts.
 const TOLD: u64 = 150 * MILLI;
 /// An answer counts as this many times as long as usual at most.
@@ -244,6 +246,20 @@
         self.server.draining || self.leaving
     }
 
+    /// Whether it has asked this host for rest that is not over.
+    pub fn rests(&self, now: Time) -> bool {
+        now < self.rests_until
+    }
+
+    /// It wants nothing from this host for so many microseconds; whether that is news.
+    ///
+    /// What an earlier answer asked for stands, so the end only moves later.
+    pub fn rest(&mut self, now: Time, micros: u64) -> bool {
+        let rested = !self.rests(now);
+        self.rests_until = self.rests_until.max(now + micros.min(REST_MAX));
+        rested
+    }
+
     /// Whether it counts as cold.
     pub fn cold(&self, now: Time) -> bool {
         now < self.cold_until
--- a/elmstream_steer/src/server_limit.rs
+++ b/elmstream_steer/src/server_limit.rs
@@ -6,9 +6,9 @@
 //!
 //! In a window each sender sends its part of the limit and one request more, which it had
 //! saved up. With the senders that [`senders`] names that is 2 + 5 x limit in four
-//! seconds, where 5 + 6 x limit are allowed: what is left is for senders that change. Each
-//! host sending its part of the limit would save up one request each, which is more than is
-//! allowed from twelve hosts on.
+//! seconds, where 5 + 6 x limit are allowed: what is left is for senders that change. If
+//! each host sent its part, each would save up one request, and a large fleet would send
+//! more than is allowed.
 
 use elmstream::time::{MILLI, SECOND, Time};
 use serde::{Deserialize, Serialize};
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -39,6 +39,9 @@
     workspaces::{Denial, Member, Shown, WorkspaceTable},
 };
 
+/// Part of a rest by which it is longer at most.
+const REST_SPREAD: f64 = 0.1;
+
 /// What a host decides with.
 #[derive(Debug)]
 pub struct Steer {
@@ -403,17 +406,18 @@
     /// Whether what a server has said since it was chosen still lets a request go there.
     ///
     /// A connection may take 0.4 s to come up.
-    pub fn lets_go(&self, index: Index) -> bool {
-        self.servers.get(index).is_some_and(|entry| !entry.leaving)
+    pub fn lets_go(&self, now: Time, index: Index) -> bool {
+        self.servers.get(index).is_some_and(|entry| !entry.leaving && !entry.rests(now))
     }
 
     /// A server turned a request away and wants nothing from this host for a time; whether
     /// it was not at rest before.
     pub fn asks_for_rest(&mut self, now: Time, index: Index, rest: Duration) -> bool {
         let Some(entry) = self.servers.get_mut(index) else { return false };
-        let rested = now >= entry.rests_until;
-        entry.rests_until = entry.rests_until.max(now + rest.as_micros() as u64);
-        rested
+        // Servers that turn all hosts away at once do not get them all back at once.
+        let draw = hash::unit(hash::pair(self.hash, entry.hash ^ now.0));
+        let spread = 1.0 + REST_SPREAD * draw;
+        entry.rest(now, (rest.as_micros() as f64 * spread) as u64)
     }
 
     /// Servers whose limit this host knows of.
