Share a server's limit out by how much each host is asked

Hosts know each other's requests by service from beats; senders are drawn by them, in steps of four so that views agree, and have their parts by the same; a host of another region counts a sixteenth. Senders are 3 and 1.5 for each request a second of the limit (2 and 1 before): in 4 s 3 + 5.5 x limit come at most, 5 + 6 x limit are allowed.

--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -1,9 +1,6 @@
 //! Tells the other hosts what this one knows and does, and takes in what they say.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddr,
-};
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use elmstream::time::{SECOND, Time};
 
@@ -16,7 +13,7 @@
     hash,
     members::Targets,
     quota::Spreading,
-    server_limit::{LimitTold, PerSecond},
+    server_limit::PerSecond,
     servers::{Entry, Pace},
     steer::{Change, State, Steer, Told},
     tally::{Report, Spread, Verdict},
@@ -26,8 +23,6 @@
 
 /// Time between two divisions of the requests among regions.
 const DIVIDE: u64 = SECOND;
-/// Limits of servers that one beat tells at most.
-const LIMITS: usize = 24;
 /// Silent servers of one host from which on it is asked whether most are.
 const DOUBTED: usize = 4;
 
@@ -100,19 +95,6 @@
         }
     }
 
-    /// Limits that servers named to this host; in a beat with many, others the next time.
-    fn limits_told(&self, now: Time) -> Vec<LimitTold> {
-        let told = |entry: &Entry| entry.limited.tell(now, entry.hash, entry.start());
-        let mut limits: Vec<LimitTold> =
-            self.servers.all().filter_map(|(_, entry)| told(entry)).collect();
-        if limits.len() > LIMITS {
-            let begin = self.number as usize * LIMITS % limits.len();
-            limits.rotate_left(begin);
-            limits.truncate(LIMITS);
-        }
-        limits
-    }
-
     /// Hosts that may be running, this one included, as far as this host itself knows.
     fn may_run(&self, now: Time) -> usize {
         self.members.may_run(now) + 1
@@ -221,21 +203,6 @@
         refused
     }
 
-    /// Takes in limits that servers named to another host; those that are new.
-    fn hear_limits(&mut self, now: Time, told: &[LimitTold]) -> Vec<(String, Option<PerSecond>)> {
-        let mut new = Vec::new();
-        for told in told {
-            let Some(entry) = self.servers.by_hash(told.server) else { continue };
-            if entry.start() as u32 == told.start && entry.limited.hear_of(now, told) {
-                new.push((entry.id.clone(), told.limit));
-            }
-        }
-        if !new.is_empty() {
-            self.pick_limited(now);
-        }
-        new
-    }
-
     /// Leaves a server whose start has ended, the first time that this is heard.
     ///
     /// Its entry stays in the store for some seconds; until then each host would find out
@@ -330,8 +297,12 @@
         self.near = near.count() + 1;
         let told = self.members.live(now).map(|member| member.fleet as usize);
         self.fleet = told.max().unwrap_or(0).max(self.may_run(now));
-        self.places.truncate(1);
-        self.places.extend(self.members.places(now));
+        let places: Vec<u64> =
+            self.places[..1].iter().copied().chain(self.members.places(now)).collect();
+        if places != self.places {
+            self.places = places;
+            self.pick_all_limited();
+        }
     }
 
     /// Finds out which cold servers this host may send to. Not at each request, as it
@@ -344,26 +315,6 @@
         }
     }
 
-    /// Finds out which servers with a limit this host may send to, and how fast.
-    pub(crate) fn pick_limited(&mut self, now: Time) {
-        let part = self.heard as f64 / self.fleet.max(self.heard).max(1) as f64;
-        let (members, near) = (&self.members, &self.settings.host.region);
-        let own = self.places.first().copied().unwrap_or_default();
-        let mut by_region: HashMap<String, Vec<u64>> = HashMap::new();
-        for entry in self.servers.all_mut() {
-            if entry.limited.limit().is_none() {
-                entry.limited.pick(now, own, &[], entry.hash, part);
-                continue;
-            }
-            let region = &entry.region;
-            let hosts = by_region.entry(region.clone()).or_insert_with(|| match region == near {
-                true => [vec![own], members.places_in(now, region).unwrap_or_default()].concat(),
-                false => members.places_in(now, region).unwrap_or_else(|| self.places.clone()),
-            });
-            entry.limited.pick(now, own, hosts, entry.hash, part);
-        }
-    }
-
     /// What time alone brings about; called every 100 ms or so.
     pub fn tick(&mut self, now: Time) -> Vec<Change> {
         let lost = self.members.expire(now);
@@ -374,6 +325,7 @@
         self.divide(now);
         self.view.forget(now);
         self.leavings.expire(now);
+        self.forget_limits(now);
         let mut changes = self.end_holds(now);
         let lapsed =
             self.servers.all().filter(|(_, entry)| entry.lapses.is_some_and(|at| now >= at));
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -22,6 +22,7 @@
 mod kept;
 pub mod key;
 mod leaving;
+mod limiting;
 pub mod lookup;
 pub mod members;
 pub mod model;
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -67,7 +67,7 @@
     /// Hash of its name.
     pub hash: u64,
     /// Hash of its address for hosts.
-    place: u64,
+    pub place: u64,
     /// Number of its present start.
     pub incarnation: u64,
     /// Number of its last beat that came here.
@@ -305,20 +305,12 @@
     /// seconds until it has heard them.
     pub fn places(&self, now: Time) -> impl Iterator<Item = u64> {
         let live = self.live(now).map(|member| member.place);
-        live.chain(self.tried.values().map(|tried| tried.place))
+        live.chain(self.named())
     }
 
-    /// The same of one region; none if no host of it was heard lately.
-    ///
-    /// Of hosts that were only named the region is not known, so they count in each.
-    pub fn places_in(&self, now: Time, region: &str) -> Option<Vec<u64>> {
-        let near = self.live(now).filter(|member| member.host.region == region);
-        let mut places: Vec<u64> = near.map(|member| member.place).collect();
-        if places.is_empty() {
-            return None;
-        }
-        places.extend(self.tried.values().map(|tried| tried.place));
-        Some(places)
+    /// Hashes of the addresses of hosts that were named lately and not heard yet.
+    pub fn named(&self) -> impl Iterator<Item = u64> {
+        self.tried.values().map(|tried| tried.place)
     }
 
     /// Other hosts that may be running: all that did not say that they stop, for as long as
--- a/elmstream_steer/src/server_limit.rs
+++ b/elmstream_steer/src/server_limit.rs
@@ -1,12 +1,13 @@
 //! The limit that a backend server in need names in its answers.
 //!
-//! It counts for all hosts together. So a few of them, the senders of this server by
-//! rendezvous hashing over the hosts of its region, send to it, each no faster than its
-//! part; the others leave it. Whoever is told a limit by the server tells the other hosts.
+//! It counts for all hosts together. So a few of them, the senders of this server, send to
+//! it, each no faster than its part; the others leave it. They are drawn by rendezvous
+//! hashing, and have their parts, by how much each is asked: what a host may send that
+//! nobody asks is lost. Whoever is told a limit by the server tells the other hosts.
 //!
 //! In a window each sender sends its part of the limit and one request more, which it had
-//! saved up. With the senders that [`senders`] names that is 2 + 5 x limit in four
-//! seconds, where 5 + 6 x limit are allowed: what is left is for senders that change. If
+//! saved up. With the senders that [`senders`] names that is 3 + 5.5 x limit in
+//! four seconds, where 5 + 6 x limit are allowed: what is left is for senders that change. If
 //! each host sent its part, each would save up one request, and a large fleet would send
 //! more than is allowed.
 
@@ -15,8 +16,9 @@
 
 use crate::hash;
 
-/// Senders of a server that names a limit of 0, and one more for each request a second.
-const SENDERS: f64 = 2.0;
+/// Senders of a server that names a limit of 0, and more for each request a second.
+const SENDERS: f64 = 3.0;
+const SENDERS_PER_S: f64 = 1.5;
 /// Least limit that is gone by, in requests a second: a server that wants nothing at all
 /// could not say that this is over.
 const LEAST: f64 = 0.25;
@@ -25,6 +27,12 @@
 const SETTLE: u64 = 300 * MILLI;
 /// How long a host tells others what a server last said to it.
 const TELL: u64 = 10 * SECOND;
+/// Time between two looks at who the senders are, as long as no host comes or goes.
+const PICK_EVERY: u64 = 500 * MILLI;
+/// Requests of lately below which no host counts as asked more than another.
+const FEW_ASKED: u64 = 16;
+/// A host of another region counts as one that is asked this many times less.
+const FAR: f64 = 16.0;
 /// A limit that nobody has heard again for so long is tried without.
 const FORGET: u64 = 300 * SECOND;
 
@@ -62,7 +70,7 @@
 ///
 /// The hosts that it does not hear may have been cut off and have senders of their own.
 pub fn senders(limit: PerSecond, part: f64) -> usize {
-    (((limit.0.floor() + SENDERS) * part) as usize).max(1)
+    ((limit.0 * SENDERS_PER_S + SENDERS) * part).max(1.0) as usize
 }
 
 /// What a host knows of one server's limit, and what it may send there itself.
@@ -75,6 +83,8 @@
     own: Option<Time>,
     /// Time between two requests of this host; none if it is no sender.
     spacing: Option<u64>,
+    /// When that was last found out.
+    picked: Option<Time>,
     /// Last request, or when this host would have sent one had it been a sender before.
     last: Time,
 }
@@ -134,6 +144,8 @@
         };
         if holds {
             (self.limit, self.said) = (limit, said);
+            self.picked = None;
+            self.spacing = self.spacing.filter(|_| limit.is_some());
         }
         holds
     }
@@ -145,38 +157,87 @@
         Some(LimitTold { server, start, limit: self.limit, age_ms: (age / MILLI) as u16 })
     }
 
-    /// Forgets a limit that nobody has heard for long; whether it did.
-    pub fn forget(&mut self, now: Time) -> bool {
-        let old = self.limit.is_some() && now.since(self.said) >= FORGET;
-        if old {
+    /// Forgets a limit that nobody has heard for long.
+    pub fn forget(&mut self, now: Time) {
+        if self.limit.is_some() && now.since(self.said) >= FORGET {
             *self = Limited { said: now, ..Limited::default() };
         }
-        old
     }
 
-    /// Finds out whether this host is a sender. `own` is the hash of its address, `hosts`
-    /// those of the hosts that senders are drawn from, and `part` the part of the fleet that
-    /// this host hears.
-    pub fn pick(&mut self, now: Time, own: u64, hosts: &[u64], server: u64, part: f64) {
-        let senders = self.limit.map(|limit| senders(limit, part).min(hosts.len()));
-        let Some((limit, senders)) = self.limit.zip(senders).filter(|_| hosts.contains(&own))
-        else {
+    /// It has to be found out anew whether this host is a sender.
+    pub fn look_again(&mut self) {
+        self.picked = None;
+    }
+
+    /// Whether it has to be found out anew whether this host is a sender.
+    pub fn due(&self, now: Time) -> bool {
+        self.limit.is_some() && self.picked.is_none_or(|at| now.since(at) >= PICK_EVERY)
+    }
+
+    /// Finds out whether this host is a sender; `own` is the hash of its address, `part` the
+    /// part of the fleet that it hears.
+    pub fn pick(&mut self, now: Time, own: u64, among: &[Candidate], server: u64, part: f64) {
+        self.picked = Some(now);
+        let Some(limit) = self.limit else { return };
+        let Some(share) = share(own, among, server, senders(limit, part)) else {
             self.spacing = None;
             return;
         };
-        let mine = hash::pair(own, server);
-        let ahead = hosts.iter().filter(|host| hash::pair(**host, server) > mine).count();
-        if ahead >= senders {
-            self.spacing = None;
-            return;
-        }
-        let rate = limit.0.max(LEAST) * part.max(f64::MIN_POSITIVE);
-        let spacing = (senders as f64 * SECOND as f64 / rate) as u64;
+        let rate = limit.0.max(LEAST) * part.max(f64::MIN_POSITIVE) * share;
+        let spacing = (SECOND as f64 / rate) as u64;
         if self.spacing.is_none() {
             // Senders begin at different times, not all of them at once.
-            let saved = spacing as f64 * hash::unit(mine);
+            let saved = spacing as f64 * hash::unit(hash::pair(own, server));
             self.last = self.last.max(Time(now.0.saturating_sub(saved as u64)));
         }
         self.spacing = Some(spacing);
     }
 }
+
+/// A host that may become a sender.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Hash of its address.
+    pub place: u64,
+    /// How much it is asked, against the others; none for 0.
+    pub weight: f64,
+}
+
+/// How much a host is asked against the one that is asked most, in steps of four, so that
+/// hosts that know each other's requests half a second late mostly agree. 0 for less than a
+/// sixty-fourth.
+///
+/// `near` hosts are in the server's region and go before all others that are asked as much:
+/// it is them whose requests meet the server.
+pub fn weight(asked: u32, most: u32, near: bool) -> f64 {
+    let step = match u64::from(most) {
+        most if most < FEW_ASKED => 64.0,
+        most if u64::from(asked) * 4 >= most => 64.0,
+        most if u64::from(asked) * 16 >= most => 16.0,
+        most if u64::from(asked) * 64 >= most => 4.0,
+        _ => 0.0,
+    };
+    if near { step } else { step / FAR }
+}
+
+/// The part of a host among the senders, which are drawn by weight; none if it is not one.
+fn share(own: u64, among: &[Candidate], server: u64, senders: usize) -> Option<f64> {
+    // Weighted rendezvous hashing.
+    let rank = |candidate: &Candidate| {
+        let draw = hash::unit(hash::pair(candidate.place, server)).max(f64::MIN_POSITIVE);
+        -draw.ln() / candidate.weight
+    };
+    let me = among.iter().find(|candidate| candidate.place == own && candidate.weight > 0.0)?;
+    let mut ranks: Vec<(f64, f64)> = among
+        .iter()
+        .filter(|candidate| candidate.weight > 0.0)
+        .map(|candidate| (rank(candidate), candidate.weight))
+        .collect();
+    if ranks.len() > senders {
+        ranks.select_nth_unstable_by(senders - 1, |one, other| one.0.total_cmp(&other.0));
+        ranks.truncate(senders);
+    }
+    let last = ranks.iter().map(|(rank, _)| *rank).fold(0.0, f64::max);
+    let all: f64 = ranks.iter().map(|(_, weight)| *weight).sum();
+    (rank(me) <= last).then_some(me.weight / all)
+}
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -29,7 +29,6 @@
     registry::Registry,
     returns::Returns,
     routes::RouteTable,
-    server_limit::PerSecond,
     servers::{Index, Outcome, ServerTable},
     settings::{Bounds, Settings},
     tally::Heard,
@@ -386,17 +385,6 @@
         }
     }
 
-    /// A server named a limit in an answer, or none; whether that is another one than before.
-    pub fn names_limit(&mut self, now: Time, index: Index, limit: Option<PerSecond>) -> bool {
-        let Some(entry) = self.servers.get_mut(index) else { return false };
-        let new = entry.limited.hear(now, limit);
-        if new {
-            self.urgent = true;
-            self.pick_limited(now);
-        }
-        new
-    }
-
     /// A server said in an answer that it is about to leave; whether that is new.
     pub fn says_leaving(&mut self, now: Time, index: Index) -> bool {
         let start = self.servers.get(index).map(|entry| entry.start());
@@ -420,11 +408,6 @@
         entry.rest(now, (rest.as_micros() as f64 * spread) as u64)
     }
 
-    /// Servers whose limit this host knows of.
-    pub fn limited_servers(&self) -> usize {
-        self.servers.all().filter(|(_, entry)| entry.limited.limit().is_some()).count()
-    }
-
     /// A server works on a request of a key; whether it was taken to know it.
     ///
     /// It counts as knowing it from then on, so that the key's next requests, from
