--- a/elmstream_soak/src/backend.rs
+++ b/elmstream_soak/src/backend.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    listen, workspaces,
+    listen, needy, workspaces,
     world::{ServerMode, World},
 };
 
@@ -35,8 +35,14 @@
     let Some(mode) = known else {
         return Ok(status(StatusCode::MISDIRECTED_REQUEST));
     };
-    if mode == ServerMode::Full {
+    if matches!(mode, ServerMode::Resting | ServerMode::Leaving | ServerMode::Limited) {
+        world.arrivals.add(&server, world.now());
+    }
+    if matches!(mode, ServerMode::Full | ServerMode::Resting) {
         let mut refusal = status(StatusCode::SERVICE_UNAVAILABLE);
+        if mode == ServerMode::Resting {
+            needy::turn_away(&mut refusal);
+        }
         refusal.headers_mut().insert("elmstream-not-run", http::HeaderValue::from_static("1"));
         return Ok(refusal);
     }
@@ -62,6 +68,7 @@
             response
                 .headers_mut()
                 .insert("elmstream-signature", http::HeaderValue::from_static("s"));
+            needy::say(mode, &mut response);
             Ok(response)
         }
     }
--- a/elmstream_soak/src/faults.rs
+++ b/elmstream_soak/src/faults.rs
@@ -37,6 +37,12 @@
     Server(usize, ServerMode),
     /// A backend server leaves, and another one comes.
     Replace(usize),
+    /// The same, but the server says so in its answers only.
+    Leave(usize),
+    /// A backend server turns requests away and asks for rest.
+    Rest(usize),
+    /// A backend server names a limit.
+    Need(usize),
     /// The configuration changes.
     Configure,
 }
@@ -90,6 +96,7 @@
         }
         at += random.random_range(100..1_500);
     }
+    series::says(seed, millis, servers, &mut events);
     events.retain(|event| event.at + CALM < millis);
     events.sort_by_key(|event| event.at);
     events
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod host;
 pub mod ledger;
 pub mod listen;
+pub mod needy;
 pub mod process;
 pub mod remote;
 pub mod series;
--- a/elmstream_soak/src/series.rs
+++ b/elmstream_soak/src/series.rs
@@ -1,7 +1,7 @@
 //! Planned work in series, and silences of the store: each is many events, so that
 //! those of several series fall between each other.
 
-use rand::{Rng, rngs::StdRng};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
     faults::{CALM, Event, Fault},
@@ -26,6 +26,11 @@
 /// to beyond all its time-outs.
 const SILENCE: std::ops::Range<u64> = 800..3_000;
 
+/// Time between two servers that say something of themselves, and how long one turns
+/// requests away, in milliseconds.
+const SAYS: std::ops::Range<u64> = 800..4_000;
+const RESTS: std::ops::Range<u64> = 1_000..4_000;
+
 /// Hosts are asked to stop, several at once, until each had its turn.
 pub fn roll(random: &mut StdRng, at: u64, hosts: usize, events: &mut Vec<Event>) {
     let gap = random.random_range(500..1_000);
@@ -80,3 +85,20 @@
     let at = at + lasts - 300 + random.random_range(0..600);
     events.push(Event { at, lasts: 0, fault: Fault::Configure });
 }
+
+/// Servers say of themselves that they leave, want rest or are in need, each alone and
+/// beside all else. These are drawn apart, so that a seed's other faults stay as they are.
+pub fn says(seed: u64, millis: u64, servers: usize, events: &mut Vec<Event>) {
+    let mut random = StdRng::seed_from_u64(!seed);
+    let mut at = CALM + random.random_range(0..SAYS.end);
+    while at + CALM < millis {
+        let server = random.random_range(0..servers);
+        let fault = match random.random_range(0..3) {
+            0 => Fault::Leave(server),
+            1 => Fault::Rest(server),
+            _ => Fault::Need(server),
+        };
+        events.push(Event { at, lasts: random.random_range(RESTS), fault });
+        at += random.random_range(SAYS);
+    }
+}
--- a/elmstream_soak/src/soak.rs
+++ b/elmstream_soak/src/soak.rs
@@ -70,6 +70,11 @@
         self.violations.is_empty() && served > 0
     }
 
+    /// Numbers of things seen.
+    pub fn counts(&self) -> &BTreeMap<&'static str, u64> {
+        &self.counts
+    }
+
     /// Broken promises.
     pub fn violations(&self) -> &[String] {
         &self.violations
--- a/elmstream_soak/src/strike.rs
+++ b/elmstream_soak/src/strike.rs
@@ -8,6 +8,7 @@
     aimed,
     callers::Hosts,
     faults::{Event, Fault},
+    needy,
     process::Process,
     world::{SHOP, ServerMode, StoreMode, World},
 };
@@ -81,6 +82,9 @@
             set(world, n, ServerMode::Well);
         }
         Fault::Replace(n) => replace(world, n, address).await,
+        Fault::Leave(n) => needy::leave(world, hosts, n, address).await,
+        Fault::Rest(n) => needy::rest(world, hosts, n, lasts).await,
+        Fault::Need(n) => needy::need(world, hosts, n).await,
         Fault::Configure => {
             let next = world.ledger.borrow().newest() + 1;
             // A store that is away acknowledges nothing.
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -17,7 +17,7 @@
     view::{Item, Key, Row},
 };
 
-use crate::{fragile, ledger::Ledger, trouble::Troubles, workspaces};
+use crate::{fragile, ledger::Ledger, needy::Arrivals, trouble::Troubles, workspaces};
 
 /// Services with which a configuration shows its version. A host that lags by as many
 /// versions would seem to be ahead; at one change each 350 ms that takes 22 s.
@@ -61,6 +61,12 @@
     Mixing,
     /// It refuses.
     Full,
+    /// It refuses, and asks for rest.
+    Resting,
+    /// It answers, and says that it is about to leave.
+    Leaving,
+    /// It answers, and names a limit.
+    Limited,
 }
 
 /// For how long copies of the store are kept, in milliseconds.
@@ -104,6 +110,8 @@
     pub away: RefCell<Option<String>>,
     /// How each backend server behaves.
     pub servers: RefCell<BTreeMap<String, ServerMode>>,
+    /// When requests came to servers that say something of themselves.
+    pub arrivals: Arrivals,
     /// What was seen.
     pub ledger: RefCell<Ledger>,
     /// When the soak itself was late, and for how long, in milliseconds.
@@ -129,6 +137,7 @@
             muted: Cell::default(),
             away: RefCell::default(),
             servers: RefCell::default(),
+            arrivals: Arrivals::default(),
             ledger: RefCell::default(),
             stalls: RefCell::default(),
             broken,
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -6,6 +6,7 @@
 use elmstream_soak::{
     faults::{self, Event, Fault},
     soak::{self, Options, Report},
+    world::StoreMode,
 };
 
 fn options(seed: u64, seconds: u64, broken: Option<&str>) -> Options {
@@ -64,6 +65,40 @@
     }
 }
 
+/// Servers say of themselves what they want, in their answers alone; nothing else happens.
+fn saying(broken: Option<&str>) -> Report {
+    let options = options(3, 16, broken);
+    let event = |at, lasts, fault| Event { at, lasts, fault };
+    let events = vec![
+        event(2_500, 0, Fault::Need(0)),
+        event(3_000, 3_500, Fault::Rest(1)),
+        event(4_000, 0, Fault::Leave(2)),
+        event(6_000, 3_000, Fault::Store(StoreMode::Down)),
+        event(6_500, 0, Fault::Leave(3)),
+    ];
+    let runtime = Runtime::new().expect("a runtime");
+    runtime.block_on(soak::run_events(&options, Duration::from_secs(16), events))
+}
+
+#[test]
+fn servers_get_what_they_ask_for() {
+    let report = saying(None);
+    assert!(report.passed(), "{report}");
+    for judged in ["rest judged", "limit judged", "leaving judged"] {
+        assert!(report.counts().contains_key(judged), "{judged}: {report}");
+    }
+}
+
+#[test]
+fn a_server_that_does_not_get_what_it_asks_for_is_noticed() {
+    for (broken, told) in
+        [("rest", "in its rest"), ("need", "are allowed"), ("leave", "requests more")]
+    {
+        let report = saying(Some(broken));
+        assert!(report.violations().iter().any(|text| text.contains(told)), "{broken}: {report}");
+    }
+}
+
 /// The third server ends in the first second; 6.5 s later all calm hosts must know.
 #[test]
 fn a_request_that_goes_on_ending_servers_is_noticed() {
