Take in what the head of a server's answer says though its body breaks off

A server that leaves may break off its last answers; what their heads said was dropped with them. Believed only if the head names this request.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -90,8 +90,8 @@
     NoTime,
     /// The whole answer.
     Whole(response::Parts, Bytes),
-    /// It was sent, and no whole answer came.
-    Broken,
+    /// It was sent, and no whole answer came; its head, if that did.
+    Broken(Option<Box<response::Parts>>),
 }
 
 impl Pool {
@@ -112,7 +112,7 @@
         let sent = clock::now();
         let mut waits = Unanswered { pool: self, id, sent, broken: false, answered: false };
         let exchange = self.exchange_over(connection, id, address, &request).await;
-        waits.broken = matches!(exchange, Exchange::Broken);
+        waits.broken = matches!(exchange, Exchange::Broken(_));
         waits.answered = matches!(exchange, Exchange::Whole(..));
         exchange
     }
@@ -132,7 +132,7 @@
                 // been closed while it rested.
                 return match error.take_message() {
                     Some(_) => self.exchange_anew(address, request).await,
-                    None => Exchange::Broken,
+                    None => Exchange::Broken(None),
                 };
             }
         };
@@ -149,7 +149,7 @@
         let Some(made) = request() else { return Exchange::NoTime };
         match connection.sender.try_send_request(made).await {
             Ok(answer) => self.read("", connection, answer).await,
-            Err(_) => Exchange::Broken,
+            Err(_) => Exchange::Broken(None),
         }
     }
 
@@ -161,7 +161,7 @@
     ) -> Exchange {
         let (parts, incoming) = answer.into_parts();
         let Ok(whole) = Limited::new(incoming, ANSWER_MAX).collect().await else {
-            return Exchange::Broken;
+            return Exchange::Broken(Some(Box::new(parts)));
         };
         if let Some(rest) = rest(&parts.headers) {
             connection.answered = clock::now();
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -164,7 +164,10 @@
         None => (Outcome::Silent, Try::Unknown),
         Some(Exchange::NoConnection) => (Outcome::NoConnection, Try::NotRun),
         Some(Exchange::NoTime) => (Outcome::NotSent, Try::NotRun),
-        Some(Exchange::Broken) => {
+        Some(Exchange::Broken(head)) => {
+            if let Some(head) = head.filter(|head| echoes(edge, call, head)) {
+                Hints::read(&edge.settings.headers, &head).take(edge, index);
+            }
             let server = Suspected { id: id.clone(), address, start };
             match harm::ended(edge, call, server, generations).await {
                 true => (Outcome::Ended, Try::Unknown),
@@ -209,6 +212,11 @@
     Some(request)
 }
 
+/// Whether an answer names the request that it is for, and that is this one.
+fn echoes(edge: &Edge, call: &Call, head: &response::Parts) -> bool {
+    headers::text(&head.headers, &edge.settings.headers.request_id) == Some(call.id.as_str())
+}
+
 /// What a whole answer means; one that is not the request's is none.
 ///
 /// No outcome is told if the request was answered.
--- a/elmstream_edge/tests/backend.rs
+++ b/elmstream_edge/tests/backend.rs
@@ -70,7 +70,7 @@
         let began = Instant::now();
         let exchange = pool.exchange(ID, address, || Some(request("/", LARGE)));
         let exchange = compio::time::timeout(Duration::from_secs(6), exchange).await;
-        assert!(matches!(exchange, Ok(Exchange::Broken)), "{exchange:?}");
+        assert!(matches!(exchange, Ok(Exchange::Broken(_))), "{exchange:?}");
         assert!(began.elapsed() >= SILENCE, "after {:?}", began.elapsed());
     });
 }
@@ -81,7 +81,7 @@
         let pool = Pool::default();
         let (address, got) = warm(&pool).await;
         let cut = pool.exchange(ID, address, || Some(request("/cut", 0))).await;
-        assert!(matches!(cut, Exchange::Broken), "{cut:?}");
+        assert!(matches!(cut, Exchange::Broken(_)), "{cut:?}");
         let next = pool.exchange(ID, address, || Some(request("/", 0))).await;
         assert!(matches!(next, Exchange::Whole(..)), "{next:?}");
         assert_eq!(got.connections.get(), RESTING + 1);
--- a/elmstream_edge/tests/server_says.rs
+++ b/elmstream_edge/tests/server_says.rs
@@ -131,6 +131,23 @@
     });
 }
 
+/// A server that leaves may break its last answers off.
+#[test]
+fn what_the_head_of_an_answer_says_holds_though_its_body_breaks_off() {
+    run(async || {
+        let (leaving, arrivals) = watched(|head| {
+            let answer = with(head, "elmstream-server-leaving: 1");
+            let cut = answer.len() - 1;
+            [&answer[..cut], support::CLOSE].concat()
+        })
+        .await;
+        // There is no other server to go to.
+        let (_store, host) = serving(Repeat::Safe, &[leaving]).await;
+        press(&[host], Duration::from_millis(800), "h").await;
+        assert_eq!(arrivals.borrow().len(), 1);
+    });
+}
+
 /// What users saw: while six servers turned all requests away for nine seconds, about as
 /// many as before went to them; one lookup in ten was refused and one in ten late.
 ///
