Limits of servers: a property over all sizes, a variant that is noticed; explain names the cause

Senders of fleets of 1 to 2,900 hosts, limits of 0 to 500 a second, any load: no more than is allowed. Hosts that never hear each other exceed it, and the judge says so.

--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -82,6 +82,9 @@
         let load = &fields["load_percent"];
         told.push(format!("  {servers} servers weighed, {load}% of their slots occupied"));
     }
+    if let Some(spared) = fields["spared"].as_u64().filter(|spared| *spared > 0) {
+        told.push(format!("  {spared} servers left out for their rest or their limit"));
+    }
     for tried in fields["tried"].as_array().into_iter().flatten() {
         told.push(format!(
             "  sent to {}: {} after {} ms, {} requests there",
@@ -112,6 +115,10 @@
         ("refused", _) if fields["reason"] == "NoServer" => {
             "no server of the service may be used: all are gone, leaving, evacuated or unreachable"
         }
+        ("refused", _) if fields["reason"] == "Spared" => {
+            "each server that may take it asked this host for rest, or named a limit of which \
+             this host's part is used up"
+        }
         ("refused", _) => {
             "at each server that may take it the wait would have outlasted the route's objective"
         }
--- a/elmctl/tests/explain.rs
+++ b/elmctl/tests/explain.rs
@@ -40,6 +40,18 @@
     assert!(explain(LOG.lines(), "a9").is_none());
 }
 
+#[test]
+fn a_refusal_to_spare_servers_names_what_they_asked_for() {
+    let log = r#"{"unix_ms":151000,"event":"server_rests","server":"i-1","for_ms":3000}
+{"unix_ms":151500,"event":"server_limit","server":"i-2","per_s":2.5,"from":"host-2"}
+{"unix_ms":152000,"event":"refused","id":"s1","code":1102,"reason":"Spared","status":503,"took_ms":0,"servers":0,"spared":2,"load_percent":0,"route":"r","service":"s","version":3,"stale_ms":90}"#;
+    let told = explain(log.lines(), "s1").expect("it is known").join("\n");
+    assert!(told.contains("asked this host for rest"), "{told}");
+    assert!(told.contains("2 servers left out for their rest or their limit"), "{told}");
+    assert!(told.contains("-1.0 s server_rests"), "{told}");
+    assert!(told.contains("-0.5 s server_limit"), "{told}");
+}
+
 const WORKSPACES: &str = r#"
 {"unix_ms":152000,"event":"denied","id":"d1","code":1004,"route":"r","status":401,"version":3,"stale_ms":90}
 {"unix_ms":152000,"event":"denied","id":"d2","code":1118,"route":"r","status":503,"version":3,"stale_ms":2900}
--- a/elmstream_steer/src/server_limit.rs
+++ b/elmstream_steer/src/server_limit.rs
@@ -100,6 +100,11 @@
         self.limit.is_none() || self.next().is_some_and(|next| now >= next)
     }
 
+    /// Time between two requests of this host, in microseconds; none if it is no sender.
+    pub fn spacing(&self) -> Option<u64> {
+        self.spacing
+    }
+
     /// When this host may send its next request; none if it may send none.
     pub fn next(&self) -> Option<Time> {
         Some(self.last + self.spacing?)
--- a/elmstream_steer/tests/server_limits.rs
+++ b/elmstream_steer/tests/server_limits.rs
@@ -4,13 +4,15 @@
 mod needy;
 mod support;
 
+use elmstream::time::MILLI;
 use elmstream_steer::{
     Choice, hash,
     model::Repeat,
-    server_limit::{PerSecond, senders},
+    server_limit::{Candidate, Limited, PerSecond, senders, weight},
     servers::Outcome,
 };
-use needy::{CONTACT, Need, World};
+use needy::{CONTACT, Need, OVERSHOOT, SLACK, WINDOW, World};
+use quickcheck::{QuickCheck, TestResult};
 use support::{DOMAINS, beats, ms, ready, route, send, server};
 
 /// Callers' requests a second for each server, when none is in need.
@@ -207,6 +209,53 @@
     assert!(refused > 0);
 }
 
+/// What all hosts that know the same of each other send at most in a window, whatever they
+/// are asked: each its part of it, and one request that it had saved up.
+fn most(limit: f64, asked: &[u32]) -> f64 {
+    let highest = asked.iter().copied().max().unwrap_or(0);
+    let among: Vec<Candidate> = asked
+        .iter()
+        .enumerate()
+        .map(|(n, asked)| Candidate {
+            place: hash::pair(11, n as u64),
+            weight: weight(*asked, highest, n % 3 == 0),
+        })
+        .collect();
+    let sent = among.iter().filter_map(|host| {
+        let mut limited = Limited::default();
+        limited.hear(ms(0), PerSecond::parse(&limit.to_string()));
+        limited.pick(ms(0), host.place, &among, 99, 1.0);
+        limited.spacing().map(|spacing| 1.0 + WINDOW as f64 * MILLI as f64 / spacing as f64)
+    });
+    sent.sum()
+}
+
+#[test]
+fn senders_of_fleets_of_any_size_and_load_send_no_more_than_is_allowed() {
+    fn check(limit: u32, hosts: u16, asked: Vec<u32>) -> TestResult {
+        let limit = f64::from(limit % 50_000) / 100.0;
+        let hosts = 1 + usize::from(hosts) % 2_900;
+        let asked: Vec<u32> = (0..hosts)
+            .map(|n| asked.get(n % asked.len().max(1)).map_or(0, |a| a % 9_000))
+            .collect();
+        let allowed = limit * WINDOW as f64 / 1_000.0 * OVERSHOOT + SLACK;
+        let most = most(limit, &asked);
+        TestResult::from_bool(most > 0.0 && most <= allowed)
+    }
+    QuickCheck::new().tests(60).quickcheck(check as fn(u32, u16, Vec<u32>) -> TestResult);
+}
+
+/// Hosts that never hear each other take the whole limit each.
+#[test]
+fn hosts_that_each_keep_to_a_limit_by_themselves_are_noticed() {
+    let mut world = World::new(12, 3, 5);
+    world.part = (0..12).collect();
+    world.needs.push(need("s-a1-0", 4.0, FROM, 40_000));
+    // Until those that were named and never heard are given up.
+    world.run(40_000, USUAL * 12.0);
+    assert!(world.beyond() > 0.0, "{}", world.beyond());
+}
+
 #[test]
 fn only_numbers_of_requests_are_limits() {
     for text in ["", "-1", "NaN", "inf", "2 a second", "1e400"] {
