Forget a server's word that it leaves by its age, not by when it was last heard

Hosts that tell each other all the time kept each other's knowledge of a leaving server young, so one that stayed after all would never have been used again. The word goes with its age, rounded up. Found on rereading; the test failed before.

--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     harm::Ending,
+    leaving::LeavingTold,
     server_limit::LimitTold,
     settings::Host,
     tally::{Report, Spread, Verdict},
@@ -106,8 +107,8 @@
     pub endings: Vec<Ending>,
     /// Limits that servers named to the sender, or no longer do.
     pub limits: Vec<LimitTold>,
-    /// Starts of servers that said in answers that they are about to leave, by their hashes.
-    pub leaving_servers: Vec<u64>,
+    /// Starts of servers that said in answers that they are about to leave.
+    pub leaving_servers: Vec<LeavingTold>,
 }
 
 /// A datagram between hosts.
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -91,7 +91,7 @@
             fleet: self.may_run(now) as u32,
             endings: self.harms.tell(now),
             limits: self.limits_told(now),
-            leaving_servers: self.leavings_told(),
+            leaving_servers: self.leavings_told(now),
         }
     }
 
@@ -184,7 +184,7 @@
         let refused = self.hear_endings(now, &beat.endings);
         let limits = self.hear_limits(now, &beat.limits);
         let leaving = &beat.leaving_servers;
-        let leaving = leaving.iter().filter_map(|start| self.learn_leaving(now, *start)).collect();
+        let leaving = leaving.iter().filter_map(|told| self.hear_leaving(now, *told)).collect();
         Some(News { joined: heard.joined, wanted, refused, limits, leaving })
     }
 
@@ -324,7 +324,7 @@
         self.pick_limited(now);
         self.divide(now);
         self.view.forget(now);
-        self.leavings.expire(now);
+        self.forget_leavings(now);
         self.forget_limits(now);
         let mut changes = self.end_holds(now);
         let lapsed =
--- a/elmstream_steer/src/leaving.rs
+++ b/elmstream_steer/src/leaving.rs
@@ -7,6 +7,7 @@
 
 use elmstream::time::{SECOND, Time};
 use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
 
 use crate::steer::Steer;
 
@@ -16,7 +17,17 @@
 /// Leaving servers that one beat tells at most; in a beat with more, others the next time.
 const TOLD: usize = 24;
 
-/// Starts that leave, by their hashes, and when that was learned.
+/// A start that leaves, as hosts tell it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavingTold {
+    /// Hash of the start.
+    pub start: u64,
+    /// Time since it said so, in seconds; rounded up, or what hosts tell each other in
+    /// circles would never grow old.
+    pub age_s: u16,
+}
+
+/// Starts that leave, by their hashes, and when they said so.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Leavings(FxHashMap<u64, Time>);
 
@@ -30,30 +41,48 @@
     pub fn forget(&mut self, start: u64) {
         self.0.remove(&start);
     }
-
-    /// Forgets what is long past.
-    pub fn expire(&mut self, now: Time) {
-        self.0.retain(|_, learned| now.since(*learned) < REMEMBERED);
-    }
 }
 
 impl Steer {
-    /// A start of a server is about to leave; its id if that is new and it is known.
-    pub(crate) fn learn_leaving(&mut self, now: Time, start: u64) -> Option<String> {
-        if self.leavings.0.insert(start, now).is_some() {
+    /// Another host told of a start that leaves; the server's id if that is new.
+    pub(crate) fn hear_leaving(&mut self, now: Time, told: LeavingTold) -> Option<String> {
+        let age = u64::from(told.age_s) * SECOND;
+        let fresh = age < REMEMBERED;
+        fresh.then(|| self.learn_leaving(Time(now.0.saturating_sub(age)), told.start))?
+    }
+
+    /// A start of a server said that it is about to leave; its id if that is new and it is
+    /// known.
+    pub(crate) fn learn_leaving(&mut self, said: Time, start: u64) -> Option<String> {
+        if self.leavings.knows(start) {
             return None;
         }
+        self.leavings.0.insert(start, said);
         self.urgent = true;
         let entry = self.servers.all_mut().find(|entry| entry.start() == start)?;
         entry.leaving = true;
         Some(entry.id.clone())
     }
 
+    /// Forgets what is long past.
+    pub(crate) fn forget_leavings(&mut self, now: Time) {
+        self.leavings.0.retain(|_, said| now.since(*said) < REMEMBERED);
+        let leavings = &self.leavings;
+        for entry in self.servers.all_mut().filter(|entry| entry.leaving) {
+            entry.leaving = leavings.knows(entry.start());
+        }
+    }
+
     /// Starts that the other hosts have to know to leave; the store tells of those whose
     /// entries say so.
-    pub(crate) fn leavings_told(&self) -> Vec<u64> {
+    pub(crate) fn leavings_told(&self, now: Time) -> Vec<LeavingTold> {
         let told = self.servers.all().filter(|(_, entry)| entry.leaving && !entry.server.draining);
-        let mut told: Vec<u64> = told.map(|(_, entry)| entry.start()).collect();
+        let told = told.filter_map(|(_, entry)| {
+            let (start, said) = (entry.start(), self.leavings.0.get(&entry.start())?);
+            let age_s = now.since(*said).div_ceil(SECOND) as u16;
+            Some(LeavingTold { start, age_s })
+        });
+        let mut told: Vec<LeavingTold> = told.collect();
         if told.len() > TOLD {
             let begin = self.number as usize * TOLD % told.len();
             told.rotate_left(begin);
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod hearing;
 mod kept;
 pub mod key;
-mod leaving;
+pub mod leaving;
 mod limiting;
 pub mod lookup;
 pub mod members;
--- a/elmstream_steer/tests/leaving.rs
+++ b/elmstream_steer/tests/leaving.rs
@@ -81,3 +81,19 @@
     host.read(ms(9_000), Table::Servers, vec![gone(Key::Server("s".into()), 20)]);
     assert!(host.servers().find("s").is_none());
 }
+
+/// A server that said so and stayed, and whose entry never changed, is tried again after an
+/// hour, though hosts tell each other all the time.
+#[test]
+fn a_word_is_forgotten_by_a_fleet_whose_hosts_tell_each_other() {
+    let mut fleet: Vec<Steer> = (0..3).map(|n| ready(n, ms(0), two())).collect();
+    leaves(&mut fleet[0], 1_000, "s");
+    for at in (1..3_500).step_by(10) {
+        beats(ms(at * 1_000), &mut fleet, |_, _| true);
+    }
+    assert!((0..3).all(|n| !used(&mut fleet[n], 3_500_000, "s")));
+    for at in (3_500..3_800).step_by(10) {
+        beats(ms(at * 1_000), &mut fleet, |_, _| true);
+    }
+    assert!((0..3).all(|n| used(&mut fleet[n], 3_800_000, "s")));
+}
