Hosts know what their first reading does not show; an evacuation written again counts

Two tests that were known red.

What goes between the first readings of two hosts: a whole reading shows nothing of what went before it, so a host told others from a version on from which it lacked removals, and two hosts with the same version had other servers. Now each table has a floor, from which on its removals are known, and a version up to which nothing is missing. Who asks below the floor is told the keys that are there as well; hosts with the same version and other keys ask. What is forgotten after 60 s raises the floor too, which was the same gap for a host cut off that long. The digest and the floor cost 9 to 11 bytes for each table in a beat (encoding, not measured on a link).

An evacuation asked for again around the store's return: a host that started after the return took the row that was written again for nothing new, as its content was that of the copy, and so did not tell it to those who held on against the copy. An evacuation that is written again matters now. Tried before and taken out: hosts that infer from servers' entries what was written since the return. It held, and did not mend it, as the cause was the one above.

Before: both tests fail. A fetch's offers now carry all that a beat says of a table, in place of two numbers; the tests of fetches were changed for that, not in what they check.

--- a/elmstream_edge/src/fetch.rs
+++ b/elmstream_edge/src/fetch.rs
@@ -6,7 +6,7 @@
 
 use elmstream::time::Time;
 use elmstream_http::{body, client};
-use elmstream_steer::{beat::Known, hash, version::StoreVersion, view::Table};
+use elmstream_steer::{beat::Known, hash, telling::Asked, version::StoreVersion, view::Table};
 use elmstreamd::{clock, waits};
 use http::{Request, StatusCode};
 use http_body_util::BodyExt;
@@ -38,8 +38,7 @@
 
     /// A host's beat shows that it knows news of a table.
     pub(crate) fn offer(&self, table: Table, host: SocketAddr, known: &Known) {
-        let news = (known.version, known.held);
-        self.fetches.borrow_mut().offer(clock::now(), table, host, news);
+        self.fetches.borrow_mut().offer(clock::now(), table, host, known);
         self.go_on(table);
     }
 
@@ -47,15 +46,13 @@
     fn go_on(&self, table: Table) {
         loop {
             let steer = self.edge.steer.borrow();
-            let mark = steer.view().mark(table);
-            let known = mark.fresh.map(|_| mark.version);
-            let lacks = |held| steer.lacks_held(table, held);
-            let next = self.fetches.borrow_mut().next(clock::now(), table, known, lacks);
+            let asks = steer.asks(table);
+            let wants = |known: &Known| steer.wants(table, known);
+            let next = self.fetches.borrow_mut().next(clock::now(), table, wants);
             drop(steer);
             let Some(host) = next else { return };
             let asking = self.clone();
-            compio::runtime::spawn(async move { asking.ask(host, table, mark.version).await })
-                .detach();
+            compio::runtime::spawn(async move { asking.ask(host, table, asks).await }).detach();
             self.go_on_at(table, clock::now() + HEDGE);
         }
     }
@@ -71,8 +68,8 @@
         .detach();
     }
 
-    async fn ask(&self, host: SocketAddr, table: Table, after: StoreVersion) {
-        let fetched = fetch(&self.edge, host, table, after).await;
+    async fn ask(&self, host: SocketAddr, table: Table, asks: Asked) {
+        let fetched = fetch(&self.edge, host, table, asks).await;
         let end = match &fetched {
             Ok(()) => End::Told,
             Err(error) if error.kind() == io::ErrorKind::ResourceBusy => End::Refused,
@@ -94,13 +91,8 @@
 }
 
 /// Fetches the rows of a table after a version, and the addresses of hosts.
-async fn fetch(
-    edge: &Edge,
-    address: SocketAddr,
-    table: Table,
-    after: StoreVersion,
-) -> io::Result<()> {
-    let fetched = waits::within_next(FETCH, get(address, table, after)).await;
+async fn fetch(edge: &Edge, address: SocketAddr, table: Table, asks: Asked) -> io::Result<()> {
+    let fetched = waits::within_next(FETCH, get(address, table, asks)).await;
     let fetched = fetched.ok_or(io::ErrorKind::TimedOut)??;
     let now = clock::now();
     let changes = {
@@ -123,10 +115,11 @@
     Ok(())
 }
 
-async fn get(address: SocketAddr, table: Table, after: StoreVersion) -> io::Result<Rows> {
+async fn get(address: SocketAddr, table: Table, asks: Asked) -> io::Result<Rows> {
     let mut sender = client::connect_bounded(address, FETCH, FETCH).await?;
-    let StoreVersion { era, count } = after;
-    let uri = format!("{ROWS}?table={}&era={era}&after={count}", table as usize);
+    let Asked { after: StoreVersion { era, count }, complete } = asks;
+    let complete = format!("complete_era={}&complete={}", complete.era, complete.count);
+    let uri = format!("{ROWS}?table={}&era={era}&after={count}&{complete}", table as usize);
     let request = Request::builder().uri(uri).header("host", address.to_string());
     let request = request.body(body::empty()).map_err(io::Error::other)?;
     let response = sender.send_request(request).await.map_err(io::Error::other)?;
--- a/elmstream_edge/src/fetches.rs
+++ b/elmstream_edge/src/fetches.rs
@@ -10,7 +10,7 @@
 };
 
 use elmstream::time::{MILLI, SECOND, Time};
-use elmstream_steer::{hash, version::StoreVersion, view::Table};
+use elmstream_steer::{beat::Known, hash, view::Table};
 
 /// Time after which a further host is asked while a fetch goes on, in microseconds: a
 /// connection and an answer between regions 70 ms apart take about as long.
@@ -60,9 +60,8 @@
 /// News that a host's beat showed.
 #[derive(Clone, Copy, Debug)]
 struct Offer {
-    version: StoreVersion,
-    /// Names what holds on there from an earlier era of the store; 0 for nothing.
-    held: u32,
+    /// How far the host knows the table.
+    known: Known,
     heard: Time,
     not_before: Time,
 }
@@ -96,20 +95,15 @@
         Fetches { seed, ..Fetches::default() }
     }
 
-    /// A beat shows that a host knows a table up to a version, and what holds on there
-    /// from an earlier era of the store.
-    pub fn offer(
-        &mut self,
-        now: Time,
-        table: Table,
-        host: SocketAddr,
-        (version, held): (StoreVersion, u32),
-    ) {
+    /// A beat shows how far a host knows a table.
+    pub fn offer(&mut self, now: Time, table: Table, host: SocketAddr, known: &Known) {
         let offers = &mut self.desks[table as usize].offers;
-        let new = Offer { version, held, heard: now, not_before: now };
+        let new = Offer { known: *known, heard: now, not_before: now };
         let offer = offers.entry(host).or_insert(new);
-        offer.version = offer.version.max(version);
-        offer.held = held;
+        // Beats may come in another order than they were sent.
+        if known.version >= offer.known.version {
+            offer.known = *known;
+        }
         offer.heard = now;
         if offers.len() > OFFERS {
             let oldest = offers.iter().min_by_key(|(_, offer)| offer.heard);
@@ -120,21 +114,16 @@
 
     /// The host to ask for a table now, if any; it counts as being asked.
     ///
-    /// `known` is the version that is known here, none if nothing is; `lacks` says whether
-    /// what holds on at another host was not told here.
+    /// `wants` says whether what another host knows is news here.
     pub fn next(
         &mut self,
         now: Time,
         table: Table,
-        known: Option<StoreVersion>,
-        lacks: impl Fn(u32) -> bool,
+        wants: impl Fn(&Known) -> bool,
     ) -> Option<SocketAddr> {
         self.failed.retain(|_, at| now.since(*at) < FORGET);
         let desk = &mut self.desks[table as usize];
-        desk.offers.retain(|_, offer| {
-            let news = known.is_none_or(|known| offer.version > known) || lacks(offer.held);
-            now.since(offer.heard) < OFFER && news
-        });
+        desk.offers.retain(|_, offer| now.since(offer.heard) < OFFER && wants(&offer.known));
         let host = match desk.trusted(now, &self.failed) {
             Some(host) => host,
             None => desk.doubted(now, &self.failed)?,
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -13,7 +13,7 @@
     beat::{Beat, Known, Message},
     harm::Ending,
     members,
-    telling::TableRows,
+    telling::{Asked, TableRows},
     version::StoreVersion,
     view::TABLES,
 };
@@ -191,8 +191,12 @@
         pairs.find(|(key, _)| *key == name).and_then(|(_, value)| value.parse::<u64>().ok())
     };
     let table = field("table").and_then(|number| TABLES.get(number as usize).copied());
-    let after = field("era").zip(field("after"));
-    let after = after.map(|(era, count)| StoreVersion::new(era, count));
+    let version = |era, count| {
+        let (era, count) = field(era).zip(field(count))?;
+        Some(StoreVersion::new(era, count))
+    };
+    let after = version("era", "after");
+    let complete = version("complete_era", "complete").or(after).unwrap_or_default();
     let (ROWS, Some(table), Some(after)) = (request.uri().path(), table, after) else {
         return Ok(empty(StatusCode::NOT_FOUND));
     };
@@ -209,7 +213,7 @@
         let mut hosts = hosts_told(&steer, all_hosts);
         hosts.push(edge.settings.host.peers);
         let endings = if starts { steer.harms().all() } else { Vec::new() };
-        let table = steer.tell_rows(clock::now(), table, after);
+        let table = steer.tell_rows(clock::now(), table, Asked { after, complete });
         Rows { table, hosts, all_hosts, endings }
     };
     let bytes = postcard::to_allocvec(&rows).unwrap_or_default();
--- a/elmstream_edge/tests/fetches.rs
+++ b/elmstream_edge/tests/fetches.rs
@@ -5,6 +5,7 @@
 use elmstream::time::{MILLI, SECOND, Time};
 use elmstream_edge::fetches::{AGAIN, AGAIN_SPREAD, AT_ONCE, End, Fetches, HEDGE, HOLD_BACK};
 use elmstream_steer::{
+    beat::Known,
     version::StoreVersion,
     view::Table::{self, Rules, Servers},
 };
@@ -13,8 +14,14 @@
 /// Time after which a fetch from a mute host is given up.
 const FETCH: u64 = 700 * MILLI;
 
-fn at(count: u64) -> StoreVersion {
-    StoreVersion::new(0, count)
+/// A host that knows a table up to a version.
+fn knows(count: u64) -> Known {
+    Known { version: StoreVersion::new(0, count), ..Known::default() }
+}
+
+/// What is news to a host that knows a table up to a version.
+fn newer_than(count: u64) -> impl Fn(&Known) -> bool {
+    move |known| known.version > StoreVersion::new(0, count)
 }
 
 fn host(number: u8) -> SocketAddr {
@@ -28,14 +35,14 @@
 /// Hosts whose beats have just come, each a moment after the one before.
 fn offers(fetches: &mut Fetches, now: Time, hosts: impl IntoIterator<Item = u8>) {
     for (moment, number) in hosts.into_iter().enumerate() {
-        fetches.offer(now + moment as u64, Rules, host(number), (at(2), 0));
+        fetches.offer(now + moment as u64, Rules, host(number), &knows(2));
     }
 }
 
 /// A host whose fetch has just failed.
 fn fail(fetches: &mut Fetches, now: Time, number: u8) {
-    fetches.offer(now, Rules, host(number), (at(2), 0));
-    assert_eq!(fetches.next(now, Rules, Some(at(1)), |_| false), Some(host(number)));
+    fetches.offer(now, Rules, host(number), &knows(2));
+    assert_eq!(fetches.next(now, Rules, newer_than(1)), Some(host(number)));
     fetches.ended(now, Rules, host(number), End::Failed);
 }
 
@@ -52,7 +59,7 @@
         if step % 5 == 0 {
             offers(fetches, now, [sound].into_iter().chain(0..mute));
         }
-        while let Some(asked) = fetches.next(now, Rules, Some(at(1)), |_| false) {
+        while let Some(asked) = fetches.next(now, Rules, newer_than(1)) {
             if asked == host(sound) {
                 fetches.ended(now, Rules, asked, End::Told);
                 return now.since(from);
@@ -68,8 +75,8 @@
     let mut fetches = fetches();
     offers(&mut fetches, START, [1, 2, 3]);
     let now = START + 10;
-    assert_eq!(fetches.next(now, Rules, Some(at(1)), |_| false), Some(host(3)));
-    assert_eq!(fetches.next(now, Rules, Some(at(1)), |_| false), None, "one is enough at first");
+    assert_eq!(fetches.next(now, Rules, newer_than(1)), Some(host(3)));
+    assert_eq!(fetches.next(now, Rules, newer_than(1)), None, "one is enough at first");
 }
 
 #[test]
@@ -79,8 +86,8 @@
     let mut asked = 0;
     for turn in 0..10 {
         let now = START + 10 + turn * HEDGE;
-        asked += usize::from(fetches.next(now, Rules, Some(at(1)), |_| false).is_some());
-        assert_eq!(fetches.next(now, Rules, Some(at(1)), |_| false), None);
+        asked += usize::from(fetches.next(now, Rules, newer_than(1)).is_some());
+        assert_eq!(fetches.next(now, Rules, newer_than(1)), None);
     }
     assert_eq!(asked, AT_ONCE);
 }
@@ -89,42 +96,42 @@
 fn tables_are_fetched_beside_each_other() {
     let mut fetches = fetches();
     for table in [Rules, Servers] {
-        fetches.offer(START, table, host(1), (at(2), 0));
+        fetches.offer(START, table, host(1), &knows(2));
     }
-    assert_eq!(fetches.next(START, Rules, Some(at(1)), |_| false), Some(host(1)));
-    assert_eq!(fetches.next(START, Servers, Some(at(1)), |_| false), Some(host(1)));
+    assert_eq!(fetches.next(START, Rules, newer_than(1)), Some(host(1)));
+    assert_eq!(fetches.next(START, Servers, newer_than(1)), Some(host(1)));
 }
 
 #[test]
 fn what_is_known_meanwhile_is_not_asked_for() {
     let mut fetches = fetches();
     offers(&mut fetches, START, [1, 2]);
-    assert_eq!(fetches.next(START + 10, Rules, Some(at(2)), |_| false), None);
+    assert_eq!(fetches.next(START + 10, Rules, newer_than(2)), None);
 }
 
 #[test]
 fn one_that_knows_nothing_asks_whatever_the_version() {
     let mut fetches = fetches();
-    fetches.offer(START, Rules, host(1), (at(0), 0));
-    assert_eq!(fetches.next(START, Rules, None, |_| false), Some(host(1)));
+    fetches.offer(START, Rules, host(1), &knows(0));
+    assert_eq!(fetches.next(START, Rules, |_| true), Some(host(1)));
 }
 
 #[test]
 fn an_old_offer_is_not_taken() {
     let mut fetches = fetches();
     offers(&mut fetches, START, [1]);
-    assert_eq!(fetches.next(START + 3 * SECOND, Rules, Some(at(1)), |_| false), None);
+    assert_eq!(fetches.next(START + 3 * SECOND, Rules, newer_than(1)), None);
 }
 
 #[test]
 fn a_host_that_told_is_asked_again_only_after_its_next_beat() {
     let mut fetches = fetches();
     offers(&mut fetches, START, [1]);
-    assert_eq!(fetches.next(START, Rules, Some(at(1)), |_| false), Some(host(1)));
+    assert_eq!(fetches.next(START, Rules, newer_than(1)), Some(host(1)));
     fetches.ended(START, Rules, host(1), End::Told);
-    assert_eq!(fetches.next(START + SECOND, Rules, Some(at(1)), |_| false), None);
+    assert_eq!(fetches.next(START + SECOND, Rules, newer_than(1)), None);
     offers(&mut fetches, START + SECOND, [1]);
-    assert_eq!(fetches.next(START + SECOND, Rules, Some(at(1)), |_| false), Some(host(1)));
+    assert_eq!(fetches.next(START + SECOND, Rules, newer_than(1)), Some(host(1)));
 }
 
 #[test]
@@ -132,13 +139,13 @@
     let mut fetches = fetches();
     offers(&mut fetches, START, [1, 2]);
     let now = START + 10;
-    assert_eq!(fetches.next(now, Rules, Some(at(1)), |_| false), Some(host(2)));
+    assert_eq!(fetches.next(now, Rules, newer_than(1)), Some(host(2)));
     let again = fetches.ended(now, Rules, host(2), End::Refused);
     assert!(again.since(now) >= AGAIN && again.since(now) < AGAIN + AGAIN_SPREAD);
-    assert_eq!(fetches.next(now, Rules, Some(at(1)), |_| false), Some(host(1)));
+    assert_eq!(fetches.next(now, Rules, newer_than(1)), Some(host(1)));
     fetches.ended(now, Rules, host(1), End::Refused);
-    assert_eq!(fetches.next(now, Rules, Some(at(1)), |_| false), None);
-    assert!(fetches.next(now + AGAIN + AGAIN_SPREAD, Rules, Some(at(1)), |_| false).is_some());
+    assert_eq!(fetches.next(now, Rules, newer_than(1)), None);
+    assert!(fetches.next(now + AGAIN + AGAIN_SPREAD, Rules, newer_than(1)).is_some());
 }
 
 #[test]
@@ -146,7 +153,7 @@
     let again = |seed| {
         let mut fetches = Fetches::new(seed);
         offers(&mut fetches, START, [1]);
-        fetches.next(START, Rules, Some(at(1)), |_| false);
+        fetches.next(START, Rules, newer_than(1));
         fetches.ended(START, Rules, host(1), End::Refused)
     };
     let mut times: Vec<Time> = (0..100).map(again).collect();
@@ -162,7 +169,7 @@
     for turn in 1..40 {
         let now = START + turn * 100 * MILLI;
         offers(&mut fetches, now, [2, 1]);
-        if let Some(asked) = fetches.next(now, Rules, Some(at(1)), |_| false) {
+        if let Some(asked) = fetches.next(now, Rules, newer_than(1)) {
             assert_eq!(asked, host(2));
             fetches.ended(now, Rules, asked, End::Refused);
         }
@@ -174,7 +181,7 @@
     let mut fetches = fetches();
     fail(&mut fetches, START, 1);
     let now = START + AGAIN + AGAIN_SPREAD;
-    assert_eq!(fetches.next(now, Rules, Some(at(1)), |_| false), Some(host(1)));
+    assert_eq!(fetches.next(now, Rules, newer_than(1)), Some(host(1)));
 }
 
 #[test]
@@ -183,9 +190,9 @@
     fail(&mut fetches, START, 1);
     let now = START + HOLD_BACK;
     offers(&mut fetches, now, [1]);
-    assert_eq!(fetches.next(now, Rules, Some(at(1)), |_| false), Some(host(1)));
+    assert_eq!(fetches.next(now, Rules, newer_than(1)), Some(host(1)));
     offers(&mut fetches, now, [2]);
-    assert_eq!(fetches.next(now, Rules, Some(at(1)), |_| false), Some(host(2)));
+    assert_eq!(fetches.next(now, Rules, newer_than(1)), Some(host(2)));
 }
 
 #[test]
@@ -193,11 +200,11 @@
     let mut fetches = fetches();
     fail(&mut fetches, START, 1);
     let now = START + HOLD_BACK;
-    fetches.offer(now, Servers, host(1), (at(2), 0));
-    assert_eq!(fetches.next(now, Servers, Some(at(1)), |_| false), Some(host(1)));
+    fetches.offer(now, Servers, host(1), &knows(2));
+    assert_eq!(fetches.next(now, Servers, newer_than(1)), Some(host(1)));
     fetches.ended(now, Servers, host(1), End::Told);
     offers(&mut fetches, now, [2, 1]);
-    assert_eq!(fetches.next(now + 10, Rules, Some(at(1)), |_| false), Some(host(1)));
+    assert_eq!(fetches.next(now + 10, Rules, newer_than(1)), Some(host(1)));
 }
 
 #[test]
@@ -205,9 +212,9 @@
     let mut fetches = fetches();
     fail(&mut fetches, START, 1);
     let servers: Table = Servers;
-    fetches.offer(START, servers, host(2), (at(2), 0));
-    fetches.offer(START + 1, servers, host(1), (at(2), 0));
-    assert_eq!(fetches.next(START + 1, servers, Some(at(1)), |_| false), Some(host(2)));
+    fetches.offer(START, servers, host(2), &knows(2));
+    fetches.offer(START + 1, servers, host(1), &knows(2));
+    assert_eq!(fetches.next(START + 1, servers, newer_than(1)), Some(host(2)));
 }
 
 #[test]
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -76,7 +76,7 @@
         known: [Known {
             version: elmstream_steer::version::StoreVersion::new(0, 1_000),
             reading: Some(Reading { reader: 1, stamp: 1 }),
-            held: 0,
+            ..Known::default()
         }; 2],
         demand: Vec::new(),
         loads: Vec::new(),
--- a/elmstream_edge/tests/start.rs
+++ b/elmstream_edge/tests/start.rs
@@ -16,7 +16,7 @@
 };
 use elmstream_steer::{
     Bounds, Host, Settings, Steer,
-    beat::Beat,
+    beat::{Beat, Known},
     calls::Why,
     hash, members,
     model::{Configuration, Server},
@@ -228,10 +228,9 @@
 
     fn fetch(&mut self, at: u64, n: usize, table: Table) {
         let node = &mut self.nodes[n];
-        let mark = node.steer.view().mark(table);
-        let known = mark.fresh.map(|_| mark.version);
-        let lacks = |held| node.steer.lacks_held(table, held);
-        let Some(host) = node.fetches.next(ms(at), table, known, lacks) else { return };
+        let asks = node.steer.asks(table);
+        let wants = |known: &Known| node.steer.wants(table, known);
+        let Some(host) = node.fetches.next(ms(at), table, wants) else { return };
         let from = self.places[&host];
         let there = !self.dead.contains(&from) && at >= self.nodes[from].up;
         if !there || self.apart.contains(&n) || self.apart.contains(&from) {
@@ -245,10 +244,10 @@
             self.later(at + ASK, n, Event::Fetched(host, table, End::Refused, None));
             return;
         }
-        let starts = mark.version == StoreVersion::default();
+        let starts = asks.after == StoreVersion::default();
         let whole = starts && teller.steer.knows_hosts();
         let told = Told {
-            table: teller.steer.tell_rows(ms(at), table, mark.version),
+            table: teller.steer.tell_rows(ms(at), table, asks),
             hosts: whole.then(|| teller.steer.members().addresses(ms(at))),
         };
         let large = table == Table::Servers && !told.table.rows.is_empty();
@@ -271,8 +270,7 @@
                 let Some(news) = node.steer.hear(now, &beat) else { return };
                 for (table, _) in news.wanted {
                     let known = beat.known[table as usize];
-                    let news = (known.version, known.held);
-                    node.fetches.offer(now, table, beat.host.peers, news);
+                    node.fetches.offer(now, table, beat.host.peers, &known);
                 }
             }
             Event::Fetched(host, table, end, told) => {
@@ -315,8 +313,7 @@
         let mut fetches = Fetches::new(hash::of(format!("{number}-{at}")));
         for table in TABLES {
             for seed in (0..SEEDS).filter(|seed| *seed != number) {
-                let nothing = (StoreVersion::default(), 0);
-                fetches.offer(ms(up), table, address(seed), nothing);
+                fetches.offer(ms(up), table, address(seed), &Known::default());
             }
         }
         let steer = host(number, at + 1, ms(up));
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -48,6 +48,10 @@
     /// Tells the rows in which an earlier era of the store holds on against this one from
     /// others; 0 if there are none.
     pub held: u32,
+    /// Removals since this version of the store are known.
+    pub floor: StoreVersion,
+    /// Tells the keys of the rows that are there from others.
+    pub keys: u32,
 }
 
 /// A reading of the store.
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -17,6 +17,7 @@
     servers::{Entry, Pace},
     steer::{Change, State, Steer, Told},
     tally::{Report, Spread, Verdict},
+    telling::Asked,
     version::StoreVersion,
     view::{TABLES, Table},
 };
@@ -47,6 +48,8 @@
                 version: mark.version,
                 reading: mark.reading,
                 held: self.view.held_digest(table),
+                floor: mark.floor,
+                keys: self.view.keys_digest(table),
             }
         })
     }
@@ -167,15 +170,14 @@
         for (table, known) in TABLES.into_iter().zip(beat.known) {
             let mark = self.view.mark(table);
             let Some(reading) = known.reading else { continue };
+            if self.wants(table, &known) {
+                wanted.push((table, self.asks(table)));
+            }
             if mark.fresh.is_none() || known.version > mark.version {
-                wanted.push((table, mark.version));
                 self.lacks(now, table, known.version);
             } else if known.version == mark.version {
                 self.view.confirm(now, table, known.version, reading);
-            }
-            let alike = known.version.era == mark.version.era && mark.fresh.is_some();
-            if alike && known.version <= mark.version && self.lacks_held(table, known.held) {
-                wanted.push((table, mark.version));
+                self.view.agree(table, &known);
             }
         }
         if heard.joined {
@@ -367,8 +369,8 @@
 pub struct News {
     /// The host is new, or back.
     pub joined: bool,
-    /// Tables that its sender knows better, with the version known here.
-    pub wanted: Vec<(Table, StoreVersion)>,
+    /// Tables that its sender knows better, with what is known here.
+    pub wanted: Vec<(Table, Asked)>,
     /// Requests that are refused from now on.
     pub refused: Vec<(RequestDigest, Harm)>,
     /// Servers that name another limit, or none any more.
--- a/elmstream_steer/src/kept.rs
+++ b/elmstream_steer/src/kept.rs
@@ -84,11 +84,15 @@
         if let (Some(Item::Server(known)), Some(Item::Server(new))) = (&mut self.item, new) {
             known.entries = new.entries;
         }
-        if !against && !crosses {
+        // An operator asks again for what others may hold on to an earlier era against.
+        let again = matches!(new, Some(Item::Evacuation));
+        if !against && !crosses && !again {
             return Effect::Nothing;
         }
         // Others may have read something else before it was written again.
-        self.carried = Some(self.version);
+        if against || crosses {
+            self.carried = Some(self.version);
+        }
         self.version = row.version;
         Effect::Noted
     }
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -105,6 +105,7 @@
     /// That covers whatever other hosts told of before: they have it from the store.
     pub fn store_answered(&mut self, table: Table, why: Why, asked: Time, version: StoreVersion) {
         self.calls.answered(table, why == Why::Check);
+        self.view.complete(table, version);
         let told = self.behind(table).filter(|told| told.at <= asked);
         let covered = &mut self.covered[table as usize];
         let told = told.map_or(version, |told| told.version);
@@ -162,10 +163,15 @@
             return Vec::new();
         }
         self.view.learn_era(version.era, version.count, None);
+        let first = self.view.mark(table).fresh.is_none();
         let crossed = self.view.enter(now, table, version.era);
         let gone = if crossed { StoreVersion::absent(version.era) } else { version };
         let rows = self.with_absent(table, gone, rows);
         let mut changes = self.read_of(now, moment, table, rows);
+        if crossed || first {
+            self.view.begin(table, version);
+        }
+        self.view.complete(table, version);
         if crossed {
             changes.push(self.returned(now, table, before, &changes));
         }
--- a/elmstream_steer/src/telling.rs
+++ b/elmstream_steer/src/telling.rs
@@ -28,6 +28,13 @@
     pub carried: Vec<(u64, u64)>,
     /// Whether these are all that the store has.
     pub whole: bool,
+    /// Removals since this version are among the rows, or known to the asker.
+    pub floor: StoreVersion,
+    /// Version up to which the teller knows all.
+    pub complete: StoreVersion,
+    /// Sorted hashes of the keys that the store has; told to an asker who may lack removals
+    /// from before the floor.
+    pub keys: Option<Vec<u32>>,
     /// Up to which version of an earlier era a host may know the table for these rows to be
     /// all that it lacks, if they are not the whole; none if none.
     pub bridge: Option<StoreVersion>,
@@ -49,14 +56,50 @@
     pub age_ms: Option<u64>,
 }
 
+/// How far a host knows a table when it asks another one for more.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Asked {
+    /// The table's version; 0 if it knows nothing.
+    pub after: StoreVersion,
+    /// Version up to which it lacks nothing, removals too.
+    pub complete: StoreVersion,
+}
+
+impl From<StoreVersion> for Asked {
+    fn from(after: StoreVersion) -> Asked {
+        Asked { after, complete: after }
+    }
+}
+
 impl Steer {
+    /// How far this host knows a table when it asks for more.
+    pub fn asks(&self, table: Table) -> Asked {
+        let mark = self.view.mark(table);
+        Asked { after: mark.version, complete: mark.complete() }
+    }
+
+    /// Whether another host has something of a table that this one lacks.
+    pub fn wants(&self, table: Table, known: &Known) -> bool {
+        let mark = self.view.mark(table);
+        if mark.fresh.is_none() || known.version > mark.version {
+            return true;
+        }
+        let alike = known.version.era == mark.version.era;
+        alike && (self.lacks_held(table, known.held) || self.view.lacks_removals(table, known))
+    }
+
     /// What another host is told of a table that it knows up to a version.
-    pub fn tell_rows(&self, now: Time, table: Table, after: StoreVersion) -> TableRows {
-        let view = &self.view;
-        let (mark, bridge, era) = (view.mark(table).version, view.bridge(table), view.era());
+    pub fn tell_rows(&self, now: Time, table: Table, asked: impl Into<Asked>) -> TableRows {
+        let (view, Asked { after, complete }) = (&self.view, asked.into());
+        let (full, bridge, era) = (view.mark(table), view.bridge(table), view.era());
+        let mark = full.version;
         let bridged = bridge.is_some_and(|known| known.era == after.era && after <= known);
         let whole = after == StoreVersion::default() || after.era != mark.era && !bridged;
+        let lacks = !whole && after.era == mark.era && complete < full.floor;
         TableRows {
+            floor: full.floor,
+            complete: full.complete(),
+            keys: lacks.then(|| view.keys(table)),
             known: self.known()[table as usize],
             rows: if whole { view.whole(table) } else { view.since(table, after) },
             carried: if whole { Vec::new() } else { view.carried(table, after) },
@@ -76,8 +119,9 @@
     ///
     /// News go from an era of the store to a later one, never back.
     pub fn told(&mut self, now: Time, table: Table, told: TableRows) -> Vec<Change> {
-        let TableRows { known, rows, carried, after, whole, bridge, held, era } = told;
-        let before = self.view.mark(table).version;
+        let TableRows { known, rows, carried, after, whole, bridge, held, era, .. } = told;
+        let knew = self.view.mark(table);
+        let before = knew.version;
         let Some(reading) = known.reading.filter(|_| known.version.era >= before.era) else {
             return Vec::new();
         };
@@ -90,9 +134,16 @@
         let began = era.age_ms.map(|age| Time(now.0.saturating_sub(age * MILLI)));
         self.view.learn_era(era.number, era.first, began);
         let crossed = self.view.enter(now, table, known.version.era);
-        let rows = match whole && crossed {
-            true => self.with_absent(table, StoreVersion::absent(known.version.era), rows),
-            false => rows,
+        let rows = match (whole, crossed, &told.keys) {
+            (true, true, _) => {
+                self.with_absent(table, StoreVersion::absent(known.version.era), rows)
+            }
+            (true, false, _) if knew.fresh.is_some() => self.with_absent(table, told.floor, rows),
+            (false, false, Some(keys)) => {
+                let unlisted = self.view.unlisted(table, keys, told.floor);
+                rows.into_iter().chain(unlisted).collect()
+            }
+            _ => rows,
         };
         self.view.carry(table, known.version.era, &carried);
         let mut changes = self.take(now, table, rows);
@@ -102,6 +153,11 @@
         }
         self.held_taken.insert(known.held);
         self.view.confirm(now, table, known.version, reading);
+        if crossed || knew.fresh.is_none() || told.keys.is_some() {
+            let floor = if crossed { told.floor } else { told.floor.max(knew.floor) };
+            self.view.begin(table, floor);
+        }
+        self.view.complete(table, told.complete);
         if crossed {
             changes.push(self.returned(now, table, before, &changes));
         }
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -7,6 +7,7 @@
 //! Over eras of the store, `era` says what holds on; then a row has both.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, HashMap},
     fmt,
 };
@@ -15,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    beat::Reading,
+    beat::{Known, Reading},
     era::{Earlier, Era, Holds, alike},
     hash,
     kept::{Copied, Effect, Kept},
@@ -135,6 +136,8 @@
     /// Versions up to which each table was known when the era began here; none if nothing
     /// was.
     bridges: [Option<StoreVersion>; 2],
+    /// Digests of the keys of each table; none if they have changed since.
+    digests: [Cell<Option<u32>>; 2],
 }
 
 /// Readings of one host.
@@ -156,6 +159,19 @@
     pub fresh: Option<Time>,
     /// The reading that this rests on.
     pub reading: Option<Reading>,
+    /// Removals since this version are known. A first whole reading shows nothing of what
+    /// went before it, so what is told from before this version on lacks removals.
+    pub floor: StoreVersion,
+    /// Version up to which nothing is missing, removals too; the table's own may be lower,
+    /// as the store's counter rises with what does not matter.
+    pub complete: StoreVersion,
+}
+
+impl Mark {
+    /// Version up to which nothing is missing, by what was read and what was told.
+    pub fn complete(&self) -> StoreVersion {
+        self.complete.max(self.version)
+    }
 }
 
 impl View {
@@ -209,6 +225,7 @@
             self.era = Era { number, first, began };
             // What the era before said and was not in force is gone with it.
             self.rows.values_mut().for_each(|row| row.copy = None);
+            self.digests.iter().for_each(|digest| digest.set(None));
         } else if number == self.era.number {
             self.era.first = self.era.first.min(first);
             self.era.began = self.era.began.into_iter().chain(began).min();
@@ -230,6 +247,7 @@
         }
         self.bridges[place] = mark.fresh.map(|_| mark.version);
         self.marks[place].version = StoreVersion::absent(number);
+        self.digests[place].set(None);
         mark.fresh.is_some()
     }
 
@@ -249,6 +267,7 @@
         };
         self.holding |= effect == Effect::Noted;
         if effect != Effect::Nothing {
+            self.digests[place].set(None);
             let mark = &mut self.marks[place];
             mark.version = mark.version.max(version);
         }
@@ -282,6 +301,7 @@
         let mut kept = Kept::new(now, row.version, row.item);
         kept.counts = row.counts;
         kept.copy = Some(Copied { version, item });
+        self.digests[row.key.table() as usize].set(None);
         self.rows.insert(row.key, kept);
         self.holding = true;
         true
@@ -301,6 +321,7 @@
             let until = era.holds_until(&holds, row.earlier(key), said);
             if until.is_none_or(|until| now >= until) {
                 *row = Kept::new(now, copy.version, copy.item.clone());
+                self.digests[key.table() as usize].set(None);
                 ended.push(key.clone());
             } else {
                 self.holding = true;
@@ -331,6 +352,62 @@
         each.fold(0, |sum, hash| sum ^ hash as u32)
     }
 
+    /// The first whole reading of a table, or of an era of it, was of this version: what went
+    /// before it is not known here.
+    pub fn begin(&mut self, table: Table, version: StoreVersion) {
+        self.marks[table as usize].floor = version;
+    }
+
+    /// Nothing is missing of a table up to a version.
+    pub fn complete(&mut self, table: Table, version: StoreVersion) {
+        let mark = &mut self.marks[table as usize];
+        mark.complete = mark.complete.max(version);
+    }
+
+    /// Tells the keys that the store has in a table, as far as is known, from others.
+    pub fn keys_digest(&self, table: Table) -> u32 {
+        let digest = &self.digests[table as usize];
+        let known = digest.get();
+        let all = || self.keys(table).into_iter().fold(0, |sum, key| sum ^ key);
+        let sum = known.unwrap_or_else(all);
+        digest.set(Some(sum));
+        sum
+    }
+
+    /// Hashes of the keys that the store has in a table, as far as is known, sorted.
+    pub fn keys(&self, table: Table) -> Vec<u32> {
+        let there = self.rows.iter().filter(|(key, row)| key.table() == table && row.is_there());
+        let mut keys: Vec<u32> = there.map(|(key, _)| key.hash() as u32).collect();
+        keys.sort_unstable();
+        keys
+    }
+
+    /// Removals of what is not among the keys that the store had at a version, by their sorted
+    /// hashes.
+    pub fn unlisted(&self, table: Table, keys: &[u32], version: StoreVersion) -> Vec<Row> {
+        let there = self.rows.iter().filter(|(key, row)| key.table() == table && row.is_there());
+        let gone = there.filter(|(key, _)| keys.binary_search(&(key.hash() as u32)).is_err());
+        gone.map(|(key, _)| Row::new(key.clone(), version, None)).collect()
+    }
+
+    /// Another host knows a table up to the same version. If it knows the same keys, nothing
+    /// that it knows to be gone is missing here.
+    pub fn agree(&mut self, table: Table, known: &Known) {
+        let mark = self.mark(table);
+        let above = known.floor.era == mark.version.era && known.floor > mark.complete();
+        if above && known.keys == self.keys_digest(table) {
+            self.complete(table, known.floor);
+        }
+    }
+
+    /// Whether another host knows a removal that is missing here, though it knows the table
+    /// up to the same version.
+    pub fn lacks_removals(&self, table: Table, known: &Known) -> bool {
+        let mark = self.mark(table);
+        let alike = known.version == mark.version && known.floor.era == mark.version.era;
+        alike && known.floor > mark.complete() && known.keys != self.keys_digest(table)
+    }
+
     /// Keys of a table that the store has, as far as is known, but not in `present`, which
     /// is sorted.
     pub fn missing(&self, table: Table, present: &[Key]) -> Vec<Key> {
@@ -414,8 +491,14 @@
                 seen.retain(|known, _| Some(*known) == reader);
             }
         }
-        self.rows.retain(|_, row| {
-            row.item.is_some() || row.copy.is_some() || now.since(row.at) < REMOVED_KEEP
+        let marks = &mut self.marks;
+        self.rows.retain(|key, row| {
+            let keep = row.item.is_some() || row.copy.is_some() || now.since(row.at) < REMOVED_KEEP;
+            let mark = &mut marks[key.table() as usize];
+            if !keep && row.version.era == mark.version.era {
+                mark.floor = mark.floor.max(row.version);
+            }
+            keep
         });
     }
 }
