Roll-outs: an ordered version is tried out, judged by all hosts, shifted to or turned away

Nothing of it existed. An operator's order and its progress are rows of the store; the host that reads for all writes the progress under a condition, another one takes over by the same rank. Each host holds its own requests on trial to a part of what it has answered (the retry budget's mechanism), so the sum holds whatever hosts know of each other, and goes by the progress only as long as it knows it freshly. Reports go to the writer, who judges by a sequential test against the other versions' answers of the same route and region. The shift is late and short; old servers are left by all hosts before it is said to be completed.

--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -15,7 +15,7 @@
 use elmstreamd::clock;
 use serde_json::{Value, json};
 
-use crate::{backend::Pool, journal::Journal, settings::Settings};
+use crate::{backend::Pool, journal::Journal, rollout, settings::Settings};
 
 /// More servers than these that change at once are written in one line.
 const SERVERS_EACH: usize = 12;
@@ -136,6 +136,13 @@
                     self.journal.belief("host_lost", json!({"host": host}));
                 }
                 Change::StoreReturned(returned) => self.store_returned(from, returned),
+                Change::Rollout { service, target, stage } => {
+                    let stage = stage.map(rollout::told);
+                    let fields = json!({
+                        "service": service, "target": target, "stage": stage, "from": from,
+                    });
+                    self.journal.write("rollout", fields);
+                }
                 Change::HoldEnded(key) => {
                     self.journal.write("hold_ended", json!({"row": key.to_string()}));
                 }
--- a/elmstream_edge/src/fetch.rs
+++ b/elmstream_edge/src/fetch.rs
@@ -77,12 +77,19 @@
         };
         metrics::counter!("elmstream_fetches", "end" => end.name()).increment(1);
         if let (End::Failed, Err(error)) = (end, &fetched) {
-            self.edge.steer.borrow_mut().untold();
+            if table != Table::Rollouts {
+                self.edge.steer.borrow_mut().untold();
+            }
             let error = error.to_string();
             let fields = json!({"host": host, "table": table, "error": error});
             self.edge.journal.belief("fetch_failed", fields);
         }
         let again = self.fetches.borrow_mut().ended(clock::now(), table, host, end);
+        let lacks_progress = self.edge.steer.borrow().lacks_progress();
+        if end == End::Told && table == Table::Rules && lacks_progress {
+            // A host that has just started does not wait for the next beat.
+            self.offer(Table::Rollouts, host, &Known::default());
+        }
         self.go_on(table);
         if end != End::Told {
             self.go_on_at(table, again);
@@ -106,7 +113,10 @@
         harm::note(edge, &address.to_string(), &refused);
         let mut steer = edge.steer.borrow_mut();
         if fetched.table.known.reading.is_none() {
-            steer.untold();
+            // Whoever knows the rules may not know of roll-outs; there may be none.
+            if table != Table::Rollouts {
+                steer.untold();
+            }
             return Ok(());
         }
         steer.told(now, table, fetched.table)
--- a/elmstream_edge/src/fetches.rs
+++ b/elmstream_edge/src/fetches.rs
@@ -84,7 +84,7 @@
 #[derive(Debug, Default)]
 pub struct Fetches {
     seed: u64,
-    desks: [Desk; 2],
+    desks: [Desk; 3],
     /// When the last fetch from a host failed; none since has come to a good end.
     failed: HashMap<SocketAddr, Time>,
 }
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -62,6 +62,7 @@
     fn drop(&mut self) {
         let now = clock::now();
         let mut steer = self.edge.steer.borrow_mut();
+        steer.count_outcome(now, self.index, &self.call.route.name, self.outcome);
         steer.done(now, self.index, self.outcome);
         if self.outcome == Outcome::Left && !self.call.progress.ended.get() {
             metrics::counter!("elmstream_requests", "outcome" => "left").increment(1);
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Edge`] holds the decisions of `elmstream_steer` and connects them: callers
 //! (`callers`, `access`, `forward`), backend servers (`backend`, `hints`), the other hosts (`peers`, `fetch`)
-//! and the store (`reader`, over a [`Source`] that an adapter brings).
+//! and the store (`reader`, `rollout`, over a [`Source`] that an adapter brings).
 
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
 
@@ -24,6 +24,7 @@
 pub mod peers;
 pub mod reader;
 mod registry;
+mod rollout;
 pub mod settings;
 pub mod source;
 mod stop;
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -13,7 +13,7 @@
     Edge, Source, callers,
     connections::{Open, caller_options},
     gate::Gate,
-    harm, peers, reader, registry, stop,
+    harm, peers, reader, registry, rollout, stop,
 };
 
 /// Why a host cannot start.
@@ -60,6 +60,7 @@
     spawn(peers::tick(edge.clone(), socket.clone()));
     spawn(registry::run(edge.clone(), source.clone()));
     spawn(harm::run(edge.clone(), source.clone()));
+    spawn(rollout::run(edge.clone(), source.clone()));
     for table in TABLES {
         spawn(reader::run(edge.clone(), source.clone(), table));
     }
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -15,7 +15,7 @@
     members,
     telling::{Asked, TableRows},
     version::StoreVersion,
-    view::TABLES,
+    view::{NEEDED, TABLES},
 };
 use elmstreamd::clock;
 use http::{Request, Response, StatusCode};
@@ -88,7 +88,7 @@
     hosts
 }
 
-/// Reports what workspaces asked of this host.
+/// Reports what workspaces asked of this host, and what it counted of roll-outs.
 async fn report(edge: &Edge, socket: &UdpSocket) {
     let due = edge.steer.borrow_mut().reports(clock::now());
     send_each(socket, due).await;
@@ -133,6 +133,9 @@
                 let due = edge.steer.borrow_mut().pass_on(clock::now(), &spread);
                 send_each(&socket, due).await;
             }
+            Ok(Message::Rollout(report)) => {
+                edge.steer.borrow_mut().take_report(clock::now(), *report);
+            }
             Ok(Message::Verdict(verdict)) => {
                 edge.steer.borrow_mut().judged(clock::now(), &verdict);
             }
@@ -168,7 +171,7 @@
 
 /// Asks the seeds for all that they know, as a host does that has just started.
 fn ask_seeds(edge: &Edge, asking: &Asking) {
-    for table in TABLES {
+    for table in NEEDED {
         for seed in edge.settings.seeds.iter().filter(|seed| **seed != edge.settings.host.peers) {
             asking.offer(table, *seed, &Known::default());
         }
--- a/elmstream_edge/src/reader.rs
+++ b/elmstream_edge/src/reader.rs
@@ -67,6 +67,7 @@
     match table {
         Table::Rules => "Rules",
         Table::Servers => "Servers",
+        Table::Rollouts => "Rollouts",
     }
 }
 
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -140,6 +140,10 @@
         ensure!(self.bounds.limit_window_s > 0, value("bounds.limit_window_s", "is 0"));
         ensure!(self.bounds.limit_overshoot >= 0.0, value("bounds.limit_overshoot", "is below 0"));
         ensure!(self.bounds.limit_slack >= 0.0, value("bounds.limit_slack", "is below 0"));
+        let share = self.bounds.exposure_share;
+        ensure!((0.0..=1.0).contains(&share), value("bounds.exposure_share", "is not a part"));
+        ensure!(self.bounds.exposure_slack >= 0.0, value("bounds.exposure_slack", "is below 0"));
+        ensure!(self.bounds.rollback_ms > 0, value("bounds.rollback_ms", "is 0"));
         let scheme = &self.headers.key_scheme;
         let one_word = !scheme.is_empty() && scheme.chars().all(|c| c.is_ascii_graphic());
         ensure!(one_word, value("headers.key_scheme", "is not one word"));
--- a/elmstream_edge/src/source.rs
+++ b/elmstream_edge/src/source.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use elmstream_steer::{
+    RolloutWrite,
     digest::RequestDigest,
     harm::Ending,
     registry::{Edit, Listed},
@@ -121,4 +122,11 @@
         digest: &RequestDigest,
         endings: &[Ending],
     ) -> impl Future<Output = Result<(), SourceError>>;
+
+    /// Writes how far a roll-out has come, if neither that nor its order has changed since;
+    /// the store's version of what was written, none if they have.
+    fn write_rollout(
+        &self,
+        write: &RolloutWrite,
+    ) -> impl Future<Output = Result<Option<StoreVersion>, SourceError>>;
 }
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -77,7 +77,7 @@
             version: elmstream_steer::version::StoreVersion::new(0, 1_000),
             reading: Some(Reading { reader: 1, stamp: 1 }),
             ..Known::default()
-        }; 2],
+        }; 3],
         demand: Vec::new(),
         loads: Vec::new(),
         lessons: Vec::new(),
--- a/elmstream_edge/tests/start.rs
+++ b/elmstream_edge/tests/start.rs
@@ -23,7 +23,7 @@
     registry::Listed,
     telling::TableRows,
     version::StoreVersion,
-    view::{Item, Key, Row, TABLES, Table},
+    view::{Item, Key, NEEDED, Row, Table},
 };
 
 /// Time between two steps, in milliseconds.
@@ -96,9 +96,11 @@
                 cold_ms: 0,
                 born: 0,
                 entries: 0,
+                version: String::new(),
             };
             vec![row(Key::Server("s".into()), Item::Server(server))]
         }
+        Table::Rollouts => Vec::new(),
     }
 }
 
@@ -173,7 +175,7 @@
             }
             self.beat(at, n);
             self.call(at, n);
-            for table in TABLES {
+            for table in NEEDED {
                 self.fetch(at, n, table);
             }
             if at.is_multiple_of(100) {
@@ -207,7 +209,7 @@
 
     /// Calls to the store; all are answered.
     fn call(&mut self, at: u64, n: usize) {
-        for table in TABLES {
+        for table in NEEDED {
             let node = &mut self.nodes[n];
             if node.reading[table as usize] {
                 continue;
@@ -311,7 +313,7 @@
     fn new(number: usize, at: u64) -> Node {
         let up = at + hash::pair(number as u64, at) % STARTS / STEP * STEP;
         let mut fetches = Fetches::new(hash::of(format!("{number}-{at}")));
-        for table in TABLES {
+        for table in NEEDED {
             for seed in (0..SEEDS).filter(|seed| *seed != number) {
                 fetches.offer(ms(up), table, address(seed), &Known::default());
             }
--- a/elmstream_edge/tests/support/mod.rs
+++ b/elmstream_edge/tests/support/mod.rs
@@ -25,6 +25,7 @@
 };
 use elmstream_http::{Stopper, body, client};
 use elmstream_steer::{
+    RolloutWrite,
     digest::RequestDigest,
     harm::Ending,
     model::{Configuration, Limits, Part, Repeat, Route, Server, Service},
@@ -158,6 +159,25 @@
         }
         Ok(())
     }
+
+    async fn write_rollout(
+        &self,
+        write: &RolloutWrite,
+    ) -> Result<Option<StoreVersion>, SourceError> {
+        self.serve(Table::Rollouts, None)?;
+        let progress = Key::Progress(write.service.clone());
+        let order = Key::Rollout(write.service.clone());
+        let count = |key| {
+            let rows = self.rows.borrow();
+            let row = rows.get(key).filter(|row: &&Row| row.item.is_some());
+            row.map_or(0, |row| row.version.count)
+        };
+        if (count(&progress), count(&order)) != write.expected {
+            return Ok(None);
+        }
+        self.put(progress, Some(Item::Progress(write.progress.clone())));
+        Ok(Some(self.newest()))
+    }
 }
 
 /// A host that runs.
@@ -267,6 +287,7 @@
         cold_ms: 0,
         born: 0,
         entries: 0,
+        version: String::new(),
     })
 }
 
--- a/elmstream_soak/src/remote.rs
+++ b/elmstream_soak/src/remote.rs
@@ -8,6 +8,7 @@
 };
 use elmstream_http::{LocalBody, body, client};
 use elmstream_steer::{
+    RolloutWrite,
     digest::RequestDigest,
     harm::Ending,
     registry::{Edit, Listed},
@@ -157,4 +158,13 @@
         let path = format!("/list?content={}&endings={hex}", digest.hex());
         self.get::<()>(path, Duration::ZERO).await
     }
+
+    async fn write_rollout(
+        &self,
+        write: &RolloutWrite,
+    ) -> Result<Option<StoreVersion>, SourceError> {
+        let bytes = postcard::to_allocvec(write).map_err(lost)?;
+        let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+        self.get(format!("/progress?write={hex}"), Duration::ZERO).await
+    }
 }
--- a/elmstream_soak/src/store.rs
+++ b/elmstream_soak/src/store.rs
@@ -3,7 +3,9 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
 use elmstream_http::{LocalBody, body, server::Cut};
-use elmstream_steer::{digest::RequestDigest, harm::Ending};
+use elmstream_steer::{
+    RolloutWrite, digest::RequestDigest, harm::Ending, version::StoreVersion, view::Key,
+};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -99,15 +101,32 @@
             list(world, text("content"), text("endings"));
             packed(&())
         }
+        "/progress" => packed(&progress(world, text("write"))),
         _ => packed(&*world.hosts.borrow()),
     }
 }
 
+/// Writes how far a roll-out has come, if nothing has changed since; the version of it.
+fn progress(world: &World, hex: &str) -> Option<StoreVersion> {
+    let write: RolloutWrite = postcard::from_bytes(&bytes(hex)?).ok()?;
+    let progress = Key::Progress(write.service.clone());
+    let order = Key::Rollout(write.service.clone());
+    if (world.count(&progress), world.count(&order)) != write.expected {
+        return None;
+    }
+    world.progressed(&write);
+    Some(world.newest())
+}
+
+/// Bytes that are written as hexadecimal digits.
+fn bytes(hex: &str) -> Option<Vec<u8>> {
+    let digits = hex.as_bytes().chunks(2).map(|pair| std::str::from_utf8(pair).ok());
+    digits.map(|pair| u8::from_str_radix(pair?, 16).ok()).collect()
+}
+
 /// Lists a refused request, or takes it off if no endings come with it.
 fn list(world: &World, content: &str, endings: &str) {
-    let digits = endings.as_bytes().chunks(2).map(|pair| std::str::from_utf8(pair).ok());
-    let bytes = digits.map(|pair| u8::from_str_radix(pair?, 16).ok());
-    let bytes: Option<Vec<u8>> = bytes.collect();
+    let bytes = bytes(endings);
     let endings: Option<Vec<Ending>> = bytes.and_then(|bytes| postcard::from_bytes(&bytes).ok());
     let Some((digest, endings)) = RequestDigest::from_hex(content).zip(endings) else { return };
     match endings.is_empty() {
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -10,6 +10,7 @@
 };
 
 use elmstream_steer::{
+    RolloutWrite,
     digest::RequestDigest,
     harm::Ending,
     model::{Configuration, Limits, Part, Repeat, Route, Server, Service},
@@ -263,6 +264,19 @@
         self.ledger.borrow_mut().configured(version, self.now());
     }
 
+    /// The store's counter for a row; 0 if it is not there.
+    pub fn count(&self, key: &Key) -> u64 {
+        let rows = self.rows.borrow();
+        let row = rows.get(key).filter(|row| row.item.is_some());
+        row.map_or(0, |row| row.version.count)
+    }
+
+    /// A host wrote how far a roll-out has come.
+    pub fn progressed(&self, write: &RolloutWrite) {
+        let key = Key::Progress(write.service.clone());
+        self.put(key, Some(Item::Progress(write.progress.clone())));
+    }
+
     /// Writes down a server.
     pub fn serve(&self, id: &str, service: &str, address: SocketAddr, draining: bool) {
         let written = self.written.borrow().get(&Key::Server(id.into())).cloned();
@@ -279,6 +293,7 @@
             cold_ms: 0,
             born: 0,
             entries,
+            version: String::new(),
         };
         self.put(Key::Server(id.into()), Some(Item::Server(server)));
     }
--- a/elmstream_steer/src/beat.rs
+++ b/elmstream_steer/src/beat.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    evidence::RolloutReport,
     harm::Ending,
     leaving::LeavingTold,
     server_limit::LimitTold,
@@ -95,7 +96,7 @@
     /// store does not serve it now.
     pub store_ms: Option<u16>,
     /// How far it knows the tables, in the order of [`crate::view::TABLES`].
-    pub known: [Known; 2],
+    pub known: [Known; 3],
     /// Requests that it took lately, by hash of the service, cut to 32 bits.
     pub demand: Vec<(u32, u32)>,
     /// Its requests in flight; servers without any, and nothing to say of, are left out.
@@ -126,4 +127,6 @@
     Verdict(Verdict),
     /// What all hosts have to know of workspaces.
     Spread(Spread),
+    /// What a host counted of a roll-out.
+    Rollout(Box<RolloutReport>),
 }
--- a/elmstream_steer/src/budget.rs
+++ b/elmstream_steer/src/budget.rs
@@ -42,6 +42,13 @@
         }
     }
 
+    /// Gives a host its part of the slack at once, for what is to be spent before much is
+    /// earned.
+    pub fn grant(&mut self, service: &str, slack: f64, hosts: usize) {
+        self.most = slack * SAVED / hosts.max(1) as f64;
+        self.saved.insert(service.to_owned(), self.most);
+    }
+
     /// Whether there is a repeat to spend.
     ///
     /// A host that may save up only a part of a repeat has one with the chance that the
--- a/elmstream_steer/src/calls.rs
+++ b/elmstream_steer/src/calls.rs
@@ -92,7 +92,7 @@
 /// What became of one host's calls to the store.
 #[derive(Clone, Debug, Default)]
 pub struct Calls {
-    failures: [Option<Failure>; 2],
+    failures: [Option<Failure>; 3],
 }
 
 impl Calls {
@@ -102,10 +102,10 @@
     }
 
     /// A call was answered. One that checked, while others read the store all along,
-    /// speaks for both tables.
+    /// speaks for all tables.
     pub fn answered(&mut self, table: Table, checked: bool) {
         if checked {
-            self.failures = [None; 2];
+            self.failures = [None; 3];
         }
         self.failures[table as usize] = None;
     }
@@ -142,6 +142,7 @@
         let asked = match table {
             Table::Rules => self.failures[Table::Rules as usize].is_some(),
             Table::Servers => self.failures[Table::Rules as usize].is_none() && !served,
+            Table::Rollouts => false,
         };
         (asked && rested(Failure::check)).then_some(Why::Check)
     }
--- a/elmstream_steer/src/choose.rs
+++ b/elmstream_steer/src/choose.rs
@@ -12,6 +12,7 @@
     demand::Division,
     hash,
     model::{Repeat, Route},
+    rollout::Arm,
     servers::{Entry, Index, Pace, ServerTable},
     warmth::Warmth,
 };
@@ -138,6 +139,8 @@
 pub struct Scene<'a> {
     /// Now.
     pub now: Time,
+    /// Which servers it may go to as its service is rolled out.
+    pub arm: Arm,
     /// When this host started.
     pub started: Time,
     /// Failure domain and region of this host.
@@ -328,6 +331,8 @@
 fn allowed(scene: &Scene<'_>, ask: &Ask<'_>, index: Index, entry: &Entry) -> bool {
     ask.at_home(&entry.region)
         && !entry.departs()
+        && scene.arm.takes(entry.standing)
+        && (scene.arm != Arm::Canary || entry.occupied(scene.now) < entry.server.slots)
         && !scene.evacuated.contains(&entry.server.domain)
         && !ask.tried.contains(&index)
         && entry.reachable(scene.now)
--- a/elmstream_steer/src/era.rs
+++ b/elmstream_steer/src/era.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     model::Server,
+    rollout::Progress,
     version::StoreVersion,
     view::{Counts, Item, Key},
 };
@@ -26,7 +27,8 @@
 /// force against the store's copy, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Holds {
-    /// A configuration whose own version is higher than the copy's. The operator's tools
+    /// A configuration whose own version is higher than the copy's, and the verdict on a
+    /// roll-out. The operator's tools
     /// write it again within seconds; somebody who has to be called takes minutes. After
     /// that the store's word is the one that operators see.
     pub configuration: u64,
@@ -118,6 +120,10 @@
             (earlier.version > copy.version).then_some(holds.configuration)
         }
         (Some(Item::Configuration(_)), _) => Some(holds.configuration),
+        // Nor does a copy take a verdict back.
+        (Some(Item::Progress(earlier)), copy) if earlier.outranks(progress(copy)) => {
+            Some(holds.configuration)
+        }
         (Some(Item::Server(earlier)), Some(Item::Server(copy))) if counted(earlier, copy) => {
             (earlier.entries > copy.entries).then_some(holds.outdated)
         }
@@ -128,6 +134,14 @@
     }
 }
 
+/// The progress of a roll-out, if that is what a row says.
+fn progress(item: Option<&Item>) -> Option<&Progress> {
+    match item {
+        Some(Item::Progress(progress)) => Some(progress),
+        _ => None,
+    }
+}
+
 /// Whether two contents say the same.
 pub(crate) fn alike(one: Option<&Item>, other: Option<&Item>) -> bool {
     match (one, other) {
--- a/elmstream_steer/src/hearing.rs
+++ b/elmstream_steer/src/hearing.rs
@@ -41,7 +41,7 @@
     }
 
     /// How far the tables are known.
-    pub fn known(&self) -> [Known; 2] {
+    pub fn known(&self) -> [Known; 3] {
         TABLES.map(|table| {
             let mark = self.view.mark(table);
             Known {
@@ -103,12 +103,14 @@
         self.members.may_run(now) + 1
     }
 
-    /// Reports of what workspaces asked of this host, and where they go; called each 100 ms.
+    /// Reports of what workspaces asked of this host and of what it counted of roll-outs, and
+    /// where they go; called each 100 ms.
     pub fn reports(&mut self, now: Time) -> Vec<(SocketAddr, Message)> {
         let due = self.with_quotas(now, |quotas, scene, table| quotas.reports(scene, table));
         let reports = due.into_iter().map(|due| (due.place, Message::Report(due.report)));
         let mut messages = self.addressed(reports.collect());
         messages.extend(self.tell_all(now));
+        messages.extend(self.rollout_reports(now));
         messages
     }
 
@@ -325,6 +327,7 @@
         self.pick_cold(now);
         self.pick_limited(now);
         self.divide(now);
+        self.stand(now);
         self.view.forget(now);
         self.forget_leavings(now);
         self.forget_limits(now);
--- a/elmstream_steer/src/kept.rs
+++ b/elmstream_steer/src/kept.rs
@@ -141,12 +141,20 @@
     }
 }
 
-/// Whether a row of the same era would take the configuration back or away.
+/// Whether a row of the same era would take the configuration or a verdict back or away.
+///
+/// A roll-out that was decided stays so until there is another order.
 fn goes_back(known: Option<&Item>, new: Option<&Item>) -> bool {
-    let Some(Item::Configuration(known)) = known else { return false };
-    match new {
-        Some(Item::Configuration(new)) => new.version <= known.version,
-        _ => true,
+    match (known, new) {
+        (Some(Item::Configuration(known)), Some(Item::Configuration(new))) => {
+            new.version <= known.version
+        }
+        (Some(Item::Configuration(_)), _) => true,
+        (Some(Item::Progress(known)), Some(Item::Progress(new))) => {
+            known.order == new.order && known.stage.ends() && new.stage != known.stage
+        }
+        (Some(Item::Progress(known)), _) => known.stage.ends(),
+        _ => false,
     }
 }
 
@@ -154,6 +162,8 @@
 fn same(known: Option<&Item>, new: Option<&Item>) -> bool {
     match new {
         Some(Item::Server(server)) if server.cold_ms > 0 => false,
+        // An order that is written again is another one.
+        Some(Item::Rollout(_)) => false,
         _ => alike(known, new),
     }
 }
--- a/elmstream_steer/src/model.rs
+++ b/elmstream_steer/src/model.rs
@@ -147,14 +147,28 @@
     pub born: u64,
     /// Number of this entry among those of its start; 0 if that is not told.
     pub entries: u64,
+    /// Version of its software; empty if that is not told.
+    #[serde(default)]
+    pub version: String,
 }
 
 impl Server {
     /// Whether two entries say the same, however many have been written.
     pub fn alike(&self, other: &Server) -> bool {
-        let Server { service, address, domain, slots, draining, cold_ms, born, entries: _ } = self;
+        let Server {
+            service,
+            address,
+            domain,
+            slots,
+            draining,
+            cold_ms,
+            born,
+            version,
+            entries: _,
+        } = self;
         (service, address, domain, slots)
             == (&other.service, &other.address, &other.domain, &other.slots)
             && (draining, cold_ms, born) == (&other.draining, &other.cold_ms, &other.born)
+            && *version == other.version
     }
 }
--- a/elmstream_steer/src/readers.rs
+++ b/elmstream_steer/src/readers.rs
@@ -33,7 +33,7 @@
 pub fn patience(table: Table, rank: u64, bound_ms: u64) -> u64 {
     let first = match table {
         Table::Servers => ASK_SERVERS,
-        Table::Rules => ASK_RULES,
+        Table::Rules | Table::Rollouts => ASK_RULES,
     };
     if rank == 0 {
         return first;
@@ -60,7 +60,7 @@
 
 impl Reader<'_> {
     /// Those that read sooner have a lower one.
-    fn order(&self) -> (u32, u64) {
+    pub(crate) fn order(&self) -> (u32, u64) {
         (self.millis.max(NEAR_MS).ilog2(), !hash::pair(self.host, 0))
     }
 }
--- a/elmstream_steer/src/reading.rs
+++ b/elmstream_steer/src/reading.rs
@@ -32,7 +32,7 @@
 impl Steer {
     /// Whether this host has to ask the store for a table now, and why.
     pub fn must_read(&self, now: Time, table: Table) -> Option<Why> {
-        if self.rests(now, table) {
+        if self.rests(now, table) || table == Table::Rollouts && !self.rolls_out() {
             return None;
         }
         self.calls.due(now, table, &self.scene(now, table))
@@ -72,8 +72,13 @@
         let mark = self.view.mark(table);
         let behind = self.behind(table);
         let stamp = mark.reading.map_or(0, |reading| reading.stamp);
+        // A few hosts read how far a roll-out has come when it is ordered, not all that start.
+        let fresh = match table {
+            Table::Rollouts => mark.fresh.or(self.ordered_since()),
+            Table::Rules | Table::Servers => mark.fresh,
+        };
         Scene {
-            fresh: mark.fresh,
+            fresh,
             start: self.start(),
             draw: hash::unit(hash::pair(self.reader, stamp)),
             ahead,
@@ -228,6 +233,7 @@
             }
         }
         self.pick_cold(now);
+        self.stand(now);
         changes
     }
 
@@ -255,7 +261,24 @@
                 }
                 changes.push(Change::Evacuation(domain.clone(), begins));
             }
+            (Key::Rollout(service), item) => {
+                let order = match &item {
+                    Some(Item::Rollout(order)) => Some(order),
+                    _ => None,
+                };
+                self.ordered(now, service, order);
+                let target = order.map(|order| order.target.clone());
+                let stage = self.rollout_stage(service);
+                changes.push(Change::Rollout { service: service.clone(), target, stage });
+            }
+            (Key::Progress(service), _) => {
+                if let Some((target, stage)) = self.progressed(now, service) {
+                    let (target, stage) = (Some(target), Some(stage));
+                    changes.push(Change::Rollout { service: service.clone(), target, stage });
+                }
+            }
             (Key::Server(id), Some(Item::Server(server))) => {
+                self.saw_version(now, &server.service, &server.version);
                 let region = self.settings.domains.get(&server.domain);
                 let region = region.cloned().unwrap_or_default();
                 if self.started_anew(id, &server) {
--- /dev/null
+++ b/elmstream_steer/src/rollout.rs
@@ -0,0 +1,229 @@
+//! Roll-outs: what an operator orders, and how far hosts agree that it has come.
+//!
+//! An order moves the traffic of a service to servers of another version. Its progress is
+//! a row of the store that the host which reads for all writes under a condition, so hosts
+//! agree on it whatever they hear of each other, and one that starts knows it. A host sends
+//! to the ordered version only as long as its knowledge of that row is young: whoever cannot
+//! know whether the version has been judged does not send to it.
+
+use elmstream::time::{MILLI, Time};
+use serde::{Deserialize, Serialize};
+
+use crate::{hash, version::StoreVersion};
+
+/// Part of the bound on a version that was judged for which a host goes by what it knows of
+/// a roll-out. The rest is for the judge: reports each half second, a sum, a write.
+const YOUNG_PART: f64 = 0.5;
+/// Hosts that send requests on trial at most; they report what became of these, and one
+/// host sums that up. In larger fleets they are drawn.
+pub(crate) const SENDERS: f64 = 64.0;
+/// The drawn ones send more of theirs, so that services with few requests are tried out as
+/// well; no more than this many times, as one of them may have most of the callers.
+const TRIALS_MOST: f64 = 4.0;
+/// Servers of the ordered version that get requests on trial, if there are as many.
+const CANARIES_LEAST: usize = 3;
+/// Part of the requests that may reach a version which is not trusted that is used on trial.
+/// The rest is for what it gets as traffic shifts, until it is found out to be bad after all.
+pub const TRIAL_PART: f64 = 0.5;
+/// For how long servers of other versions that were there before get nothing once a
+/// roll-out is completed: the platform stops them, and their entries lapse.
+pub(crate) const STOPPED: u64 = 10_000 * MILLI;
+
+/// An operator's order to move a service to another version.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Order {
+    /// The version that servers have to be of.
+    pub target: String,
+    /// Time from the order until it has to be decided, in milliseconds.
+    pub duration_ms: u64,
+}
+
+/// How far a roll-out has come.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Stage {
+    /// A small part of the requests tries the version out.
+    Trial,
+    /// So many hundredths of the keys go there; with 100 the other servers get nothing.
+    Shift(u8),
+    /// All traffic has moved, and the other servers may be stopped.
+    Completed,
+    /// The version gets nothing any more.
+    RolledBack,
+}
+
+impl Stage {
+    /// Whether nothing follows it.
+    pub fn ends(self) -> bool {
+        matches!(self, Stage::Completed | Stage::RolledBack)
+    }
+
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Stage::Trial => "trial",
+            Stage::Shift(_) => "shift",
+            Stage::Completed => "completed",
+            Stage::RolledBack => "rolled_back",
+        }
+    }
+}
+
+/// The progress of an order, as the store has it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Progress {
+    /// The store's version of the order's row.
+    pub order: StoreVersion,
+    /// The ordered version.
+    pub target: String,
+    /// How far it has come.
+    pub stage: Stage,
+    /// When the order was first seen, by the time of day of the host that wrote that, in
+    /// milliseconds; used by hosts that have started since.
+    pub began_unix_ms: u64,
+}
+
+impl Progress {
+    /// Whether it is the progress of an order.
+    ///
+    /// An order that is written again is a new one. But the operator also writes again what a
+    /// store that came back from a copy has lost, and that takes no verdict back.
+    pub fn is_of(&self, order: &Order, version: StoreVersion) -> bool {
+        let written_again = self.order.era < version.era;
+        self.target == order.target && (self.order == version || written_again)
+    }
+
+    /// Whether it holds on against another one of the same order.
+    pub fn outranks(&self, other: Option<&Progress>) -> bool {
+        let goes_on = |other: &Progress| self.target == other.target && !other.stage.ends();
+        self.stage.ends() && other.is_none_or(goes_on)
+    }
+}
+
+/// Whether a server may get requests while its service is rolled out.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Standing {
+    /// No roll-out concerns it.
+    #[default]
+    Free,
+    /// It is of another version than the ordered one.
+    Old,
+    /// It is of the ordered version, and gets requests on trial.
+    Canary,
+    /// It is of the ordered version, and gets requests as traffic shifts.
+    Target,
+    /// It gets nothing.
+    Shut,
+}
+
+/// Which servers a request may go to.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Arm {
+    /// All that are not shut.
+    #[default]
+    Free,
+    /// Servers of other versions than the ordered one.
+    Old,
+    /// Those of the ordered version that are tried out, if they have a slot free.
+    Canary,
+    /// All of the ordered version.
+    Target,
+}
+
+impl Arm {
+    /// Whether a server is among them.
+    pub fn takes(self, standing: Standing) -> bool {
+        match self {
+            Arm::Free => standing != Standing::Shut,
+            Arm::Old => matches!(standing, Standing::Free | Standing::Old),
+            Arm::Canary => standing == Standing::Canary,
+            Arm::Target => matches!(standing, Standing::Canary | Standing::Target),
+        }
+    }
+}
+
+/// A roll-out as one host knows it.
+#[derive(Clone, Debug)]
+pub(crate) struct Rollout {
+    pub order: Order,
+    /// The store's version of the order's row.
+    pub version: StoreVersion,
+    /// When this host learned of the order.
+    pub learned: Time,
+    /// Its progress, and since when this host knows of the stage.
+    pub progress: Option<(Progress, Time)>,
+    /// Part of its requests that this host sends on trial, as [`trials`] gives it.
+    pub trials: f64,
+}
+
+impl Rollout {
+    /// The stage; none if the order is not known to have begun.
+    pub fn stage(&self) -> Option<Stage> {
+        self.progress.as_ref().map(|(progress, _)| progress.stage)
+    }
+
+    /// Whether it is still to be decided.
+    pub fn goes_on(&self) -> bool {
+        self.stage().is_none_or(|stage| !stage.ends())
+    }
+
+    /// Where a server of the service stands; `first` says whether it is among the first ones
+    /// of the ordered version, `known` since when it is known.
+    pub fn standing(&self, now: Time, version: &str, first: bool, known: Time) -> Standing {
+        let target = version == self.order.target;
+        match (&self.progress, target) {
+            (None, true) => Standing::Shut,
+            (None, false) => Standing::Old,
+            (Some((progress, since)), _) => match (progress.stage, target) {
+                (Stage::Trial | Stage::Shift(_), true) if first => Standing::Canary,
+                (Stage::Trial | Stage::Shift(_), true) => Standing::Target,
+                (Stage::Trial | Stage::Shift(_), false) => Standing::Old,
+                (Stage::RolledBack, true) => Standing::Shut,
+                (Stage::Completed, false) if known <= *since && now.since(*since) < STOPPED => {
+                    Standing::Shut
+                }
+                (Stage::Completed | Stage::RolledBack, _) => Standing::Free,
+            },
+        }
+    }
+
+    /// Which servers a request of a key goes to. `young` says whether what is known of the
+    /// progress is; `again` whether a server has been tried; `affords` whether the bound on
+    /// requests on trial leaves one.
+    pub fn arm(&self, key: u64, young: bool, again: bool, affords: impl FnOnce() -> bool) -> Arm {
+        match self.stage() {
+            Some(Stage::Completed | Stage::RolledBack) => Arm::Free,
+            Some(Stage::Shift(100)) if young => Arm::Target,
+            // One that may have failed there goes where it is safe.
+            Some(Stage::Trial | Stage::Shift(_)) if again => Arm::Old,
+            Some(Stage::Trial) if young && self.trials > 0.0 && affords() => Arm::Canary,
+            Some(Stage::Shift(percent)) if young => {
+                let draw = hash::unit(hash::pair(key, hash::of(&self.order.target)));
+                if draw * 100.0 < f64::from(percent) { Arm::Target } else { Arm::Old }
+            }
+            _ => Arm::Old,
+        }
+    }
+}
+
+/// How long a host goes by what it knows of a roll-out, in microseconds.
+pub fn young(rollback_ms: u64) -> u64 {
+    (rollback_ms as f64 * YOUNG_PART) as u64 * MILLI
+}
+
+/// How much of its own requests a host sends on trial, as a multiple of the part that all of
+/// them may be: 0 for one that is not drawn to. Whatever hosts take the fleet for, what they
+/// send is that part of all requests on average.
+pub(crate) fn trials(host: u64, order: StoreVersion, fleet: usize) -> f64 {
+    let one_of = (fleet as f64 / SENDERS).max(1.0);
+    let drawn = hash::unit(hash::pair(host, order.count)) * one_of < 1.0;
+    if drawn { one_of.min(TRIALS_MOST) } else { 0.0 }
+}
+
+/// Servers of the ordered version that get requests on trial, of so many; together they are
+/// asked about as much as they are with all requests, so that what fails under load shows.
+pub(crate) fn canaries(servers: usize, share: f64, fleet: usize) -> usize {
+    let one_of = (fleet as f64 / SENDERS).max(1.0);
+    let senders = one_of.min(TRIALS_MOST) / one_of;
+    let part = share * TRIAL_PART * senders;
+    ((servers as f64 * part).ceil() as usize).max(CANARIES_LEAST)
+}
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -2,7 +2,7 @@
 
 use elmstream::time::{MILLI, SECOND, Time};
 
-use crate::{hash, model::Server, server_limit::Limited};
+use crate::{hash, model::Server, rollout::Standing, server_limit::Limited};
 
 /// Weight of one more answer in the mean of answer times.
 const MEAN_WEIGHT: f64 = 0.05;
@@ -105,6 +105,10 @@
     judged: Time,
     /// The store no longer lists it; it leaves the table then.
     pub lapses: Option<Time>,
+    /// Since when it is known.
+    pub known: Time,
+    /// Whether it may get requests while its service is rolled out.
+    pub standing: Standing,
 }
 
 /// What became of a request at a server.
@@ -227,6 +231,8 @@
             slowness: 1.0,
             judged: now,
             lapses: None,
+            known: now,
+            standing: Standing::Free,
         };
         entry.keep_cold(now, server.cold_ms);
         entry
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -72,6 +72,11 @@
         self.entries.values_mut()
     }
 
+    /// All servers with their places, to be changed.
+    pub fn all_mut_indexed(&mut self) -> impl Iterator<Item = (Index, &mut Entry)> {
+        self.entries.iter_mut().map(|(index, entry)| (Index(*index), entry))
+    }
+
     /// Answer times of a service.
     pub fn pace(&self, service: &str) -> Pace {
         self.paces.get(service).copied().unwrap_or_default()
--- a/elmstream_steer/src/settings.rs
+++ b/elmstream_steer/src/settings.rs
@@ -42,6 +42,12 @@
     pub limit_overshoot: f64,
     /// Requests in a window beyond that.
     pub limit_slack: f64,
+    /// Part of a service's requests that a version may get until it is found to be bad.
+    pub exposure_share: f64,
+    /// Requests beyond that.
+    pub exposure_slack: f64,
+    /// Time in which a version that is bad gets nothing any more, in milliseconds.
+    pub rollback_ms: u64,
 }
 
 impl Default for Bounds {
@@ -56,6 +62,9 @@
             limit_window_s: 5,
             limit_overshoot: 0.1,
             limit_slack: 20.0,
+            exposure_share: 0.1,
+            exposure_slack: 50.0,
+            rollback_ms: 5_000,
         }
     }
 }
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -28,12 +28,14 @@
     readers::FAR_MS,
     registry::Registry,
     returns::Returns,
+    rolling::Rollouts,
+    rollout::{Arm, Stage},
     routes::RouteTable,
     servers::{Index, Outcome, ServerTable},
     settings::{Bounds, Settings},
     tally::Heard,
     version::StoreVersion,
-    view::{Key, TABLES, Table, View},
+    view::{Key, NEEDED, Table, View},
     warmth::Warmth,
     workspaces::{Denial, Member, Shown, WorkspaceTable},
 };
@@ -65,6 +67,7 @@
     pub(crate) budgets: Budgets,
     pub(crate) harms: Harms,
     pub(crate) returns: Returns,
+    pub(crate) rollouts: Rollouts,
     pub(crate) number: u64,
     pub(crate) calls: Calls,
     pub(crate) registry: Registry,
@@ -73,9 +76,9 @@
     /// Whether a host that this one asked could tell it nothing.
     pub(crate) untold: bool,
     /// News of each table that others know and this host lacks.
-    pub(crate) behind: [Option<Told>; 2],
+    pub(crate) behind: [Option<Told>; 3],
     /// Version of each table that this host has itself read the store up to.
-    pub(crate) covered: [StoreVersion; 2],
+    pub(crate) covered: [StoreVersion; 3],
     /// What hosts told of that holds on from an earlier era, as [`crate::beat::Known::held`] names it.
     pub(crate) held_taken: HashSet<u32>,
     pub(crate) store_ms: u16,
@@ -121,6 +124,15 @@
     /// What held on from an earlier era of the store does no longer; what the store says is
     /// in force.
     HoldEnded(Key),
+    /// A service is to be rolled out to a version, or that has come so far.
+    Rollout {
+        /// The service.
+        service: String,
+        /// The version; none if the order was taken back.
+        target: Option<String>,
+        /// How far it has come; none if it has not begun.
+        stage: Option<Stage>,
+    },
 }
 
 /// What a host found as it first knew a table of a new era of the store.
@@ -203,13 +215,14 @@
             budgets: Budgets::new(reader),
             harms: Harms::default(),
             returns: Returns::default(),
+            rollouts: Rollouts::new(reader),
             number: 0,
             calls: Calls::default(),
             registry: Registry::default(),
             asked_first: false,
             untold: false,
-            behind: [None; 2],
-            covered: [StoreVersion::default(); 2],
+            behind: [None; 3],
+            covered: [StoreVersion::default(); 3],
             held_taken: HashSet::new(),
             store_ms: FAR_MS,
             ready: false,
@@ -272,7 +285,9 @@
 
     /// Whether callers can be served.
     pub fn serves(&self) -> bool {
-        self.version().is_some() && !self.leaving && self.view.mark(Table::Servers).fresh.is_some()
+        let knows = self.version().is_some() && self.view.mark(Table::Servers).fresh.is_some();
+        // A host that starts during a roll-out does not know yet which servers are used.
+        knows && !self.leaving && (self.ready || !self.lacks_progress())
     }
 
     /// Hosts that start ask this one first, so it does not wait for others itself.
@@ -351,9 +366,26 @@
 
     /// Chooses the server of a request and counts it as sent.
     pub fn send(&mut self, now: Time, ask: &Ask<'_>) -> Choice {
+        let arm = self.arm(now, ask);
+        let mut choice = self.choose(now, ask, arm);
+        let falls_back = matches!(arm, Arm::Canary | Arm::Target) && !self.has_left(ask.service);
+        if matches!(choice, Choice::Refuse(_)) && falls_back {
+            choice = self.choose(now, ask, Arm::Old);
+        }
+        if let Choice::Send(index) = choice
+            && let Some(entry) = self.servers.get_mut(index)
+        {
+            entry.sent(now);
+            self.sent_on_trial(ask.service, &ask.route.name, index);
+        }
+        choice
+    }
+
+    fn choose(&self, now: Time, ask: &Ask<'_>, arm: Arm) -> Choice {
         let host = &self.settings.host;
         let empty = Division::default();
         let scene = Scene {
+            arm,
             now,
             started: self.started,
             place: (&host.domain, &host.region),
@@ -364,13 +396,7 @@
             division: self.divisions.get(ask.service).unwrap_or(&empty),
             warmth: &self.warmth,
         };
-        let choice = choose::choose(&scene, ask);
-        if let Choice::Send(index) = choice
-            && let Some(entry) = self.servers.get_mut(index)
-        {
-            entry.sent(now);
-        }
-        choice
+        choose::choose(&scene, ask)
     }
 
     /// Takes in what became of a request that was sent.
@@ -504,7 +530,7 @@
 
     /// How old what is known of the store is, in microseconds.
     pub fn staleness(&self, now: Time) -> u64 {
-        let ages = TABLES.map(|table| self.view.age(now, table).unwrap_or(60 * SECOND));
+        let ages = NEEDED.map(|table| self.view.age(now, table).unwrap_or(60 * SECOND));
         ages[0].max(ages[1])
     }
 }
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -21,6 +21,7 @@
     hash,
     kept::{Copied, Effect, Kept},
     model::{Configuration, Server},
+    rollout::{Order, Progress},
     version::StoreVersion,
 };
 
@@ -35,17 +36,21 @@
 /// Starts of hosts whose last reading is remembered.
 const READERS_KEEP: usize = 4_096;
 
-/// The two tables of a view.
+/// The tables of a view.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Table {
     /// Configuration and evacuations.
     Rules,
     /// Backend servers.
     Servers,
+    /// How far roll-outs have come; read only while there are any.
+    Rollouts,
 }
 
-/// Both tables.
-pub const TABLES: [Table; 2] = [Table::Rules, Table::Servers];
+/// All tables.
+pub const TABLES: [Table; 3] = [Table::Rules, Table::Servers, Table::Rollouts];
+/// Tables that each host has to know.
+pub const NEEDED: [Table; 2] = [Table::Rules, Table::Servers];
 
 /// Names a row.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -56,13 +61,18 @@
     Evacuation(String),
     /// A start of a backend server, by its id.
     Server(String),
+    /// The order to roll out a service.
+    Rollout(String),
+    /// How far that has come.
+    Progress(String),
 }
 
 impl Key {
     /// The table that the row is in.
     pub fn table(&self) -> Table {
         match self {
-            Key::Configuration | Key::Evacuation(_) => Table::Rules,
+            Key::Configuration | Key::Evacuation(_) | Key::Rollout(_) => Table::Rules,
+            Key::Progress(_) => Table::Rollouts,
             Key::Server(_) => Table::Servers,
         }
     }
@@ -81,6 +91,8 @@
             Key::Configuration => write!(f, "configuration"),
             Key::Evacuation(domain) => write!(f, "evacuation of {domain}"),
             Key::Server(id) => write!(f, "server {id}"),
+            Key::Rollout(service) => write!(f, "roll-out of {service}"),
+            Key::Progress(service) => write!(f, "progress of {service}"),
         }
     }
 }
@@ -96,6 +108,10 @@
     Server(Server),
     /// What stands there cannot be read, so it names no server to use.
     Unreadable,
+    /// An order to roll out a service.
+    Rollout(Order),
+    /// How far that has come.
+    Progress(Progress),
 }
 
 /// A row as it travels between hosts.
@@ -126,18 +142,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct View {
     rows: BTreeMap<Key, Kept>,
-    marks: [Mark; 2],
+    marks: [Mark; 3],
     /// Readings of each host that are known of.
-    seen: [HashMap<u64, Seen>; 2],
+    seen: [HashMap<u64, Seen>; 3],
     era: Era,
     holds: Holds,
     /// Whether any row may hold on against what the store says.
     holding: bool,
     /// Versions up to which each table was known when the era began here; none if nothing
     /// was.
-    bridges: [Option<StoreVersion>; 2],
+    bridges: [Option<StoreVersion>; 3],
     /// Digests of the keys of each table; none if they have changed since.
-    digests: [Cell<Option<u32>>; 2],
+    digests: [Cell<Option<u32>>; 3],
 }
 
 /// Readings of one host.
@@ -337,7 +353,7 @@
         rows.map(|(key, row)| row.in_force(key)).collect()
     }
 
-    /// Number of such rows in both tables, for metrics.
+    /// Number of such rows in all tables, for metrics.
     pub fn held_count(&self) -> usize {
         self.rows.values().filter(|row| row.copy.is_some()).count()
     }
@@ -470,6 +486,22 @@
         self.rows.iter().filter_map(|(key, row)| Some((key, row.item.as_ref()?)))
     }
 
+    /// Version of a row's last change that matters; none if the row is not known.
+    pub fn row_version(&self, key: &Key) -> Option<StoreVersion> {
+        Some(self.rows.get(key)?.version)
+    }
+
+    /// The store's counter for a row as it has it; 0 if it is not there.
+    pub fn store_count(&self, key: &Key) -> u64 {
+        let there = self.rows.get(key).filter(|row| row.is_there());
+        there.map_or(0, |row| row.says(self.era.number).0.count)
+    }
+
+    /// Whether a row holds on from an earlier era against what the store says.
+    pub fn is_held(&self, key: &Key) -> bool {
+        self.rows.get(key).is_some_and(|row| row.copy.is_some())
+    }
+
     /// The content of a row, if it is there.
     pub fn get(&self, key: &Key) -> Option<&Item> {
         self.rows.get(key)?.item.as_ref()
--- a/elmstream_steer/tests/large.rs
+++ b/elmstream_steer/tests/large.rs
@@ -12,7 +12,7 @@
     Bounds, Choice, Steer, hash, members,
     model::Repeat,
     servers::Outcome,
-    view::{Item, Row, TABLES, Table},
+    view::{Item, NEEDED, Row, Table},
 };
 use support::{
     COLD_PER_S, address, configuration, domains, ms, ready, route, send, server, servers, store,
@@ -165,7 +165,7 @@
         fleet.round(|_| true);
         let now = ms(fleet.at);
         for host in &mut fleet.hosts {
-            for table in TABLES {
+            for table in NEEDED {
                 if let Some(why) = host.must_read(now, table) {
                     calls += usize::from(fleet.at > 6_000);
                     store::answered(host, now, (table, why), Vec::new());
@@ -276,6 +276,9 @@
         limit_window_s: 5,
         limit_overshoot: 0.1,
         limit_slack: 20.0,
+        exposure_share: 0.1,
+        exposure_slack: 50.0,
+        rollback_ms: 5_000,
     },
     per_s: 3.8,
 };
--- a/elmstream_steer/tests/outage.rs
+++ b/elmstream_steer/tests/outage.rs
@@ -22,7 +22,7 @@
     members::{self, Member},
     readers::{self, Reader},
     telling::TableRows,
-    view::{TABLES, Table},
+    view::{NEEDED, Table},
 };
 use support::{DOMAINS, address, configuration, host, ms, ready, servers, store};
 
@@ -52,7 +52,7 @@
 enum Message {
     Beat(Box<elmstream_steer::beat::Beat>),
     /// Another host's rows.
-    Rows(Table, TableRows),
+    Rows(Table, Box<TableRows>),
 }
 
 /// Hosts, a store that is silent for a while, and what is on its way.
@@ -120,7 +120,7 @@
             if at.is_multiple_of(100) {
                 self.hosts[n].tick(ms(at));
             }
-            for table in TABLES {
+            for table in NEEDED {
                 self.read(at, n, table, well);
             }
         }
@@ -167,12 +167,12 @@
                 let fetches = !self.without_fetches.contains(&to) && !self.dead.contains(&from);
                 for (table, version) in news.wanted.into_iter().filter(|_| fetches) {
                     let rows = self.hosts[from].tell_rows(ms(at), table, version);
-                    let message = Message::Rows(table, rows);
+                    let message = Message::Rows(table, Box::new(rows));
                     self.on_the_way.entry(at + FETCH).or_default().push((from, to, message));
                 }
             }
             Message::Rows(table, rows) => {
-                self.hosts[to].told(ms(at), table, rows);
+                self.hosts[to].told(ms(at), table, *rows);
             }
         }
     }
@@ -186,6 +186,7 @@
             self.calls[n][place] = None;
             let rows = match table {
                 Table::Rules => vec![configuration(self.stored.0, self.stored.1)],
+                Table::Rollouts => Vec::new(),
                 Table::Servers => Vec::new(),
             };
             match call.answered {
--- a/elmstream_steer/tests/support/eras.rs
+++ b/elmstream_steer/tests/support/eras.rs
@@ -14,7 +14,7 @@
     members,
     telling::TableRows,
     version::StoreVersion,
-    view::{Item, Key, Row, TABLES, Table},
+    view::{Item, Key, NEEDED, Row, Table},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -169,7 +169,7 @@
 
 enum Message {
     Beat(Box<Beat>),
-    Rows(Table, TableRows),
+    Rows(Table, Box<TableRows>),
 }
 
 struct Node {
@@ -417,7 +417,7 @@
         if at.is_multiple_of(100) {
             self.nodes[n].steer.tick(ms(at));
         }
-        for table in TABLES {
+        for table in NEEDED {
             self.read(at, n, table);
         }
     }
@@ -455,12 +455,12 @@
                     if self.without == Without::Telling {
                         rows.held.clear();
                     }
-                    let message = Message::Rows(table, rows);
+                    let message = Message::Rows(table, Box::new(rows));
                     self.on_the_way.entry(at + FETCH).or_default().push((from, to, message));
                 }
             }
             Message::Rows(table, rows) => {
-                self.nodes[to].steer.told(ms(at), table, rows);
+                self.nodes[to].steer.told(ms(at), table, *rows);
             }
         }
     }
--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -111,6 +111,7 @@
         cold_ms: 0,
         born: 0,
         entries: 0,
+        version: String::new(),
     };
     Row::new(Key::Server(id.into()), at(stored), Some(Item::Server(server)))
 }
