--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -22,11 +22,11 @@
     fields: Value,
 }
 
-/// What the log says of a request; none if it does not know it.
+/// What the log says of a request, or of the roll-outs of a service; none if it knows neither.
 pub fn explain<'a>(log: impl Iterator<Item = &'a str>, request: &str) -> Option<Vec<String>> {
     let lines: Vec<Line> = log.filter_map(parse).collect();
     let own: Vec<&Line> = lines.iter().filter(|line| line.fields["id"] == request).collect();
-    let last = own.last()?;
+    let Some(last) = own.last() else { return rollouts(&lines, request) };
     let mut told = Vec::new();
     for line in &own {
         told.extend(of_request(line));
@@ -44,6 +44,46 @@
     Some(told)
 }
 
+/// What the log says of the roll-outs of a service; none if it knows of none.
+fn rollouts(lines: &[Line], service: &str) -> Option<Vec<String>> {
+    let own: Vec<&Line> = lines
+        .iter()
+        .filter(|line| line.event.starts_with("rollout") && line.fields["service"] == service)
+        .collect();
+    let last = own.last()?;
+    let mut told: Vec<String> = own.iter().map(|line| belief(line, last.at)).collect();
+    told.drain(..told.len().saturating_sub(BELIEFS));
+    told.extend(own.iter().rev().find_map(|line| rollback(&line.fields)));
+    Some(told)
+}
+
+/// Why a version was turned away, in words; none if the line does not tell.
+fn rollback(fields: &Value) -> Option<String> {
+    if fields["stage"] != "rolled_back" || fields["order"].is_null() {
+        return None;
+    }
+    let Some(cause) = fields["cause"].as_object() else {
+        let (good, bad) = (&fields["good"], &fields["bad"]);
+        return Some(format!(
+            "cause: time was nearly over, and {good} good and {bad} bad answers were too few to \
+             trust the version, or its servers had too few slots"
+        ));
+    };
+    let usual = cause.get("usual").and_then(Value::as_f64).unwrap_or(0.0) * 100.0;
+    let field = |name: &str| cause.get(name).cloned().unwrap_or_default();
+    let route = match field("route") {
+        Value::String(route) => format!("on route {route}"),
+        _ => "over all routes".to_owned(),
+    };
+    Some(format!(
+        "cause: {} of {} answers of {} of its servers {route} failed or were slow, where {usual:.0}% \
+         count as usual by the other versions",
+        field("bad"),
+        field("bad").as_u64().unwrap_or(0) + field("good").as_u64().unwrap_or(0),
+        field("servers"),
+    ))
+}
+
 fn parse(text: &str) -> Option<Line> {
     let fields: Value = serde_json::from_str(&text[text.find('{')?..]).ok()?;
     let at = fields["unix_ms"].as_i64()?;
--- a/elmctl/tests/explain.rs
+++ b/elmctl/tests/explain.rs
@@ -91,3 +91,21 @@
     assert!(told.contains("ended one after another"), "{told}");
     assert!(told.contains("refuses") && told.contains("host-2"), "{told}");
 }
+
+const ROLLOUT: &str = r#"
+{"unix_ms":100000,"event":"rollout","service":"s","target":"v2","stage":null,"from":"store"}
+{"unix_ms":100500,"event":"rollout_written","service":"s","target":"v2","stage":"trial","order":"1.7","good":null,"bad":null,"cause":null}
+{"unix_ms":104000,"event":"rollout_written","service":"s","target":"v2","stage":"rolled_back","order":"1.7","good":20,"bad":7,"cause":{"route":"r","good":4,"bad":6,"servers":3,"usual":0.02}}
+"#;
+
+#[test]
+fn a_version_that_was_turned_away_is_explained_by_its_service() {
+    let told = explain(ROLLOUT.lines(), "s").expect("the log knows it").join("\n");
+    assert!(told.contains("-4.0 s rollout"), "{told}");
+    assert!(told.contains("6 of 10 answers of 3 of its servers on route r failed"), "{told}");
+    let plain =
+        ROLLOUT.replace(r#"{"route":"r","good":4,"bad":6,"servers":3,"usual":0.02}"#, "null");
+    let told = explain(plain.lines(), "s").expect("the log knows it").join("\n");
+    assert!(told.contains("20 good and 7 bad answers were too few"), "{told}");
+    assert_eq!(explain(ROLLOUT.lines(), "another"), None);
+}
--- a/elmstream_edge/src/rollout.rs
+++ b/elmstream_edge/src/rollout.rs
@@ -2,7 +2,11 @@
 
 use std::{rc::Rc, time::Duration};
 
-use elmstream_steer::{RolloutWrite, rollout::Stage, verdict::Cause};
+use elmstream_steer::{
+    RolloutWrite, Steer,
+    rollout::Stage,
+    verdict::{Cause, route_hash},
+};
 use elmstreamd::clock;
 use serde_json::{Value, json};
 
@@ -60,14 +64,17 @@
         "service": write.service, "target": write.progress.target,
         "stage": told(write.progress.stage), "order": write.progress.order.to_string(),
         "good": answers.map(|marks| marks.good), "bad": answers.map(|marks| marks.bad),
-        "cause": write.cause.as_ref().map(cause),
+        "cause": write.cause.as_ref().map(|known| cause(&steer, known)),
     })
 }
 
 /// Why a version is turned away.
-fn cause(cause: &Cause) -> Value {
+fn cause(steer: &Steer, cause: &Cause) -> Value {
+    let configuration = steer.view().configuration().into_iter();
+    let mut routes = configuration.flat_map(|configuration| &configuration.routes);
+    let route = cause.route.map(|hash| routes.find(|route| route_hash(&route.name) == hash));
     json!({
-        "route": cause.route, "good": cause.target.good, "bad": cause.target.bad,
+        "route": route.map(|route| route.map_or("", |route| route.name.as_str())), "good": cause.target.good, "bad": cause.target.bad,
         "servers": cause.servers, "usual": cause.usual,
     })
 }
--- a/elmstream_edge/tests/support/mod.rs
+++ b/elmstream_edge/tests/support/mod.rs
@@ -30,6 +30,7 @@
     harm::Ending,
     model::{Configuration, Limits, Part, Repeat, Route, Server, Service},
     registry::{Edit, Listed},
+    rollout::Stage,
     version::StoreVersion,
     view::{Item, Key, Row, Table},
 };
@@ -79,6 +80,15 @@
         self.rows.borrow_mut().insert(key.clone(), Row::new(key, version, item));
     }
 
+    /// How far the roll-out of a service has come.
+    pub fn stage(&self, service: &str) -> Option<Stage> {
+        let rows = self.rows.borrow();
+        match &rows.get(&Key::Progress(service.into()))?.item {
+            Some(Item::Progress(progress)) => Some(progress.stage),
+            _ => None,
+        }
+    }
+
     fn newest(&self) -> StoreVersion {
         StoreVersion::new(self.era.get() + 1, self.version.get())
     }
--- a/elmstream_steer/src/evidence.rs
+++ b/elmstream_steer/src/evidence.rs
@@ -17,6 +17,8 @@
 /// An answer is slow if it took this many times as long as the other versions' do: bad
 /// versions are several times slower.
 const SLOW: f64 = 2.5;
+/// Time by which answers differ for the host's own sake, in milliseconds.
+const NOISE_MS: f64 = 10.0;
 /// Answers of the other versions from which on their mean is known.
 const KNOWN: u32 = 5;
 /// How many times as long a server takes that does not know the key, till learned.
@@ -100,7 +102,7 @@
             return false;
         }
         let usually = self.mean_ms(seen.route, knew);
-        let slow = usually.is_some_and(|usually| millis > usually * SLOW);
+        let slow = usually.is_some_and(|usually| millis > usually * SLOW + NOISE_MS);
         if !seen.target && !seen.cold {
             let usual = self.0.entry((seen.route, knew)).or_default();
             usual.count = usual.count.saturating_add(1);
--- a/elmstream_steer/src/verdict.rs
+++ b/elmstream_steer/src/verdict.rs
@@ -289,6 +289,6 @@
 }
 
 /// Hash of a route's name, as reports have it.
-pub(crate) fn route_hash(name: &str) -> u32 {
+pub fn route_hash(name: &str) -> u32 {
     hash::of(name) as u32
 }
--- a/elmstream_steer/tests/eras.rs
+++ b/elmstream_steer/tests/eras.rs
@@ -16,6 +16,7 @@
     Steer,
     era::Holds,
     model::Configuration,
+    rollout::{Order, Progress, Stage},
     steer::Change,
     version::StoreVersion,
     view::{Item, Key, Row, Table},
@@ -312,3 +313,37 @@
     let seen = play(&drill, Without::Nothing);
     assert_eq!(seen.first, None);
 }
+
+fn rolled(stage: Stage) -> Row {
+    let order = StoreVersion::new(1, 40);
+    let progress = Progress { order, target: "v2".into(), stage, began_unix_ms: 0 };
+    let item = Some(Item::Progress(progress));
+    Row::new(Key::Progress("shop".into()), StoreVersion::default(), item)
+}
+
+fn ordered() -> Row {
+    let order = Order { target: "v2".into(), duration_ms: 12_000 };
+    Row::new(Key::Rollout("shop".into()), StoreVersion::default(), Some(Item::Rollout(order)))
+}
+
+/// Neither an older copy of the store nor older news take a verdict back.
+#[test]
+fn a_verdict_on_a_roll_out_is_never_taken_back() {
+    for copied in [Some(rolled(Stage::Trial)), None] {
+        let mut steer = knows(Table::Rules, 40, vec![ordered()]);
+        let rows = vec![of(1, 60, rolled(Stage::RolledBack))];
+        steer.read_all(ms(0), Table::Rollouts, StoreVersion::new(1, 60), rows);
+        assert_eq!(steer.rollout_stage("shop"), Some(Stage::RolledBack));
+        let older = vec![of(1, 61, rolled(Stage::Trial))];
+        steer.read(ms(10), Table::Rollouts, older);
+        assert_eq!(steer.rollout_stage("shop"), Some(Stage::RolledBack));
+        let rows = copied.into_iter().map(|row| of(2, 45, row)).collect();
+        returns(&mut steer, 1_000, Table::Rollouts, 50, rows);
+        returns(&mut steer, 1_000, Table::Rules, 50, vec![of(2, 40, ordered())]);
+        steer.tick(ms(1_100));
+        assert_eq!(steer.rollout_stage("shop"), Some(Stage::RolledBack));
+        // The operator writes again what the copy may have lost.
+        steer.read(ms(1_200), Table::Rules, vec![of(2, 55, ordered())]);
+        assert_eq!(steer.rollout_stage("shop"), Some(Stage::RolledBack));
+    }
+}
