--- a/elmstream_soak/src/backend.rs
+++ b/elmstream_soak/src/backend.rs
@@ -7,8 +7,8 @@
 use hyper::body::Incoming;
 
 use crate::{
-    listen, needy, workspaces,
-    world::{ServerMode, World},
+    listen, needy, versions, workspaces,
+    world::{SHOP, ServerMode, World},
 };
 
 /// Time that a request takes.
@@ -32,6 +32,14 @@
     };
     let (id, server) = (field("elmstream-request"), field("elmstream-server"));
     let known = world.servers.borrow().get(&server).copied();
+    let of_version = server.starts_with(versions::NEXT);
+    if of_version || server.starts_with(SHOP) {
+        world.arrivals.add(versions::ALL, world.now());
+        // A server that has ended gets nothing, however its requests are answered.
+        if of_version || known.is_none() {
+            world.arrivals.add(&server, world.now());
+        }
+    }
     let Some(mode) = known else {
         return Ok(status(StatusCode::MISDIRECTED_REQUEST));
     };
@@ -58,6 +66,13 @@
             Err(Cut)
         }
         ServerMode::Cutting => Err(Cut),
+        ServerMode::Failing if world.arrivals.of(&server).len().is_multiple_of(2) => {
+            let mut failure = status(StatusCode::INTERNAL_SERVER_ERROR);
+            if let Ok(value) = id.parse() {
+                failure.headers_mut().insert("elmstream-request", value);
+            }
+            Ok(failure)
+        }
         _ => {
             let echoed = if mode == ServerMode::Mixing { "another" } else { &id };
             let told = if world.breaks("mixed") && id.ends_with("7") { "x" } else { &id };
--- a/elmstream_soak/src/faults.rs
+++ b/elmstream_soak/src/faults.rs
@@ -45,6 +45,8 @@
     Need(usize),
     /// The configuration changes.
     Configure,
+    /// The shop is rolled out, to a version that is bad or not.
+    RollOut(bool),
 }
 
 /// A fault at a time.
@@ -97,6 +99,7 @@
         at += random.random_range(100..1_500);
     }
     series::says(seed, millis, servers, &mut events);
+    series::roll_outs(seed, millis, &mut events);
     events.retain(|event| event.at + CALM < millis);
     events.sort_by_key(|event| event.at);
     events
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod store;
 pub mod strike;
 pub mod trouble;
+pub mod versions;
 pub mod watch;
 pub mod wire;
 pub mod workspaces;
--- a/elmstream_soak/src/main.rs
+++ b/elmstream_soak/src/main.rs
@@ -21,7 +21,10 @@
     let seconds = long("seconds").help("How long faults go on").argument("N").fallback(20);
     let processes = long("processes").help("Number of hosts").argument("N").fallback(5);
     let broken = long("break")
-        .help("Leaves a rule out, to see that the checks notice: once, back, mixed, lost, name, key, limit or harm")
+        .help(
+            "Leaves a rule out, to see that the checks notice: once, back, mixed, lost, name, \
+             key, limit, harm, exposure, rolled_back or completed",
+        )
         .argument("RULE")
         .optional();
     let program = pure(None);
--- a/elmstream_soak/src/needy.rs
+++ b/elmstream_soak/src/needy.rs
@@ -41,7 +41,8 @@
         self.0.borrow_mut().entry(server.to_owned()).or_default().push(now);
     }
 
-    fn of(&self, server: &str) -> Vec<u64> {
+    /// When requests came to a server.
+    pub fn of(&self, server: &str) -> Vec<u64> {
         self.0.borrow().get(server).cloned().unwrap_or_default()
     }
 }
--- a/elmstream_soak/src/series.rs
+++ b/elmstream_soak/src/series.rs
@@ -8,6 +8,10 @@
     world::StoreMode,
 };
 
+/// Seed of the draw of roll-outs, and time that one takes, in milliseconds.
+const ROLL_OUTS: u64 = 0x726f_6c6c;
+const ROLL_OUT: u64 = 6_500;
+
 /// Time between two configurations of a series, in milliseconds.
 const CONFIGURE_EVERY: u64 = 350;
 /// How long a host that stops gets little processor time, in milliseconds: until after
@@ -102,3 +106,14 @@
         at += random.random_range(SAYS);
     }
 }
+
+/// Every second seed has a bad version rolled out beside all else, if there is time for it.
+/// It is drawn apart, so that a seed's other faults stay as they are.
+pub fn roll_outs(seed: u64, millis: u64, events: &mut Vec<Event>) {
+    let mut random = StdRng::seed_from_u64(seed ^ ROLL_OUTS);
+    let last = millis.saturating_sub(ROLL_OUT + CALM);
+    if last > CALM && random.random_bool(0.5) {
+        let at = random.random_range(CALM..last);
+        events.push(Event { at, lasts: 0, fault: Fault::RollOut(true) });
+    }
+}
--- a/elmstream_soak/src/strike.rs
+++ b/elmstream_soak/src/strike.rs
@@ -10,6 +10,7 @@
     faults::{Event, Fault},
     needy,
     process::Process,
+    versions,
     world::{SHOP, ServerMode, StoreMode, World},
 };
 
@@ -85,6 +86,7 @@
         Fault::Leave(n) => needy::leave(world, hosts, n, address).await,
         Fault::Rest(n) => needy::rest(world, hosts, n, lasts).await,
         Fault::Need(n) => needy::need(world, hosts, n).await,
+        Fault::RollOut(bad) => versions::roll_out(world, hosts, bad, address).await,
         Fault::Configure => {
             let next = world.ledger.borrow().newest() + 1;
             // A store that is away acknowledges nothing.
--- /dev/null
+++ b/elmstream_soak/src/versions.rs
@@ -0,0 +1,150 @@
+//! Roll-outs of the shop: servers of another version come, good or bad, and what they and the
+//! others get is judged from outside.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use elmstream_steer::{
+    rollout::{Order, Stage},
+    view::{Item, Key},
+};
+
+use crate::{
+    callers::Hosts,
+    world::{SHOP, ServerMode, StoreMode, World},
+};
+
+/// Servers of the version.
+const SERVERS: u64 = 5;
+/// Time from the order until it has to be decided, in milliseconds.
+const DURATION: u64 = 6_000;
+/// Time between the order and the servers' start.
+const STARTED: Duration = Duration::from_millis(200);
+/// Part of the shop's requests that a bad version may get, and requests on top.
+const SHARE: f64 = 0.1;
+const SLACK: f64 = 50.0;
+/// Bad answers after which, and time within which, it gets nothing more, in milliseconds.
+const BAD: usize = 50;
+const ROLLBACK: u64 = 5_000;
+/// Time before the order from which on nothing must have been in trouble for the decision to
+/// be due, in milliseconds.
+const BEFORE: u64 = 2_000;
+const LOOK: Duration = Duration::from_millis(50);
+/// What the ids of servers of a version begin with.
+pub const NEXT: &str = "next-";
+/// Where all of the shop's requests are counted.
+pub const ALL: &str = "all";
+
+/// The version of a server by its id.
+pub fn version(id: &str) -> String {
+    let began = id.strip_prefix(NEXT).and_then(|rest| rest.split_once('-'));
+    began.map_or("v1".to_owned(), |(_, began)| format!("v-{began}"))
+}
+
+/// Rolls the shop out, to a version that is bad or not.
+pub async fn roll_out(world: &Rc<World>, hosts: &Hosts, bad: bool, address: SocketAddr) {
+    let began = world.now();
+    let target = format!("v-{began}");
+    let order = Order { target: target.clone(), duration_ms: DURATION };
+    world.put(Key::Rollout(SHOP.into()), Some(Item::Rollout(order)));
+    compio::time::sleep(STARTED).await;
+    let servers: Vec<String> = (0..SERVERS).map(|n| format!("{NEXT}{n}-{began}")).collect();
+    let mode = if bad { ServerMode::Failing } else { ServerMode::Next };
+    for server in &servers {
+        world.servers.borrow_mut().insert(server.clone(), mode);
+        world.serve(server, SHOP, address, false);
+    }
+    let calm = watch(world, hosts, began, &target).await;
+    let stage = stage(world, &target);
+    if bad {
+        judge_bad(world, &servers, began, calm, stage);
+        leave(world, &servers);
+    } else {
+        judge_good(world, hosts, calm, stage).await;
+    }
+}
+
+/// Waits for the decision; whether nothing was in trouble until then.
+async fn watch(world: &World, hosts: &Hosts, began: u64, target: &str) -> bool {
+    let (era, muted) = (world.era.get(), world.muted.get());
+    let mut calm = true;
+    while world.now() < began + DURATION {
+        let store = world.store() == StoreMode::Well && world.away.borrow().is_none();
+        calm &= store && (world.era.get(), world.muted.get()) == (era, muted);
+        if stage(world, target) == Some(Stage::Completed) {
+            break;
+        }
+        compio::time::sleep(LOOK).await;
+    }
+    let since = began.saturating_sub(BEFORE);
+    calm && hosts.borrow().iter().all(|host| host.disturbed < since && host.terminated.is_none())
+}
+
+fn stage(world: &World, target: &str) -> Option<Stage> {
+    let rows = world.rows.borrow();
+    match &rows.get(&Key::Progress(SHOP.into()))?.item {
+        Some(Item::Progress(progress)) if progress.target == target => Some(progress.stage),
+        _ => None,
+    }
+}
+
+fn judge_bad(world: &World, servers: &[String], began: u64, calm: bool, stage: Option<Stage>) {
+    let until = began + DURATION;
+    let within = |server: &str| {
+        let times = world.arrivals.of(server);
+        times.into_iter().filter(|at| (began..until).contains(at)).collect::<Vec<u64>>()
+    };
+    let mut got: Vec<u64> = servers.iter().flat_map(|server| within(server)).collect();
+    got.sort_unstable();
+    let all = within(ALL).len();
+    let most = all as f64 * SHARE + SLACK;
+    let many = got.len() as f64 > most || world.breaks("exposure");
+    let text = format!("a bad version got {} of {all} requests", got.len());
+    judge(world, "exposure judged", many, text);
+    // Every second answer is a failure.
+    let late =
+        got.get(2 * BAD).map_or(0, |bad| got.iter().filter(|at| **at > bad + ROLLBACK).count());
+    judge(world, "roll-back judged", late > 0, format!("a bad version got {late} requests late"));
+    if calm {
+        let other = stage != Some(Stage::RolledBack) || world.breaks("rolled_back");
+        let text = format!("a bad version is {stage:?} when it has to be turned away");
+        judge(world, "decision judged", other, text);
+    }
+}
+
+/// The others are stopped without more ado, as soon as the roll-out is completed.
+async fn judge_good(world: &World, hosts: &Hosts, calm: bool, stage: Option<Stage>) {
+    let completed = stage == Some(Stage::Completed);
+    if calm {
+        let text = format!("a good version is {stage:?} when it has to be completed");
+        judge(world, "decision judged", !completed || world.breaks("completed"), text);
+    }
+    if !completed {
+        return;
+    }
+    let old: Vec<String> =
+        world.servers.borrow().keys().filter(|id| id.starts_with(SHOP)).cloned().collect();
+    let began = world.now();
+    world.servers.borrow_mut().retain(|id, _| !old.contains(id));
+    compio::time::sleep(Duration::from_millis(1_000)).await;
+    let came = old.iter().flat_map(|id| world.arrivals.of(id)).filter(|at| *at > began).count();
+    let undisturbed = hosts.borrow().iter().all(|host| host.disturbed < began);
+    let text = format!("servers that may be stopped got {came} requests");
+    judge(world, "leaving the others judged", undisturbed && came > 0, text);
+    leave(world, &old);
+}
+
+/// Servers end, and their entries go.
+fn leave(world: &World, servers: &[String]) {
+    for server in servers {
+        world.put(Key::Server(server.clone()), None);
+        world.servers.borrow_mut().remove(server);
+    }
+}
+
+fn judge(world: &World, what: &'static str, broken: bool, text: String) {
+    let mut ledger = world.ledger.borrow_mut();
+    ledger.count(what);
+    if broken {
+        ledger.violate(text);
+    }
+}
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -18,7 +18,7 @@
     view::{Item, Key, Row},
 };
 
-use crate::{fragile, ledger::Ledger, needy::Arrivals, trouble::Troubles, workspaces};
+use crate::{fragile, ledger::Ledger, needy::Arrivals, trouble::Troubles, versions, workspaces};
 
 /// Services with which a configuration shows its version. A host that lags by as many
 /// versions would seem to be ahead; at one change each 350 ms that takes 22 s.
@@ -68,6 +68,10 @@
     Leaving,
     /// It answers, and names a limit.
     Limited,
+    /// It answers, and is of a version that is rolled out.
+    Next,
+    /// The same, and each second answer is a failure.
+    Failing,
 }
 
 /// For how long copies of the store are kept, in milliseconds.
@@ -293,7 +297,7 @@
             cold_ms: 0,
             born: 0,
             entries,
-            version: String::new(),
+            version: versions::version(id),
         };
         self.put(Key::Server(id.into()), Some(Item::Server(server)));
     }
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -153,3 +153,29 @@
     let together = times.windows(2).filter(|pair| pair[1] - pair[0] <= 1_000).count();
     assert!(together > times.len() / 2, "{together} of {} stops follow another", times.len());
 }
+
+/// The shop is rolled out; nothing else happens.
+fn rolled_out(bad: bool, broken: Option<&str>) -> Report {
+    let options = options(2, 14, broken);
+    let event = Event { at: 4_000, lasts: 0, fault: Fault::RollOut(bad) };
+    let runtime = Runtime::new().expect("a runtime");
+    runtime.block_on(soak::run_events(&options, Duration::from_secs(14), vec![event]))
+}
+
+#[test]
+fn a_bad_version_is_turned_away_and_a_good_one_takes_over() {
+    for bad in [true, false] {
+        let report = rolled_out(bad, None);
+        assert!(report.passed(), "{report}");
+        assert!(report.counts().contains_key("decision judged"), "{report}");
+    }
+}
+
+#[test]
+fn a_version_that_gets_too_much_or_is_not_decided_is_noticed() {
+    let faults = [(true, "exposure"), (true, "rolled_back"), (false, "completed")];
+    for (bad, broken) in faults {
+        let report = rolled_out(bad, Some(broken));
+        assert!(report.violations().iter().any(|text| text.contains("version")), "{report}");
+    }
+}
