A version that was not rolled out to the end gets nothing without its order

Found by rereading: if the order's row goes, taken back or lost with a copy of the store, servers of the version counted as plain ones, and got 99 of 200 requests after the version had been turned away. The test failed first; now it gets none unless it was completed.

--- a/elmstream_steer/src/rolling.rs
+++ b/elmstream_steer/src/rolling.rs
@@ -229,6 +229,7 @@
         }
         self.rollouts.versions.accept(self.view.mark(Table::Rules).fresh);
         let firsts = self.canaries();
+        let undecided = self.without_order();
         let rollouts = &self.rollouts;
         for (index, entry) in self.servers.all_mut_indexed() {
             let (service, version) = (&entry.server.service, &entry.server.version);
@@ -237,11 +238,29 @@
                     rollout.standing(now, version, firsts.contains(&index), entry.known)
                 }
                 None if rollouts.versions.holds_back(service, version) => Standing::Shut,
+                None if undecided.get(service).is_some_and(|target| target == version) => {
+                    Standing::Shut
+                }
                 None => Standing::Free,
             };
         }
     }
 
+    /// Versions that were not rolled out to the end and whose order is gone, by service. They get
+    /// nothing: they may be bad, and a store that came back from a copy may have lost the order.
+    fn without_order(&self) -> BTreeMap<String, String> {
+        let services = self.servers.services().filter(|name| self.rollouts.get(name).is_none());
+        let undecided = services.filter_map(|service| {
+            match self.view.get(&Key::Progress(service.to_owned()))? {
+                Item::Progress(progress) if progress.stage != Stage::Completed => {
+                    Some((service.to_owned(), progress.target.clone()))
+                }
+                _ => None,
+            }
+        });
+        undecided.collect()
+    }
+
     /// Servers that get requests on trial: the first ones by a draw of the order.
     fn canaries(&self) -> Vec<Index> {
         let mut canaries = Vec::new();
--- a/elmstream_steer/tests/rollouts.rs
+++ b/elmstream_steer/tests/rollouts.rs
@@ -217,3 +217,44 @@
         assert!(broken > 0, "nothing is seen without {without:?}");
     }
 }
+
+/// The operator takes an order back, or the store comes back from a copy without it.
+#[test]
+fn a_version_that_was_turned_away_gets_nothing_without_its_order() {
+    use elmstream_steer::{
+        Choice,
+        model::Repeat,
+        rollout::{Order, Progress},
+        view::{Item, Key, Row, Table},
+    };
+    use support::{at, gone, id, ms, ready, route, send, server, with};
+    let of = |name: &str, version: &str| {
+        with(server(name, "a1", 10), 10, |server| server.version = version.into())
+    };
+    for (stage, shut) in
+        [(Stage::RolledBack, true), (Stage::Trial, true), (Stage::Completed, false)]
+    {
+        let mut steer = ready(0, ms(0), vec![of("old", "v1"), of("new", "v2")]);
+        let order = Item::Rollout(Order { target: "v2".into(), duration_ms: 12_000 });
+        let key = Key::Rollout(support::SERVICE.into());
+        steer.read(ms(10), Table::Rules, vec![Row::new(key.clone(), at(20), Some(order))]);
+        let progress = Progress { order: at(20), target: "v2".into(), stage, began_unix_ms: 0 };
+        let row = Key::Progress(support::SERVICE.into());
+        let row = Row::new(row, at(30), Some(Item::Progress(progress)));
+        steer.read_all(ms(20), Table::Rollouts, at(30), vec![row]);
+        steer.read(ms(30), Table::Rules, vec![gone(key, 40)]);
+        steer.tick(ms(100));
+        let mut reached = 0;
+        for key in 0..200 {
+            let Choice::Send(index) = send(&mut steer, ms(20_000), &route(Repeat::Safe, &[]), key)
+            else {
+                continue;
+            };
+            reached += usize::from(id(&steer, index) == "new");
+            let outcome =
+                elmstream_steer::servers::Outcome::Answered { micros: 1_000, knew: false };
+            steer.done(ms(20_000), index, outcome);
+        }
+        assert_eq!(reached == 0, shut, "{stage:?}: {reached} requests");
+    }
+}
