An operator's word that lets a request in counts for ends that are heard of right after

Its lines show that the host which read the operator's word did not refuse the request yet: it had not heard the last end, so it voided those before only. The last one, told 20 ms later, counted on at the other host, so after the copy's return the request was not known to be let in. A test with 0 to 3 ends known failed at once; now an end that is heard of within 2 s of the word is void, as after a whole answer.

--- a/elmstream_steer/src/harm.rs
+++ b/elmstream_steer/src/harm.rs
@@ -34,7 +34,8 @@
 /// Time for which the end of a server's start is remembered: no host sends to it longer
 /// than its entry stays in the store, some seconds.
 const ENDED: u64 = 60 * SECOND;
-/// Time after a whole answer in which endings that are heard of count as before it.
+/// Time after a whole answer, or an operator's word, in which endings that are heard of count as
+/// before it.
 const CLEARED: u64 = 2 * SECOND;
 /// Seconds after its last ending for which a request is suspected. Callers come back in
 /// seconds; a harmful one that comes more rarely ends one server each time.
@@ -134,7 +135,7 @@
         self.news = Some(now);
         let suspect = self.suspects.entry(ending.digest).or_default();
         let (before, was_refused) = (suspect.generation(), suspect.refused());
-        let cleared = suspect.answered.is_some_and(|at| now.since(at) < CLEARED);
+        let cleared = suspect.cleared.is_some_and(|at| now.since(at) < CLEARED);
         if !suspect.endings.contains_key(&ending.server) && suspect.endings.len() >= ENDINGS {
             suspect.drop_void();
         }
@@ -170,7 +171,7 @@
     /// A request got a whole answer, so it is none that ends its server.
     pub fn answered(&mut self, now: Time, digest: &RequestDigest) {
         if let Some(suspect) = self.suspects.get_mut(digest) {
-            suspect.answered = Some(now);
+            suspect.cleared = Some(now);
             suspect.void(now);
             self.news = Some(now);
         }
@@ -254,9 +255,15 @@
     }
 
     /// Lets a request in again, as an operator asks for; whether it was refused.
+    ///
+    /// Ends that other hosts have seen and this one has not heard of yet count as before that.
     pub fn lift(&mut self, now: Time, digest: &RequestDigest) -> bool {
-        let Some(suspect) = self.suspects.get_mut(digest) else { return false };
+        if !self.suspects.contains_key(digest) {
+            self.make_room();
+        }
+        let suspect = self.suspects.entry(*digest).or_default();
         let refused = suspect.refused();
+        suspect.cleared = Some(now);
         suspect.void(now);
         self.news = Some(now);
         refused
@@ -272,7 +279,8 @@
         self.ended.retain(|_, at| now.since(*at) < ENDED);
         self.suspects.retain(|_, suspect| {
             let keep = if suspect.refused() { REFUSE_S } else { SUSPECT_S };
-            unix_s.saturating_sub(suspect.last_s()) < keep
+            let cleared = suspect.cleared.is_some_and(|at| now.since(at) < CLEARED);
+            cleared || unix_s.saturating_sub(suspect.last_s()) < keep
         });
     }
 
--- a/elmstream_steer/src/suspect.rs
+++ b/elmstream_steer/src/suspect.rs
@@ -71,8 +71,8 @@
     pub refused_at: Option<Time>,
     /// Whether the store lists it.
     pub listed: bool,
-    /// Last whole answer that this host gave to it.
-    pub answered: Option<Time>,
+    /// Last whole answer that this host gave to it, or an operator's word that lets it in.
+    pub cleared: Option<Time>,
 }
 
 impl Suspect {
--- a/elmstream_steer/tests/harm.rs
+++ b/elmstream_steer/tests/harm.rs
@@ -7,7 +7,7 @@
 use elmstream_steer::{
     Choice, Steer,
     digest::RequestDigest,
-    harm::{Ending, Turn},
+    harm::{Ending, Harms, Turn},
     model::Repeat,
     servers::Outcome,
 };
@@ -383,3 +383,32 @@
         assert!(!ended.silent(ms(30), host.servers().pace("shop")));
     }
 }
+
+/// The host that reads an operator's word may not have heard the last ending yet: a request is
+/// refused elsewhere since a moment ago.
+#[test]
+fn an_operator_lets_a_request_in_for_good_at_a_host_that_is_behind() {
+    let digest = RequestDigest::from_hex(&"a1".repeat(16)).expect("a digest");
+    let ending =
+        |server| Ending { digest, server, generation: server as u8, at_s: UNIX_S, void: false };
+    for behind in 0..=3 {
+        let (mut reads, mut other) = (Harms::default(), Harms::default());
+        for server in 1..=3 {
+            other.hear(ms(0), &ending(server));
+        }
+        for server in 1..=behind {
+            reads.hear(ms(0), &ending(server));
+        }
+        reads.lift(ms(10), &digest);
+        reads.forget(ms(15), UNIX_S);
+        for told in other.tell(ms(20)) {
+            reads.hear(ms(20), &told);
+        }
+        for told in reads.tell(ms(30)) {
+            other.hear(ms(30), &told);
+        }
+        for host in [&reads, &other] {
+            assert!(host.cleared(&digest), "{behind} endings known: {host:?}");
+        }
+    }
+}
