Don't restore removed servers from a table or an answer that is older than what is known

Callers saw: requests reached servers more than 3 s after their entries had been removed. Cause: a full read shows no deletions from before it, so a host that has just started has no tombstones of them. Rows that were asked for before it read, from another host or from the store itself, and that arrive after it, were compared row by row; a row without a tombstone counted as new. The host then passed the servers on, and as it counts as complete, hosts that fetched from it never asked for the removal again. Change: a row that is unknown, although nothing up to its version is missing, was deleted since, and is dropped. A full read that is older than what is known is ignored by the version up to which nothing is missing, not by that of the newest row, which may be lower. The same holds for rules (evacuations) and roll-outs. Evidence: both tests fail without the change (the older table's servers are used again) and pass with it. Why it works: versions are the store's own counter and the host's knowledge is complete up to one of them, so an unknown row below it cannot exist in the store. Left: the random histories still fail, by a server that is added and removed between two full reads (KNOWN-RED).

--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -175,7 +175,8 @@
         rows: Vec<Row>,
     ) -> Vec<StateChange> {
         let before = self.view.watermark(table).version;
-        if version < before {
+        let complete_before = self.view.watermark(table).complete_version();
+        if version < complete_before {
             return Vec::new();
         }
         self.view.learn_era(version.era, version.count, None);
@@ -183,7 +184,7 @@
         let crossed = self.view.enter_era(now, table, version.era);
         let tombstone_version = if crossed { StoreVersion::absent(version.era) } else { version };
         let rows = self.with_tombstones(table, tombstone_version, rows);
-        let mut changes = self.on_changes_at(now, read_at, table, rows);
+        let mut changes = self.merge_read(now, read_at, table, rows);
         if crossed || is_first {
             self.view.set_tombstone_floor(table, version);
         }
@@ -221,6 +222,19 @@
         read_at: Time,
         table: Table,
         rows: Vec<Row>,
+    ) -> Vec<StateChange> {
+        // Another host's table may have arrived since the read.
+        let rows = self.view.without_deleted(rows);
+        self.merge_read(now, read_at, table, rows)
+    }
+
+    /// Merges rows that the store returned at `read_at`.
+    fn merge_read(
+        &mut self,
+        now: Time,
+        read_at: Time,
+        table: Table,
+        rows: Vec<Row>,
     ) -> Vec<StateChange> {
         let changes = self.apply_rows(now, table, rows);
         let read = StoreRead { reader: self.start_hash, stamp_ms: read_at.0 / MILLI };
--- a/elmstream_steer/src/table_sync.rs
+++ b/elmstream_steer/src/table_sync.rs
@@ -145,6 +145,7 @@
         let known_since = era.age_ms.map(|age| Time(now.0.saturating_sub(age * MILLI)));
         self.view.learn_era(era.number, era.first_count, known_since);
         let crossed = self.view.enter_era(now, table, status.version.era);
+        let rows = self.view.without_deleted(rows);
         let rows = match (is_full, crossed, &received.keys) {
             (true, true, _) => {
                 self.with_tombstones(table, StoreVersion::absent(status.version.era), rows)
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -312,6 +312,20 @@
         effect == Effect::Changed
     }
 
+    /// Drops rows that were deleted since: they are unknown here, although nothing up to their
+    /// versions is missing. A host that reads a table after a deletion may have no tombstone of it.
+    ///
+    /// All rows of a message have to be passed at once, as merging one raises the version up to
+    /// which nothing is missing.
+    pub fn without_deleted(&self, mut rows: Vec<Row>) -> Vec<Row> {
+        rows.retain(|row| {
+            let complete = self.watermark(row.key.table()).complete_version();
+            let is_covered = row.version.era == complete.era && row.version <= complete;
+            row.content.is_none() || !is_covered || self.rows.contains_key(&row.key)
+        });
+        rows
+    }
+
     /// Merges a row of an earlier era that another host retains against the store. Returns whether
     /// this host now retains it too.
     pub fn merge_retained(&mut self, now: Time, row: Row) -> bool {
--- a/elmstream_steer/tests/table_order.rs
+++ b/elmstream_steer/tests/table_order.rs
@@ -41,6 +41,27 @@
     }
 }
 
+#[test]
+fn late_answers_of_the_store_do_not_restore_servers_removed_since() {
+    let peer_table = {
+        let mut peer = host(1, ms(0));
+        peer.on_full_read(ms(0), Table::Servers, at(70), vec![server("t", "a2", 60)]);
+        peer.rows_for(ms(20), Table::Servers, at(0))
+    };
+    let listed = vec![server("t", "a2", 60), server("s", "a1", 65)];
+    let mut full_read = host(0, ms(10));
+    full_read.on_table_rows(ms(30), Table::Servers, peer_table.clone());
+    full_read.on_full_read(ms(40), Table::Servers, at(66), listed);
+    let mut changes_read = host(2, ms(10));
+    changes_read.on_full_read(ms(10), Table::Servers, at(61), vec![server("t", "a2", 60)]);
+    changes_read.on_table_rows(ms(30), Table::Servers, peer_table);
+    changes_read.on_changes(ms(40), Table::Servers, vec![server("s", "a1", 65)]);
+    for steer in [full_read, changes_read] {
+        assert!(steer.servers().find("s").is_none(), "the removed server is used again");
+        assert!(steer.servers().find("t").is_some(), "the other server is no longer used");
+    }
+}
+
 /// One step of a random history.
 #[derive(Clone, Copy, Debug)]
 enum Step {
