Tell hosts that lack them of deletions before any full read, not only before the first one

Callers would see: requests to a server whose entry was removed, until it ends. Not seen in the field. Cause: only a host's first full read of a table raised the version from which it knows all tombstones. A later one makes tombstones for the rows that the host knew, but none for rows that were added and removed since its last reading. Hosts that knew such a row fetched from it, were not sent the list of keys that would have shown the deletion, and counted as complete. The same held for a whole table of another host that arrives second. Change: each read or table that leaves a gap between what was complete before and where its tombstones begin raises that version. Why it works: a host is sent all keys whenever it is not complete up to the version from which the sender's tombstones are whole. Cost: 4 bytes a server in answers to hosts that are behind such a read.

--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -180,12 +180,12 @@
             return Vec::new();
         }
         self.view.learn_era(version.era, version.count, None);
-        let is_first = self.view.watermark(table).confirmed_at.is_none();
         let crossed = self.view.enter_era(now, table, version.era);
         let tombstone_version = if crossed { StoreVersion::absent(version.era) } else { version };
         let rows = self.with_tombstones(table, tombstone_version, rows);
         let mut changes = self.merge_read(now, read_at, table, rows);
-        if crossed || is_first {
+        // Rows that were both added and deleted since are not shown.
+        if complete_before < version {
             self.view.set_tombstone_floor(table, version);
         }
         self.view.mark_complete(table, version);
--- a/elmstream_steer/src/table_sync.rs
+++ b/elmstream_steer/src/table_sync.rs
@@ -168,13 +168,8 @@
         }
         self.merged_retained_digests.insert(status.retained_digest);
         self.view.confirm(now, table, status.version, last_read);
-        if crossed || watermark.confirmed_at.is_none() || received.keys.is_some() {
-            let floor = if crossed {
-                received.tombstone_floor
-            } else {
-                received.tombstone_floor.max(watermark.tombstone_floor)
-            };
-            self.view.set_tombstone_floor(table, floor);
+        if crossed || watermark.complete_version() < received.tombstone_floor {
+            self.view.set_tombstone_floor(table, received.tombstone_floor);
         }
         self.view.mark_complete(table, received.complete_to);
         if crossed {
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -187,8 +187,9 @@
     pub confirmed_at: Option<Time>,
     /// The read that confirmed the version.
     pub last_read: Option<StoreRead>,
-    /// Lowest version from which all tombstones are known. A first full read does not show earlier
-    /// deletions, so updates for a host at an earlier version lack tombstones.
+    /// Lowest version from which all tombstones are known. A full read does not show deletions of
+    /// rows that this host did not know, so updates for a host at an earlier version lack
+    /// tombstones.
     pub tombstone_floor: StoreVersion,
     /// Version up to which a store read or another host showed that nothing is missing, including
     /// tombstones. It may exceed `version`, as insignificant changes advance the store's
@@ -414,9 +415,8 @@
         row_hashes.fold(0, |sum, hash| sum ^ hash as u32)
     }
 
-    /// Sets the tombstone floor of a table: deletions before `version` are unknown. That is so
-    /// after the first full read of a table, or of a new era of it, and after rows from another
-    /// host whose tombstones begin there.
+    /// Sets the tombstone floor of a table: deletions before `version` may be unknown. That is so
+    /// after a full read of a table, and after rows from another host whose tombstones begin there.
     pub fn set_tombstone_floor(&mut self, table: Table, version: StoreVersion) {
         self.watermarks[table as usize].tombstone_floor = version;
     }
--- a/elmstream_steer/tests/table_order.rs
+++ b/elmstream_steer/tests/table_order.rs
@@ -62,6 +62,22 @@
     }
 }
 
+#[test]
+fn server_added_and_removed_between_two_full_reads_is_removed_at_all_hosts() {
+    let known = vec![server("t", "a2", 60)];
+    let mut by_changes = host(0, ms(0));
+    by_changes.on_full_read(ms(0), Table::Servers, at(61), known.clone());
+    by_changes.on_changes(ms(10), Table::Servers, vec![server("s", "a1", 65)]);
+    let mut by_full_reads = host(1, ms(0));
+    by_full_reads.on_full_read(ms(0), Table::Servers, at(61), known);
+    by_full_reads.on_full_read(ms(20), Table::Servers, at(70), vec![server("u", "a1", 69)]);
+    let request = by_changes.sync_request(Table::Servers);
+    let table = by_full_reads.rows_for(ms(30), Table::Servers, request);
+    by_changes.on_table_rows(ms(40), Table::Servers, table);
+    assert!(by_changes.servers().find("s").is_none(), "the removed server is still used");
+    assert!(by_changes.servers().find("u").is_some(), "the new server is not used");
+}
+
 /// One step of a random history.
 #[derive(Clone, Copy, Debug)]
 enum Step {
