Announce a deletion that the reading host learns of before it ever knew the row

Callers would see: requests to a server whose entry was removed, until it ends. Not seen in the field. Cause: the tombstone of a row that a host doesn't know was kept, but did not raise the version that its heartbeats show, while the host counted as complete beyond it. If the row had been added and removed between two of the reader's calls, another host that had read the table in between was never told. Whole tables sent to starting hosts even cut the tombstone's version down to the older one. Change: each new tombstone raises the version of the table. Evidence: the new test fails without the change and passes with it. Why it works: the version shown is again that of the newest change among the rows that are sent.

--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -296,8 +296,10 @@
             Some(stored) => stored.merge(now, &row, &self.era, &self.retention),
             None => {
                 // The tombstone of an unknown row is kept too, as it has to override delayed
-                // messages.
+                // messages and other hosts may know the row.
                 let effect = row.content.as_ref().map_or(Effect::Nothing, |_| Effect::Changed);
+                let watermark = &mut self.watermarks[index];
+                watermark.version = watermark.version.max(version);
                 let mut stored = StoredRow::new(now, version, row.content);
                 stored.removed_counters = row.removed_counters;
                 self.rows.insert(row.key, stored);
--- a/elmstream_steer/tests/table_order.rs
+++ b/elmstream_steer/tests/table_order.rs
@@ -78,6 +78,33 @@
     assert!(by_changes.servers().find("u").is_some(), "the new server is not used");
 }
 
+#[test]
+fn deletion_of_a_server_that_the_reader_never_knew_reaches_hosts_that_use_it() {
+    let known = vec![server("t", "a2", 60)];
+    let mut reader = host(0, ms(0));
+    reader.on_full_read(ms(0), Table::Servers, at(61), known.clone());
+    let mut other = host(1, ms(0));
+    other.on_full_read(
+        ms(0),
+        Table::Servers,
+        at(65),
+        [known, vec![server("s", "a1", 65)]].concat(),
+    );
+    let deletion = tombstone(RowKey::Server("s".into()), 66);
+    support::store::answered(
+        &mut reader,
+        ms(10),
+        (Table::Servers, ReadReason::Rank),
+        vec![deletion],
+    );
+    let news = other.on_heartbeat(ms(20), &reader.next_heartbeat(ms(20)));
+    for (table, request) in news.expect("the heartbeat is new").outdated_tables {
+        let rows = reader.rows_for(ms(30), table, request);
+        other.on_table_rows(ms(40), table, rows);
+    }
+    assert!(other.servers().find("s").is_none(), "the removed server is still used");
+}
+
 /// One step of a random history.
 #[derive(Clone, Copy, Debug)]
 enum Step {
