Raise the version from which tombstones are known when keys alone confirm a table

Callers would see: requests to a server whose entry was removed, until it ends. Not seen in the field. Cause: a host with the same version and keys as one that has read more counts as complete as far as that one. It has no tombstones of rows that came and went in between, but still said that it knows all of them, so a host that had such a row fetched from it and counted as complete as well. Change: the host takes over the version from which the other one knows all tombstones. Evidence: the new test fails without the change and passes with it.

--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -473,6 +473,7 @@
             && status.tombstone_floor > watermark.complete_version();
         if extends && status.keys_digest == self.keys_digest(table) {
             self.mark_complete(table, status.tombstone_floor);
+            self.set_tombstone_floor(table, status.tombstone_floor);
         }
     }
 
--- a/elmstream_steer/tests/table_order.rs
+++ b/elmstream_steer/tests/table_order.rs
@@ -105,6 +105,24 @@
     assert!(other.servers().find("s").is_none(), "the removed server is still used");
 }
 
+#[test]
+fn host_that_confirms_its_keys_does_not_hide_deletions_from_hosts_that_lack_them() {
+    let listed = vec![server("t", "a2", 60)];
+    let mut confirmed = host(0, ms(0));
+    confirmed.on_full_read(ms(0), Table::Servers, at(61), listed.clone());
+    let mut behind = host(1, ms(0));
+    let with_removed = [listed.clone(), vec![server("s", "a1", 65)]].concat();
+    behind.on_full_read(ms(0), Table::Servers, at(65), with_removed);
+    let mut newest = host(2, ms(0));
+    newest.on_full_read(ms(10), Table::Servers, at(70), listed);
+    confirmed.on_heartbeat(ms(20), &newest.next_heartbeat(ms(20)));
+    let table = confirmed.rows_for(ms(30), Table::Servers, behind.sync_request(Table::Servers));
+    behind.on_table_rows(ms(40), Table::Servers, table);
+    let table = newest.rows_for(ms(50), Table::Servers, behind.sync_request(Table::Servers));
+    behind.on_table_rows(ms(60), Table::Servers, table);
+    assert!(behind.servers().find("s").is_none(), "the removed server is still used");
+}
+
 /// One step of a random history.
 #[derive(Clone, Copy, Debug)]
 enum Step {
