Announce a roll-out's progress only once the table has been read up to it

Callers would see: requests to a version that was turned away, at hosts that never hear of the verdict. Not seen in the field. Cause: the same as with removed servers, a version that counts as complete and is not. A host that had written progress took the version of its own write as that of its table, though another host may have written the progress of another service just before. Who fetched from it counted as complete and never asked for the other row. Change: an own write is in force at once on its host, and does not raise the table's version. The table is read again right after the write (one more call for each write), and that reading is announced. `rollouts`, `steps` and the edge's `rollout` and `reader` tests pass. Why it works: a reading shows every change up to its version.

--- a/elmstream_edge/src/rollout.rs
+++ b/elmstream_edge/src/rollout.rs
@@ -6,11 +6,12 @@
     RolloutWrite, Steer,
     canary_analysis::{RejectionCause, route_hash},
     rollout::RolloutStage,
+    view::Table,
 };
 use elmstreamd::clock;
 use serde_json::{Value, json};
 
-use crate::{Edge, StoreSource};
+use crate::{Edge, StoreSource, store_reader};
 
 /// Interval of the check for whether progress is to be written.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -41,6 +42,10 @@
             edge.event_log.write("rollout_written", fields(edge, write));
             let changes = edge.steer.borrow_mut().on_rollout_written(clock::now(), write, version);
             edge.log_changes("itself", &changes);
+            if let Err(error) = store_reader::read_all(edge, source, Table::Rollouts).await {
+                let fields = json!({"service": service, "error": error.to_string()});
+                edge.event_log.write("rollout_read_failed", fields);
+            }
             true
         }
         Ok(None) => {
--- a/elmstream_edge/src/store_reader.rs
+++ b/elmstream_edge/src/store_reader.rs
@@ -136,21 +136,8 @@
     table: Table,
     (after, wait): (Option<StoreVersion>, Duration),
 ) -> Result<Option<StoreVersion>, SourceError> {
+    let Some(after) = after else { return read_all(edge, source, table).await.map(Some) };
     let started_at = clock::now();
-    let Some(after) = after else {
-        let StoreRows { version, rows, unreadable } = source.read_all(table).await?;
-        edge.log_unreadable_rows(name(table), &unreadable);
-        let now = clock::now();
-        check_era(edge, version)?;
-        let mut steer = edge.steer.borrow_mut();
-        if table == Table::Servers {
-            steer.record_read_time(now.since(started_at) / MILLI);
-        }
-        let changes = steer.on_full_read_at(now, started_at, table, version, rows);
-        drop(steer);
-        edge.log_changes("store", &changes);
-        return Ok(Some(version));
-    };
     let Some(StoreRows { version, rows, unreadable }) = source.changes(table, after, wait).await?
     else {
         edge.event_log.write("store_history_gone", json!({"table": name(table)}));
@@ -166,6 +153,27 @@
     Ok(Some(version))
 }
 
+/// Reads all rows of a table; returns the version that they reflect.
+pub(crate) async fn read_all<S: StoreSource>(
+    edge: &Edge,
+    source: &S,
+    table: Table,
+) -> Result<StoreVersion, SourceError> {
+    let started_at = clock::now();
+    let StoreRows { version, rows, unreadable } = source.read_all(table).await?;
+    edge.log_unreadable_rows(name(table), &unreadable);
+    let now = clock::now();
+    check_era(edge, version)?;
+    let mut steer = edge.steer.borrow_mut();
+    if table == Table::Servers {
+        steer.record_read_time(now.since(started_at) / MILLI);
+    }
+    let changes = steer.on_full_read_at(now, started_at, table, version, rows);
+    drop(steer);
+    edge.log_changes("store", &changes);
+    Ok(version)
+}
+
 /// Rejects a response that the store sent before it was restored from a backup and that
 /// arrives afterwards.
 fn check_era(edge: &Edge, version: StoreVersion) -> Result<(), SourceError> {
--- a/elmstream_steer/src/rollout_control.rs
+++ b/elmstream_steer/src/rollout_control.rs
@@ -26,7 +26,7 @@
     servers::ServerIndex,
     steer::{StateChange, Steer},
     version::StoreVersion,
-    view::{RowContent, RowKey, Table},
+    view::{Row, RowContent, RowKey, Table},
 };
 
 /// A host that learned of an order this soon after its own start takes the age of the order from
@@ -625,6 +625,9 @@
     }
 
     /// Applies a write that the store accepted; `version` is the store version of the written row.
+    ///
+    /// Other hosts are told of it once the table has been read again, which shows what else changed
+    /// up to that version.
     pub fn on_rollout_written(
         &mut self,
         now: Time,
@@ -633,7 +636,12 @@
     ) -> Vec<StateChange> {
         let key = RowKey::Progress(write.service.clone());
         let content = Some(RowContent::Progress(write.progress.clone()));
-        self.apply_rows(now, Table::Rollouts, vec![crate::view::Row::new(key, version, content)])
+        let mut changes = Vec::new();
+        if self.view.merge_written(now, Row::new(key.clone(), version, content)) {
+            self.apply_row(now, &key, &mut changes);
+        }
+        self.assign_rollout_roles(now);
+        changes
     }
 
     /// Canary analysis of a service, for logs and metrics; `None` if no report has come in.
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -292,29 +292,42 @@
     /// Merges a row of the store. Returns whether the content in force changed.
     pub fn merge(&mut self, now: Time, row: Row) -> bool {
         let (index, version) = (row.key.table() as usize, row.version);
-        let effect = match self.rows.get_mut(&row.key) {
-            Some(stored) => stored.merge(now, &row, &self.era, &self.retention),
+        let (effect, is_newest) = match self.rows.get_mut(&row.key) {
+            Some(stored) => {
+                let effect = stored.merge(now, &row, &self.era, &self.retention);
+                (effect, effect != Effect::Nothing || stored.version == version)
+            }
             None => {
                 // The tombstone of an unknown row is kept too, as it has to override delayed
                 // messages and other hosts may know the row.
                 let effect = row.content.as_ref().map_or(Effect::Nothing, |_| Effect::Changed);
-                let watermark = &mut self.watermarks[index];
-                watermark.version = watermark.version.max(version);
                 let mut stored = StoredRow::new(now, version, row.content);
                 stored.removed_counters = row.removed_counters;
                 self.rows.insert(row.key, stored);
-                effect
+                (effect, true)
             }
         };
         self.may_have_retained |= effect == Effect::Recorded;
         if effect != Effect::Nothing {
             self.key_digests[index].set(None);
+        }
+        if is_newest {
             let watermark = &mut self.watermarks[index];
             watermark.version = watermark.version.max(version);
         }
         effect == Effect::Changed
     }
 
+    /// Merges a row that this host wrote. The watermark stays, as other rows may have changed
+    /// before it; it rises when the table is read. Returns whether the content in force changed.
+    pub fn merge_written(&mut self, now: Time, row: Row) -> bool {
+        let index = row.key.table() as usize;
+        let version = self.watermarks[index].version;
+        let changed = self.merge(now, row);
+        self.watermarks[index].version = version;
+        changed
+    }
+
     /// Drops rows that were deleted since: they are unknown here, although nothing up to their
     /// versions is missing. A host that reads a table after a deletion may have no tombstone of it.
     ///
--- a/elmstream_steer/tests/support/rollouts.rs
+++ b/elmstream_steer/tests/support/rollouts.rs
@@ -507,6 +507,8 @@
                     let count = self.rows.get(&key).map_or(0, |(_, count)| *count);
                     let version = StoreVersion::new(0, count);
                     self.nodes[n].steer.on_rollout_written(now, &write, version);
+                    let event = Event::Read(Table::Rollouts, ReadReason::Rank, true);
+                    self.schedule(STORE_ANSWER_MS, n, event);
                 }
             }
             Event::Answer(index, route_number, outcome, server) => {
--- a/elmstream_steer/tests/table_order.rs
+++ b/elmstream_steer/tests/table_order.rs
@@ -6,9 +6,10 @@
 use std::{collections::BTreeMap, env};
 
 use elmstream_steer::{
-    Steer,
+    RolloutWrite, Steer,
     heartbeat::Heartbeat,
     model::Server,
+    rollout::{RolloutProgress, RolloutStage},
     store_schedule::ReadReason,
     table_sync::{SyncRequest, TableRows},
     view::{Row, RowContent, RowKey, Table},
@@ -123,6 +124,51 @@
     assert!(behind.servers().find("s").is_none(), "the removed server is still used");
 }
 
+#[test]
+fn progress_written_by_two_hosts_at_once_reaches_all_hosts() {
+    let progress = RolloutProgress {
+        order: at(20),
+        target: "v2".into(),
+        stage: RolloutStage::RolledBack,
+        began_unix_ms: 0,
+    };
+    let key = |service: &str| RowKey::Progress(service.into());
+    let row = |service: &str, stored| {
+        Row::new(key(service), at(stored), Some(RowContent::Progress(progress.clone())))
+    };
+    let mut fleet: Vec<Steer> = (0..3).map(|n| host(n, ms(0))).collect();
+    for steer in &mut fleet {
+        steer.on_full_read(ms(0), Table::Rollouts, at(30), Vec::new());
+    }
+    for (n, service, stored) in [(0, "shop", 40), (1, "search", 41)] {
+        let service = service.to_owned();
+        let write =
+            RolloutWrite { service, progress: progress.clone(), expected: (0, 20), cause: None };
+        fleet[n].on_rollout_written(ms(10), &write, at(stored));
+    }
+    let fetch = |fleet: &mut [Steer], from: usize, to: usize| {
+        let heartbeat = fleet[from].next_heartbeat(ms(20));
+        let news = fleet[to].on_heartbeat(ms(20), &heartbeat).expect("the heartbeat is new");
+        for (table, request) in news.outdated_tables {
+            let rows = fleet[from].rows_for(ms(20), table, request);
+            fleet[to].on_table_rows(ms(20), table, rows);
+        }
+    };
+    fetch(&mut fleet, 1, 2);
+    // Each writer reads what changed since it last read.
+    for steer in &mut fleet[..2] {
+        steer.on_changes(ms(30), Table::Rollouts, vec![row("shop", 40), row("search", 41)]);
+        steer.record_store_answer(Table::Rollouts, ReadReason::Rank, ms(30), at(41));
+    }
+    fetch(&mut fleet, 0, 2);
+    fetch(&mut fleet, 1, 2);
+    for (n, steer) in fleet.iter().enumerate() {
+        for service in ["shop", "search"] {
+            assert!(steer.view().get(&key(service)).is_some(), "host {n} lacks {service}");
+        }
+    }
+}
+
 /// One step of a random history.
 #[derive(Clone, Copy, Debug)]
 enum Step {
