--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -150,6 +150,14 @@
                     });
                     self.event_log.write("rollout", fields);
                 }
+                StateChange::RowsOutdated { table, keys } => {
+                    metrics::counter!("elmstream_rows_outdated").increment(keys.len() as u64);
+                    let rows = keys.iter().take(NAMES_PER_LINE_MAX).map(RowKey::to_string);
+                    let rows: Vec<String> = rows.collect();
+                    let fields =
+                        json!({"table": table, "count": keys.len(), "rows": rows, "from": from});
+                    self.event_log.state_change("rows_outdated", fields);
+                }
                 StateChange::RetentionEnded(key) => {
                     self.event_log.write("hold_ended", json!({"row": key.to_string()}));
                 }
@@ -159,18 +167,20 @@
 }
 
 /// Summary of many changed servers: their number by state, and the names of those that may no
-/// longer be used.
+/// longer be used and of those that may be used now.
 fn server_summary(from: &str, changes: &[StateChange]) -> Value {
     let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
-    let mut lost: Vec<&str> = Vec::new();
+    let (mut lost, mut usable): (Vec<&str>, Vec<&str>) = (Vec::new(), Vec::new());
     for change in changes {
         let StateChange::Server(id, state) = change else { continue };
         *counts.entry(state.name()).or_default() += 1;
-        if !matches!(state, ServerState::Ready | ServerState::Answers | ServerState::Restarted)
-            && lost.len() < NAMES_PER_LINE_MAX
-        {
-            lost.push(id);
+        let names = match state {
+            ServerState::Ready | ServerState::Answers | ServerState::Restarted => &mut usable,
+            _ => &mut lost,
+        };
+        if names.len() < NAMES_PER_LINE_MAX {
+            names.push(id);
         }
     }
-    json!({"from": from, "states": counts, "lost": lost})
+    json!({"from": from, "states": counts, "lost": lost, "usable": usable})
 }
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -277,6 +277,11 @@
         let steer = edge.steer.borrow();
         let (held_back, unanswered) = steer.quota_counts(clock::now());
         metrics::gauge!("elmstream_store_era").set(steer.era() as f64);
+        for table in REQUIRED_TABLES {
+            let age = steer.view().age(clock::now(), table).map(|age| age / MILLI);
+            metrics::gauge!("elmstream_table_age_ms", "table" => table.name())
+                .set(age.map_or(f64::INFINITY, |age| age as f64));
+        }
         metrics::gauge!("elmstream_store_rows_held").set(steer.view().retained_count() as f64);
         metrics::gauge!("elmstream_servers_limited").set(steer.limited_servers() as f64);
         metrics::gauge!("elmstream_workspaces_held_back").set(held_back as f64);
--- a/elmstream_edge/src/store_reader.rs
+++ b/elmstream_edge/src/store_reader.rs
@@ -36,7 +36,7 @@
             compio::time::sleep(TURN_CHECK_INTERVAL).await;
             continue;
         };
-        let labels = [("table", name(table)), ("why", reason.name())];
+        let labels = [("table", table.name()), ("why", reason.name())];
         metrics::counter!("elmstream_store_calls", &labels).increment(1);
         let era = edge.steer.borrow().era();
         // The count of a version refers to other changes in another era.
@@ -65,19 +65,10 @@
     }
 }
 
-/// Name of a table in the event log and in metrics.
-fn name(table: Table) -> &'static str {
-    match table {
-        Table::Rules => "Rules",
-        Table::Servers => "Servers",
-        Table::Rollouts => "Rollouts",
-    }
-}
-
 /// Logs that the store answers this host again, and for how long it had not.
 fn log_recovery(edge: &Rc<Edge>, table: Table, reason: ReadReason, since: Time) {
     let fields = json!({
-        "table": name(table), "why": reason.name(),
+        "table": table.name(), "why": reason.name(),
         "after_ms": clock::now().since(since) / MILLI,
     });
     edge.event_log.write("store_regained", fields);
@@ -96,7 +87,7 @@
     let steer = edge.steer.borrow();
     let age = steer.view().age(now, table).map(|age| age / MILLI);
     let fields = json!({
-        "table": name(table), "error": error.to_string(), "why": reason.name(),
+        "table": table.name(), "error": error.to_string(), "why": reason.name(),
         "kept": error.was_reused(),
         "took_ms": now.since(started_at) / MILLI, "age_ms": age,
         "hosts": steer.members().live(now).count() + 1,
@@ -121,7 +112,7 @@
     match call_store(edge, source, table, (after, wait)).await {
         Err(SourceError::Unreachable { cause, reused: true }) => {
             metrics::counter!("elmstream_store_connections_lost").increment(1);
-            let fields = json!({"table": name(table), "error": cause});
+            let fields = json!({"table": table.name(), "error": cause});
             edge.event_log.write("store_connection_lost", fields);
             call_store(edge, source, table, (after, Duration::ZERO)).await
         }
@@ -140,10 +131,10 @@
     let started_at = clock::now();
     let Some(StoreRows { version, rows, unreadable }) = source.changes(table, after, wait).await?
     else {
-        edge.event_log.write("store_history_gone", json!({"table": name(table)}));
+        edge.event_log.write("store_history_gone", json!({"table": table.name()}));
         return Ok(None);
     };
-    edge.log_unreadable_rows(name(table), &unreadable);
+    edge.log_unreadable_rows(table.name(), &unreadable);
     check_era(edge, version)?;
     let now = clock::now();
     // The store delayed its response at most by the wait that was requested.
@@ -161,7 +152,7 @@
 ) -> Result<StoreVersion, SourceError> {
     let started_at = clock::now();
     let StoreRows { version, rows, unreadable } = source.read_all(table).await?;
-    edge.log_unreadable_rows(name(table), &unreadable);
+    edge.log_unreadable_rows(table.name(), &unreadable);
     let now = clock::now();
     check_era(edge, version)?;
     let mut steer = edge.steer.borrow_mut();
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -125,6 +125,13 @@
     HostLost(String),
     /// The store was restored from a backup.
     StoreRestored(StoreRestored),
+    /// Rows of a table were dropped because they had been deleted since they were read.
+    RowsOutdated {
+        /// The table.
+        table: Table,
+        /// Keys of the rows.
+        keys: Vec<RowKey>,
+    },
     /// The retention of a row from an earlier era of the store ended, and the row that the store
     /// holds came into force.
     RetentionEnded(RowKey),
@@ -139,6 +146,13 @@
     },
 }
 
+impl StateChange {
+    /// The change for rows that were dropped as deleted; `None` if there are none.
+    pub(crate) fn rows_outdated(table: Table, keys: Vec<RowKey>) -> Option<StateChange> {
+        (!keys.is_empty()).then_some(StateChange::RowsOutdated { table, keys })
+    }
+}
+
 /// Effect of a restored store on one table, reported when the host first learns the table in the
 /// new era.
 #[derive(Clone, Debug, PartialEq)]
--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -224,8 +224,10 @@
         rows: Vec<Row>,
     ) -> Vec<StateChange> {
         // Another host's table may have arrived since the read.
-        let rows = self.view.without_deleted(rows);
-        self.merge_read(now, read_at, table, rows)
+        let (rows, deleted) = self.view.split_deleted(rows);
+        let mut changes = self.merge_read(now, read_at, table, rows);
+        changes.extend(StateChange::rows_outdated(table, deleted));
+        changes
     }
 
     /// Merges rows that the store returned at `read_at`.
--- a/elmstream_steer/src/table_sync.rs
+++ b/elmstream_steer/src/table_sync.rs
@@ -145,7 +145,7 @@
         let known_since = era.age_ms.map(|age| Time(now.0.saturating_sub(age * MILLI)));
         self.view.learn_era(era.number, era.first_count, known_since);
         let crossed = self.view.enter_era(now, table, status.version.era);
-        let rows = self.view.without_deleted(rows);
+        let (rows, deleted) = self.view.split_deleted(rows);
         let rows = match (is_full, crossed, &received.keys) {
             (true, true, _) => {
                 self.with_tombstones(table, StoreVersion::absent(status.version.era), rows)
@@ -162,6 +162,7 @@
         };
         self.view.carry_over(table, status.version.era, &carried_over);
         let mut changes = self.apply_rows(now, table, rows);
+        changes.extend(StateChange::rows_outdated(table, deleted));
         self.merge_retained_rows(now, retained, &mut changes);
         if self.merged_retained_digests.len() >= MERGED_DIGESTS_MAX {
             self.merged_retained_digests.clear();
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -55,6 +55,17 @@
     Rollouts,
 }
 
+impl Table {
+    /// The table's name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Table::Rules => "Rules",
+            Table::Servers => "Servers",
+            Table::Rollouts => "Rollouts",
+        }
+    }
+}
+
 /// All tables.
 pub const TABLES: [Table; 3] = [Table::Rules, Table::Servers, Table::Rollouts];
 /// Tables that each host has to know before it serves callers.
@@ -328,18 +339,20 @@
         changed
     }
 
-    /// Drops rows that were deleted since: they are unknown here, although nothing up to their
-    /// versions is missing. A host that reads a table after a deletion may have no tombstone of it.
+    /// Splits rows into those to merge and the keys of those that were deleted since: they are
+    /// unknown here, although nothing up to their versions is missing. A host that reads a table
+    /// after a deletion may have no tombstone of it.
     ///
     /// All rows of a message have to be passed at once, as merging one raises the version up to
     /// which nothing is missing.
-    pub fn without_deleted(&self, mut rows: Vec<Row>) -> Vec<Row> {
-        rows.retain(|row| {
+    pub fn split_deleted(&self, rows: Vec<Row>) -> (Vec<Row>, Vec<RowKey>) {
+        let is_deleted = |row: &Row| {
             let complete = self.watermark(row.key.table()).complete_version();
             let is_covered = row.version.era == complete.era && row.version <= complete;
-            row.content.is_none() || !is_covered || self.rows.contains_key(&row.key)
-        });
-        rows
+            row.content.is_some() && is_covered && !self.rows.contains_key(&row.key)
+        };
+        let (deleted, current): (Vec<Row>, Vec<Row>) = rows.into_iter().partition(is_deleted);
+        (current, deleted.into_iter().map(|row| row.key).collect())
     }
 
     /// Merges a row of an earlier era that another host retains against the store. Returns whether
--- a/elmstream_steer/tests/table_order.rs
+++ b/elmstream_steer/tests/table_order.rs
@@ -10,6 +10,7 @@
     heartbeat::Heartbeat,
     model::Server,
     rollout::{RolloutProgress, RolloutStage},
+    steer::StateChange,
     store_schedule::ReadReason,
     table_sync::{SyncRequest, TableRows},
     view::{Row, RowContent, RowKey, Table},
@@ -36,7 +37,9 @@
     let newer = first_from_store.rows_for(ms(25), Table::Servers, at(0));
     first_from_peer.on_table_rows(ms(28), Table::Servers, newer);
     for mut started in [first_from_store, first_from_peer] {
-        started.on_table_rows(ms(30), Table::Servers, older.clone());
+        let changes = started.on_table_rows(ms(30), Table::Servers, older.clone());
+        let keys = vec![RowKey::Server("s".into())];
+        assert_eq!(changes, [StateChange::RowsOutdated { table: Table::Servers, keys }]);
         assert!(started.servers().find("s").is_none(), "the removed server is used again");
         assert!(started.servers().find("t").is_some(), "the other server is no longer used");
     }
