Soak: remove servers while seed hosts start, and judge who is sent requests after it

Cause: the soak's servers left by their entries' own words or in their answers, never by removal alone, and no table was overtaken between hosts a millisecond apart; so it could not show the incident's fault. Change: a fault that adds a server, kills a seed host, freezes the other seeds, removes the server's entry and starts the host, so that the tables it asked for are older than what it reads; the server goes on serving for 7.5 s. Checked: no host that was undisturbed for 4 s sends a request there later than 2.5 s after the removal (or 3 s after an outage of the store that began before), unless the store came back from a copy meanwhile. Every fifth seed draws it, with a generator of its own; a test plays it twice; `--break removed` shows the check.

--- a/elmstream_soak/src/callers.rs
+++ b/elmstream_soak/src/callers.rs
@@ -159,6 +159,15 @@
         let now = world.now();
         let undisturbed = now > hosts.borrow()[self.host].disturbed_ms + RECOVERY_MS;
         let host = (self.host, self.start);
+        let era = world.era.get();
+        let overdue_ms =
+            world.removals.overdue_ms(server, requested_ms, era, &world.outages.borrow());
+        if let Some(overdue_ms) = overdue_ms.filter(|_| undisturbed) {
+            ledger.add_violation(format!(
+                "{id} ran at {server}, {overdue_ms} ms after its entry was removed, by host {}",
+                self.host
+            ));
+        }
         // A host that accepts a key uses a configuration that contains it.
         let acceptance = KeyAcceptance {
             host,
--- a/elmstream_soak/src/injection.rs
+++ b/elmstream_soak/src/injection.rs
@@ -8,7 +8,7 @@
     callers::Hosts,
     faults::{Event, Fault},
     process::Process,
-    server_signals, stop_load, versions,
+    removals, server_signals, stop_load, versions,
     world::{SHOP, ServerMode, StoreMode, World},
 };
 
@@ -87,6 +87,9 @@
         Fault::Leave(n) => server_signals::leave(world, hosts, n, address).await,
         Fault::BackOff(n) => server_signals::back_off(world, hosts, n, duration).await,
         Fault::NameLimit(n) => server_signals::name_limit(world, hosts, n).await,
+        Fault::RemoveServerAtStart(n) => {
+            removals::remove_while_host_starts(world, hosts, n, duration, address).await
+        }
         Fault::RollOut(bad) => versions::roll_out(world, hosts, bad, address).await,
         Fault::Configure => {
             let next = world.ledger.borrow().newest_version() + 1;
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod outages;
 pub mod poison;
 pub mod process;
+pub mod removals;
 pub mod series;
 pub mod server_signals;
 pub mod soak;
--- a/elmstream_soak/src/main.rs
+++ b/elmstream_soak/src/main.rs
@@ -24,7 +24,7 @@
     let broken = long("break")
         .help(
             "Breaks a rule on purpose, to test that the checks detect it: once, back, mixed, lost, name, \
-             key, limit, harm, exposure, rolled_back, completed, era, rest, need or leave",
+             key, limit, harm, exposure, rolled_back, completed, era, rest, need, leave or removed",
         )
         .argument("RULE")
         .optional();
--- a/elmstream_soak/src/process.rs
+++ b/elmstream_soak/src/process.rs
@@ -14,6 +14,8 @@
 pub const STOP_NOTICE_MS: u64 = 300;
 /// Time limit for a planned stop.
 const STOP_GRACE_MS: u64 = 3_000;
+/// Number of hosts that starting hosts contact first.
+pub const SEED_HOSTS: usize = 3;
 
 /// Identifies a host of a soak.
 #[derive(Clone, Copy, Debug)]
@@ -91,7 +93,7 @@
     /// Fails if a file cannot be written or the process cannot be started.
     pub fn start(&mut self, now: u64) -> io::Result<()> {
         let peers = |number| world::peer_address(self.host_id.soak, number);
-        let seeds: Vec<_> = (0..self.host_id.host_count.min(3)).map(peers).collect();
+        let seeds: Vec<_> = (0..self.host_id.host_count.min(SEED_HOSTS)).map(peers).collect();
         let settings = serde_json::json!({
             "host": {
                 "name": self.name(), "domain": "a1", "region": "a",
--- a/elmstream_soak/src/series.rs
+++ b/elmstream_soak/src/series.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     faults::{CALM_MARGIN_MS, Event, Fault},
+    process::SEED_HOSTS,
     world::StoreMode,
 };
 
@@ -14,6 +15,14 @@
 const ROLL_OUT_SEED: u64 = 0x726f_6c6c;
 const ROLL_OUT_DURATION_MS: u64 = 6_500;
 
+/// One in this many seeds also removes servers while hosts start, and the seed that separates
+/// this draw from other draws.
+const REMOVALS_SEED_DIVISOR: u64 = 5;
+const REMOVALS_SEED: u64 = 0x676f_6e65;
+/// Time between two of these removals, and time for which the host is down, in milliseconds.
+const REMOVAL_INTERVAL_MS: std::ops::Range<u64> = 6_000..9_000;
+const REMOVAL_DOWN_MS: std::ops::Range<u64> = 20..300;
+
 /// Time between two configurations of a series, in milliseconds.
 const CONFIGURATION_INTERVAL_MS: u64 = 350;
 /// How long a stopping host gets little processor time, in milliseconds. It lasts beyond the
@@ -125,6 +134,23 @@
     }
 }
 
+/// Removes servers while seed hosts start, at every fifth seed: the killed hosts keep other faults
+/// from being judged. They are drawn from a generator of their own, so that a seed's other faults
+/// do not depend on them.
+pub fn removals(seed: u64, total_ms: u64, hosts: usize, events: &mut Vec<Event>) {
+    if !seed.is_multiple_of(REMOVALS_SEED_DIVISOR) {
+        return;
+    }
+    let mut random = StdRng::seed_from_u64(seed ^ REMOVALS_SEED);
+    let mut at_ms = CALM_MARGIN_MS;
+    while at_ms + CALM_MARGIN_MS < total_ms {
+        let host = random.random_range(0..hosts.min(SEED_HOSTS));
+        let duration_ms = random.random_range(REMOVAL_DOWN_MS);
+        events.push(Event { at_ms, duration_ms, fault: Fault::RemoveServerAtStart(host) });
+        at_ms += random.random_range(REMOVAL_INTERVAL_MS);
+    }
+}
+
 /// Rolls out a bad version at every second seed, in addition to the other faults and if
 /// there is time for it. It is drawn from a generator of its own, so that a seed's other
 /// faults do not depend on it.
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -20,7 +20,8 @@
 };
 
 use crate::{
-    ledger::Ledger, outages::Outages, poison, server_signals::Arrivals, versions, workspaces,
+    ledger::Ledger, outages::Outages, poison, removals::Removals, server_signals::Arrivals,
+    versions, workspaces,
 };
 
 /// Number of services that show the version of a configuration. A host that lags behind by
@@ -122,6 +123,8 @@
     pub servers: RefCell<BTreeMap<String, ServerMode>>,
     /// When requests arrived at servers whose arrivals are checked.
     pub arrivals: Arrivals,
+    /// Servers whose entries were removed without notice.
+    pub removals: Removals,
     /// What callers and backend servers observed.
     pub ledger: RefCell<Ledger>,
     /// Stalls of the soak itself: their end and their length.
@@ -148,6 +151,7 @@
             refused_host: RefCell::default(),
             servers: RefCell::default(),
             arrivals: Arrivals::default(),
+            removals: Removals::default(),
             ledger: RefCell::default(),
             stalls: RefCell::default(),
             broken_rule,
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -107,6 +107,37 @@
     }
 }
 
+/// Two seed hosts start just after a server was removed, the second one when the first has been
+/// undisturbed for long enough to be judged.
+fn removed_servers(broken: Option<&str>) -> Report {
+    let options = Options { processes: 8, ..options(4, 20, broken) };
+    let event = |n: u64| Event {
+        at_ms: 2_500 + 7_500 * n,
+        duration_ms: 100,
+        fault: Fault::RemoveServerAtStart(n as usize),
+    };
+    let runtime = Runtime::new().expect("a runtime");
+    runtime.block_on(soak::run_events(
+        &options,
+        Duration::from_secs(20),
+        (0..2).map(event).collect(),
+    ))
+}
+
+#[test]
+fn servers_removed_while_a_host_starts_are_not_used_again() {
+    let report = removed_servers(None);
+    assert!(report.passed(), "{report}");
+    assert!(report.counts().get("servers removed").is_some_and(|n| *n == 2), "{report}");
+}
+
+#[test]
+fn use_of_removed_servers_is_detected() {
+    let report = removed_servers(Some("removed"));
+    let is_found = |text: &String| text.contains("after its entry was removed");
+    assert!(report.violations().iter().any(is_found), "{report}");
+}
+
 /// The third server crashes in the first second; 6.5 s later all undisturbed hosts have to
 /// refuse the request.
 #[test]
