--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -52,6 +52,7 @@
                 incarnation: clock::unix_ms(),
                 domains: settings.domains.clone(),
                 bounds: settings.bounds,
+                policies: settings.policies,
             },
             clock::now(),
         );
@@ -64,11 +65,15 @@
         })
     }
 
-    /// Applies changed failure domains and bounds; addresses and names stay as they were
+    /// Applies changed failure domains, bounds and policies; addresses and names stay as they were
     /// until the host restarts.
     pub fn reload(&self, settings: &Settings) {
         let same_host = settings.host == self.settings.host;
-        self.steer.borrow_mut().reconfigure(settings.domains.clone(), settings.bounds);
+        self.steer.borrow_mut().reconfigure(
+            settings.domains.clone(),
+            settings.bounds,
+            settings.policies,
+        );
         self.reread_refused.set(true);
         self.event_log.write("reload", json!({"host": settings.host.name, "same_host": same_host}));
     }
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -97,8 +97,17 @@
         let homes =
             request.workspace.as_ref().map(|admitted| admitted.entry.workspace.homes.as_slice());
         let homes = homes.unwrap_or_default();
-        let pick_request =
-            PickRequest { route, service, key, tried: &attempts.servers, returning, homes };
+        let pick_request = PickRequest {
+            route,
+            service,
+            key,
+            tried: &attempts.servers,
+            returning,
+            homes,
+            priority: request.priority(),
+            workspace: request.workspace.as_ref().map(|admitted| admitted.entry.id),
+            remaining_ms: request.remaining().as_millis() as u64,
+        };
         let index = match pick_next(edge, &pick_request, is_retry) {
             Ok(index) => index,
             Err(refusal) if is_retry => {
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, fs, io, net::SocketAddr, path::Path};
 
-use elmstream_steer::settings::{Bounds, Host};
+use elmstream_steer::{
+    policies::Policies,
+    settings::{Bounds, Host},
+};
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu, ensure};
 
@@ -28,6 +31,9 @@
     /// Limits and timeouts that all hosts of the fleet share.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Settings of the decisions under load.
+    #[serde(default)]
+    pub policies: Policies,
     /// How request digests are computed.
     #[serde(default)]
     pub content: Content,
@@ -159,9 +165,43 @@
         );
         ensure!(self.bounds.exposure_slack >= 0.0, value("bounds.exposure_slack", "is below 0"));
         ensure!(self.bounds.rollback_ms > 0, value("bounds.rollback_ms", "is 0"));
+        self.check_policies()?;
         let scheme = &self.headers.key_scheme;
         let one_word = !scheme.is_empty() && scheme.chars().all(|c| c.is_ascii_graphic());
         ensure!(one_word, value("headers.key_scheme", "is not a single word"));
         Ok(())
     }
+
+    fn check_policies(&self) -> Result<(), SettingsError> {
+        let value = |key, problem| ValueSnafu { key, problem };
+        let Policies { placement, speed, contention, .. } = &self.policies;
+        let is_cost = |cost: f64| cost.is_finite() && cost >= 0.0;
+        ensure!(
+            is_cost(placement.domain_cost_ms),
+            value("policies.placement.domain_cost_ms", "is below 0")
+        );
+        ensure!(
+            is_cost(placement.region_cost_ms)
+                && placement.region_cost_ms >= placement.domain_cost_ms,
+            value("policies.placement.region_cost_ms", "is below domain_cost_ms")
+        );
+        ensure!(
+            (0.0..=1.0).contains(&placement.own_load_max),
+            value("policies.placement.own_load_max", "is not between 0 and 1")
+        );
+        ensure!(placement.copies > 0, value("policies.placement.copies", "is 0"));
+        ensure!(
+            !speed.probe || speed.probe_timeout_ms > 0,
+            value("policies.speed.probe_timeout_ms", "is 0")
+        );
+        ensure!(
+            (0.0..=1.0).contains(&contention.short_load),
+            value("policies.contention.short_load", "is not between 0 and 1")
+        );
+        ensure!(
+            (0.0..=1.0).contains(&contention.floor_share),
+            value("policies.contention.floor_share", "is not between 0 and 1")
+        );
+        Ok(())
+    }
 }
--- a/elmstream_edge/tests/start.rs
+++ b/elmstream_edge/tests/start.rs
@@ -20,6 +20,7 @@
     host_registry::RegisteredHost,
     members,
     model::{Configuration, Server},
+    policies::Policies,
     store_schedule::ReadReason,
     table_sync::TableRows,
     version::StoreVersion,
@@ -70,6 +71,7 @@
             .map(|n| (format!("{}{n}", ["a", "b", "c"][n % 3]), region.into()))
             .collect(),
         bounds: Bounds { configuration_ms: 3_000, ..Bounds::default() },
+        policies: Policies::default(),
     };
     let mut steer = Steer::new(settings, now);
     steer.request_host_list();
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod pick;
 pub mod poison;
 mod poison_record;
+pub mod policies;
 pub mod quota;
 pub mod reader_rank;
 pub mod region_shares;
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -83,6 +83,12 @@
     pub returning: bool,
     /// Regions in which the workspace's requests may run; empty for any.
     pub homes: &'a [String],
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u32,
+    /// Id of the workspace that the request counts against; `None` if its route needs no key.
+    pub workspace: Option<u64>,
+    /// Time until the caller must have the answer, in milliseconds.
+    pub remaining_ms: u64,
 }
 
 impl PickRequest<'_> {
--- /dev/null
+++ b/elmstream_steer/src/policies.rs
@@ -0,0 +1,98 @@
+//! Settings of the decisions under load.
+//!
+//! The defaults leave each of these decisions out, so that a host behaves as one whose operator
+//! knows nothing about its services. A deployment's settings turn them on.
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of the decisions under load, by concern.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policies {
+    /// Where the requests of a key go.
+    pub placement: PlacementPolicy,
+    /// How fast servers work at the moment.
+    pub speed: SpeedPolicy,
+    /// Who is served when a service is short of slots.
+    pub contention: ContentionPolicy,
+    /// Which requests may be sent to a second server.
+    pub retries: RetryPolicy,
+}
+
+/// Division of a service's keys over failure domains and servers.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlacementPolicy {
+    /// Cost of sending a request to another failure domain of the region, in milliseconds of answer
+    /// time. With 0 the domains of a region are one place.
+    pub domain_cost_ms: f64,
+    /// Cost of sending a request to another region, in milliseconds of answer time.
+    pub region_cost_ms: f64,
+    /// Fraction of its slots up to which a place keeps the requests of its own callers, although
+    /// other places have more slots for each request, 0 to 1.
+    pub own_load_max: f64,
+    /// Number of servers of a place that are kept warm for one key.
+    pub copies: u32,
+    /// Number of keys that a server keeps cached; further copies of keys are made only as long as
+    /// the service's servers are expected to keep all of them. With 0 it is not known, and no
+    /// further copies are made.
+    pub keys_per_server: u32,
+}
+
+impl Default for PlacementPolicy {
+    fn default() -> PlacementPolicy {
+        PlacementPolicy {
+            domain_cost_ms: 0.0,
+            region_cost_ms: 30.0,
+            own_load_max: 0.0,
+            copies: 1,
+            keys_per_server: 0,
+        }
+    }
+}
+
+/// Use of what servers report about how fast they work.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SpeedPolicy {
+    /// Time in which the weight of a reported speed decays to 1/e, in milliseconds. With 0 reports
+    /// are not used.
+    pub report_decay_ms: u64,
+    /// Whether a host asks servers that report their speed just before it chooses among them.
+    pub probe: bool,
+    /// Time within which the answer to such a question must arrive to be used, in milliseconds.
+    pub probe_timeout_ms: u64,
+}
+
+impl Default for SpeedPolicy {
+    fn default() -> SpeedPolicy {
+        SpeedPolicy { report_decay_ms: 0, probe: false, probe_timeout_ms: 30 }
+    }
+}
+
+/// Order in which requests are served when a service is short of slots.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ContentionPolicy {
+    /// Whether workspaces get fair shares and urgent routes go first.
+    pub enabled: bool,
+    /// Occupied fraction of a service's slots above which it counts as short of slots.
+    pub short_load: f64,
+    /// Fraction of the least urgent route's requests that are served however short the slots are.
+    pub floor_share: f64,
+}
+
+impl Default for ContentionPolicy {
+    fn default() -> ContentionPolicy {
+        ContentionPolicy { enabled: false, short_load: 0.85, floor_share: 0.1 }
+    }
+}
+
+/// Use of the retry budget.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RetryPolicy {
+    /// Whether the budget is kept for requests that are lost otherwise, and servers are chosen by
+    /// the chance that they take a request.
+    pub by_worth: bool,
+}
--- a/elmstream_steer/src/settings.rs
+++ b/elmstream_steer/src/settings.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::policies::Policies;
+
 /// A host as it describes itself to the others.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -70,7 +72,7 @@
     }
 }
 
-/// Settings of a host, fixed at its start except for domains and bounds.
+/// Settings of a host, fixed at its start except for domains, bounds and policies.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Identity of the host.
@@ -81,4 +83,6 @@
     pub domains: BTreeMap<String, String>,
     /// Bounds of the fleet.
     pub bounds: Bounds,
+    /// Settings of the decisions under load.
+    pub policies: Policies,
 }
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -24,6 +24,7 @@
     model::{Limits, Route},
     pick::{self, Pick, PickContext, PickRequest},
     poison::{PoisonChange, PoisonTracker},
+    policies::Policies,
     quota::{self, QuotaDecision, Quotas},
     reader_rank::UNMEASURED_READ_MS,
     region_shares::{DecayingCount, RegionShares},
@@ -266,10 +267,16 @@
         &self.settings
     }
 
-    /// Applies changed failure domains and bounds.
-    pub fn reconfigure(&mut self, domains: BTreeMap<String, String>, bounds: Bounds) {
+    /// Applies changed failure domains, bounds and policies.
+    pub fn reconfigure(
+        &mut self,
+        domains: BTreeMap<String, String>,
+        bounds: Bounds,
+        policies: Policies,
+    ) {
         self.settings.domains = domains;
         self.settings.bounds = bounds;
+        self.settings.policies = policies;
     }
 
     /// The store's contents as known to this host.
--- a/elmstream_steer/tests/large.rs
+++ b/elmstream_steer/tests/large.rs
@@ -11,6 +11,7 @@
 use elmstream_steer::{
     Bounds, Pick, Steer, hash, members,
     model::Repeatability,
+    policies::Policies,
     servers::Outcome,
     view::{REQUIRED_TABLES, Row, RowContent, Table},
 };
@@ -205,7 +206,7 @@
     /// A host under these limits that knows a single, cold server.
     fn host(self, number: usize, row: &Row) -> Steer {
         let mut steer = ready(number, ms(0), vec![row.clone()]);
-        steer.reconfigure(domains(), self.bounds);
+        steer.reconfigure(domains(), self.bounds, Policies::default());
         let mut rules = configuration(2, 20);
         if let Some(RowContent::Configuration(configuration)) = &mut rules.content {
             configuration.services[0].cold_per_s = self.per_s;
--- a/elmstream_steer/tests/returns.rs
+++ b/elmstream_steer/tests/returns.rs
@@ -38,6 +38,9 @@
             tried: &[],
             returning,
             homes: &[],
+            priority: route.priority,
+            workspace: None,
+            remaining_ms: route.timeout_ms,
         };
         matches!(host.pick_server(ms(10), &request), Pick::Send(_))
     };
--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use elmstream_steer::{
     Bounds, Host, Pick, PickRequest, Settings, Steer,
     model::{Configuration, Limits, Repeatability, Route, Server, Service, WeightedService},
+    policies::Policies,
     servers::ServerIndex,
     store_schedule::ReadReason,
     version::StoreVersion,
@@ -59,6 +60,7 @@
         incarnation,
         domains: domains(),
         bounds: Bounds::default(),
+        policies: Policies::default(),
     };
     Steer::new(settings, now)
 }
@@ -162,12 +164,24 @@
     }
 }
 
+/// A first attempt with a key.
+pub fn pick_request<'a>(route: &'a Route, key: u64) -> PickRequest<'a> {
+    PickRequest {
+        route,
+        service: SERVICE,
+        key,
+        tried: &[],
+        returning: false,
+        homes: &[],
+        priority: route.priority,
+        workspace: None,
+        remaining_ms: route.timeout_ms,
+    }
+}
+
 /// Picks a server for a request with a key.
 pub fn send(steer: &mut Steer, now: Time, route: &Route, key: u64) -> Pick {
-    steer.pick_server(
-        now,
-        &PickRequest { route, service: SERVICE, key, tried: &[], returning: false, homes: &[] },
-    )
+    steer.pick_server(now, &pick_request(route, key))
 }
 
 /// The id of a server.
--- a/elmstream_steer/tests/support/rollouts.rs
+++ b/elmstream_steer/tests/support/rollouts.rs
@@ -10,6 +10,7 @@
     heartbeat::{Heartbeat, Message},
     members,
     model::{Configuration, Repeatability, Route, Service, WeightedService},
+    policies::Policies,
     rollout::{RolloutOrder, RolloutProgress, RolloutStage},
     rollout_steps::StepPolicy,
     servers::{Outcome, ServerIndex},
@@ -269,7 +270,7 @@
             bounds.exposure_slack = 1e6;
         }
         let domains = steer.settings().domains.clone();
-        steer.reconfigure(domains, bounds);
+        steer.reconfigure(domains, bounds, Policies::default());
         let last_heartbeat = (at + (n as u64 * 37) % 240, 0);
         Node { steer, last_heartbeat, is_reading: [false; 3], is_writing: false, started: at }
     }
@@ -540,6 +541,9 @@
             tried: &[],
             returning: false,
             homes: &[],
+            priority: route.priority,
+            workspace: None,
+            remaining_ms: route.timeout_ms,
         };
         let steer = &mut self.nodes[n].steer;
         steer.deposit_retry(now, SERVICE);
--- a/elmstream_steer/tests/workspaces.rs
+++ b/elmstream_steer/tests/workspaces.rs
@@ -113,6 +113,7 @@
         let route = route(Repeatability::Safe, &texts);
         let request = PickRequest {
             route: &route, service: SERVICE, key, tried: &[], returning: false, homes: &own,
+            priority: route.priority, workspace: None, remaining_ms: route.timeout_ms,
         };
         let allows = |homes: &[String], region: &String| homes.is_empty() || homes.contains(region);
         let allowed = ["a".to_owned(), "b".to_owned()];
