Heartbeats: fewer to other domains of the region, if these have a cost

Worked out: 84 hosts, 3.8 rounds a second, 14 hosts of the other domain, some 500 bytes: 2.2 MB a second.

Two of these rounds are within the 1.2 s for which loads count. Off by default, and in regions of more than 33 hosts, where rounds rotate already.

Test: other_domains_get_fewer_heartbeats_if_they_cost_more.

--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -41,9 +41,13 @@
     }
 
     /// Addresses that receive the heartbeat of a round. `round` counts the rounds: hosts of other
-    /// regions and unreachable hosts are included only in some of them.
+    /// regions, hosts of other domains if these have a cost, and unreachable hosts are included only in
+    /// some of them.
     pub fn targets(&mut self, now: Time, round: u64) -> Targets {
-        self.members.targets(now, round, self.hash)
+        let policy = &self.settings.policies.placement;
+        let own_domain =
+            (policy.domain_cost_ms > 0.0).then_some(self.settings.host.domain.as_str());
+        self.members.targets(now, round, self.hash, own_domain)
     }
 
     /// How far this host knows each table, in the order of [`TABLES`].
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -40,6 +40,9 @@
 const HEARTBEAT_INTERVAL_MIN: u64 = 50 * MILLI;
 const HEARTBEAT_INTERVAL_PER_HOST: u64 = 3 * MILLI;
 const HEARTBEAT_INTERVAL_MAX: u64 = 900 * MILLI;
+/// Longest interval between heartbeats to hosts of the region's other domains, if the settings give
+/// domains a cost. Two of them are within the time for which loads count, so that one may be lost.
+const DOMAIN_HEARTBEAT_INTERVAL_MAX: u64 = 600 * MILLI;
 /// Largest number of other hosts in a small fleet.
 const SMALL_FLEET_HOSTS: u64 = 12;
 
@@ -62,6 +65,12 @@
     .min(HEARTBEAT_INTERVAL_MAX)
 }
 
+/// Number of rounds of which one goes to the region's other domains, where these cost more than the
+/// own one.
+fn rounds_per_domain_round(hosts: usize) -> u64 {
+    (DOMAIN_HEARTBEAT_INTERVAL_MAX / heartbeat_interval(hosts)).max(1)
+}
+
 /// Another host of the fleet.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -135,6 +144,8 @@
 pub struct Targets {
     /// Hosts of the own region, and unconfirmed addresses.
     pub near: Vec<SocketAddr>,
+    /// Hosts of the other failure domains of the own region, if these have a round of their own.
+    pub domains: Vec<SocketAddr>,
     /// Hosts of other regions.
     pub far: Vec<SocketAddr>,
 }
@@ -383,13 +394,25 @@
 
     /// Picks the receivers of a round of heartbeats, those first that have waited longest.
     ///
-    /// `own_hash` differs by host, so that hosts do not all pick the same receivers.
-    pub fn targets(&mut self, now: Time, round: u64, own_hash: u64) -> Targets {
+    /// `own_hash` differs by host, so that hosts do not all pick the same receivers. If `own_domain`
+    /// is given, hosts of the region's other domains are included only in some of the rounds.
+    pub fn targets(
+        &mut self,
+        now: Time,
+        round: u64,
+        own_hash: u64,
+        own_domain: Option<&str>,
+    ) -> Targets {
         let includes_unreachable = round.is_multiple_of(ROUNDS_PER_UNREACHABLE_ROUND);
-        let (mut near, mut far) = (Vec::new(), Vec::new());
+        let (mut near, mut domains, mut far) = (Vec::new(), Vec::new(), Vec::new());
+        let own_domain = own_domain.filter(|_| self.near <= NEAR_FANOUT);
         for (address, member) in &self.members {
             if includes_unreachable || now.since(member.last_seen) < UNREACHABLE_TIMEOUT {
-                let list = if member.host.region == self.region { &mut near } else { &mut far };
+                let list = match member.host.region == self.region {
+                    false => &mut far,
+                    true if own_domain.is_some_and(|own| own != member.host.domain) => &mut domains,
+                    true => &mut near,
+                };
                 list.push((member.last_sent, hash::combine(own_hash, member.hash), *address));
             }
         }
@@ -401,13 +424,17 @@
                 .map(|(a, unconfirmed)| (unconfirmed.last_sent, order(unconfirmed), *a)),
         );
         let near = self.pick(now, near, NEAR_FANOUT);
+        let domains = match round.is_multiple_of(rounds_per_domain_round(self.target_count())) {
+            true => self.pick(now, domains, NEAR_FANOUT),
+            false => vec![],
+        };
         // The other rounds stay within the own region.
         let far = if round.is_multiple_of(ROUNDS_PER_FAR_ROUND) {
             self.pick(now, far, FAR_FANOUT)
         } else {
             vec![]
         };
-        Targets { near, far }
+        Targets { near, domains, far }
     }
 
     fn pick(
--- a/elmstream_steer/tests/members.rs
+++ b/elmstream_steer/tests/members.rs
@@ -2,7 +2,13 @@
 
 mod support;
 
-use elmstream_steer::{Steer, hash, heartbeat::LivenessUpdate};
+use elmstream::time::MILLI;
+use elmstream_steer::{
+    Steer, hash,
+    heartbeat::LivenessUpdate,
+    members,
+    policies::{PlacementPolicy, Policies},
+};
 use support::{address, exchange_heartbeats, host, ms, ready, servers};
 
 fn fleet() -> Vec<Steer> {
@@ -127,3 +133,36 @@
     let rounds = rounds.count();
     assert!((1..=5).contains(&rounds), "contacted in {rounds} of 100 rounds");
 }
+
+/// Time between heartbeats to the other domain of the region, in milliseconds, and the part of the
+/// rounds that goes there, for each fleet size.
+fn domain_rounds(hosts: usize, domain_cost_ms: f64) -> (u64, f64) {
+    let mut fleet = fleet_of(hosts);
+    let steer = &mut fleet[0];
+    let (domains, bounds) = (steer.settings().domains.clone(), steer.settings().bounds);
+    let placement = PlacementPolicy { domain_cost_ms, ..PlacementPolicy::default() };
+    steer.reconfigure(domains, bounds, Policies { placement, ..Policies::default() });
+    let (own, other) = (address(2_004), address(2_001));
+    let mut rounds_to_other = Vec::new();
+    for round in 1..=60 {
+        let targets = steer.targets(ms(60), round);
+        assert!(targets.near.contains(&own), "each round goes to the own domain");
+        if targets.near.contains(&other) || targets.domains.contains(&other) {
+            rounds_to_other.push(round);
+        }
+    }
+    let interval_ms = members::heartbeat_interval(hosts - 1) / MILLI;
+    let longest = rounds_to_other.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or(60);
+    (longest * interval_ms, rounds_to_other.len() as f64 / 60.0)
+}
+
+#[test]
+fn other_domains_get_fewer_heartbeats_if_they_cost_more() {
+    for hosts in [12, 24, 48, 64] {
+        let (longest_ms, part) = domain_rounds(hosts, 5.0);
+        // Loads count for 1.2 s, so one lost heartbeat must not make a host's loads vanish.
+        assert!(longest_ms <= 600, "{hosts} hosts: {longest_ms} ms");
+        assert!(part <= 0.5, "{hosts} hosts: {part} of the rounds");
+        assert_eq!(domain_rounds(hosts, 0.0).1, 1.0, "without a cost each round goes there");
+    }
+}
