Placement: keys are divided over failure domains

Cause: keys were divided over regions only, by demand averaged over 30 s, so requests went to either domain of a region and the average hid swings.

--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -155,6 +155,13 @@
                     });
                     self.event_log.write("rollout", fields);
                 }
+                StateChange::Placement { service, shares } => {
+                    let fields = json!({
+                        "service": service, "own": shares.own, "near": shares.near,
+                        "away": shares.away,
+                    });
+                    self.event_log.write("placement", fields);
+                }
                 StateChange::RowsOutdated { table, keys } => {
                     metrics::counter!("elmstream_rows_outdated").increment(keys.len() as u64);
                     let rows = keys.iter().take(NAMES_PER_LINE_MAX).map(RowKey::to_string);
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -9,13 +9,14 @@
 
 use crate::{
     cold_start,
+    demand_forecast::{self, DecayingCount},
     digest::RequestDigest,
     hash,
     heartbeat::{Heartbeat, Message, Reachability, ServerLoad, TableStatus},
     members::Targets,
+    placement::{Place, PlacementInput},
     poison::{PoisonChange, PoisonEvidence, ServerCrash},
     quota::AddressedBroadcast,
-    region_shares::{RegionDemand, RegionShares},
     server_limit::RequestRate,
     servers::{AnswerTimes, ServerEntry},
     steer::{PendingNews, ServerState, StateChange, Steer},
@@ -25,8 +26,10 @@
     view::{TABLES, Table},
 };
 
-/// Interval between two calculations of the region shares.
-const SHARES_INTERVAL: u64 = SECOND;
+/// Interval between two updates of the placements.
+const PLACEMENT_INTERVAL: u64 = SECOND;
+/// Time after a host's start in which it hears of all demand.
+const DEMAND_LEARNED_TIME: u64 = 4 * SECOND;
 /// If a host reports at least this number of servers as silent, and these are most of the servers
 /// that it reports, its own connectivity is doubted and the report not believed.
 const MASS_SILENCE_SERVERS_MIN: usize = 4;
@@ -83,9 +86,7 @@
         });
         let loads = loads.collect();
         let tables = self.table_statuses();
-        let counts = self.demand_counts.iter();
-        let demand = counts.map(|(name, count)| (hash::of(name) as u32, count.value(now) as u32));
-        let demand = demand.collect();
+        let demand = self.demand(now);
         Heartbeat {
             demand,
             host: self.settings.host.clone(),
@@ -107,6 +108,13 @@
         }
     }
 
+    /// This host's recent requests, by hash of the service.
+    fn demand(&self, now: Time) -> Vec<(u32, u32)> {
+        let counts = self.demand_counts.iter();
+        let count_of = |count: &DecayingCount| count.value(now).round() as u32;
+        counts.map(|(name, count)| (hash::of(name) as u32, count_of(count))).collect()
+    }
+
     /// Number of hosts, including this one, that this host itself considers possibly running. The
     /// size of the fleet is the highest such number of any live host.
     fn possibly_running(&self, now: Time) -> usize {
@@ -297,35 +305,90 @@
         self.members = members;
     }
 
-    /// Recalculates how each service's requests are shared among the regions.
-    fn update_region_shares(&mut self, now: Time) {
-        if now.since(self.shares_updated_at) < SHARES_INTERVAL {
-            return;
+    /// Updates how each service's keys are divided. Returns the divisions that have changed much.
+    fn update_placements(&mut self, now: Time) -> Vec<StateChange> {
+        if now.since(self.placements_updated_at) < PLACEMENT_INTERVAL {
+            return Vec::new();
         }
-        self.shares_updated_at = now;
+        self.placements_updated_at = now;
         let services: Vec<String> = self.servers.services().map(str::to_owned).collect();
+        self.placements.retain(|service, _| services.contains(service));
+        let mut changes = Vec::new();
         for service in services {
-            let names = self.settings.domains.values();
-            let mut regions: BTreeMap<String, RegionDemand> =
-                names.map(|name| (name.clone(), RegionDemand::default())).collect();
-            for (_, entry) in self.servers.of_service(&service) {
-                let used = !entry.is_leaving() && !self.evacuated.contains(&entry.server.domain);
-                if used && let Some(region) = regions.get_mut(&entry.region) {
-                    region.slots += f64::from(entry.server.slots);
-                }
+            let places = self.places(now, &service);
+            let own = &self.settings.host;
+            let own_place = self.place_name(&own.domain, &own.region);
+            let input = PlacementInput {
+                places,
+                own_place,
+                own_load_max: self.settings.policies.placement.own_load_max,
+                work_ms: self.servers.known_answer_times(&service).map(|times| times.warm_ms),
+                settled: now.since(self.started) >= DEMAND_LEARNED_TIME,
+            };
+            let mut placement = self.placements.remove(&service).unwrap_or_default();
+            placement.update(input);
+            if let Some(shares) = placement.news() {
+                changes.push(StateChange::Placement { service: service.clone(), shares });
             }
-            let hash = hash::of(&service) as u32;
-            for member in self.members.all() {
-                let reported = member.demand.iter().find(|(service, _)| *service == hash);
-                let region = regions.entry(member.host.region.clone()).or_default();
-                region.demand += reported.map_or(0.0, |(_, requests)| f64::from(*requests));
+            self.placements.insert(service, placement);
+        }
+        changes
+    }
+
+    /// The place of a failure domain: the domain itself, or its region if sending to another domain
+    /// costs nothing.
+    fn place_name<'a>(&self, domain: &'a str, region: &'a str) -> &'a str {
+        if self.settings.policies.placement.domain_cost_ms > 0.0 { domain } else { region }
+    }
+
+    /// Demand and usable slots of each place for a service.
+    fn places(&mut self, now: Time, service: &str) -> Vec<Place> {
+        let mut places = BTreeMap::<String, Place>::new();
+        let own = self.settings.host.clone();
+        let mut domains = self.settings.domains.clone();
+        domains.insert(own.domain.clone(), own.region.clone());
+        for (domain, region) in &domains {
+            let index = self.servers.domain_index(domain);
+            let place = places.entry(self.place_name(domain, region).to_owned());
+            let place = place.or_default();
+            place.region = region.clone();
+            place.domains.push(index);
+        }
+        let times = self.servers.answer_times(service);
+        let servers: Vec<(&ServerEntry, bool)> = self
+            .servers
+            .of_service(service)
+            .map(|(_, entry)| (entry, !entry.is_ejected(now, times, self.live_hosts)))
+            .collect();
+        // If most servers do not answer, the fault is more likely on this host's side.
+        let answering = servers.iter().filter(|(_, answers)| *answers).count();
+        let is_believed = answering * 2 >= servers.len();
+        for (entry, answers) in servers {
+            let domain = &entry.server.domain;
+            let usable = !entry.is_leaving() && !self.evacuated.contains(domain);
+            if usable
+                && (answers || !is_believed)
+                && let Some(place) = places.get_mut(self.place_name(domain, &entry.region))
+            {
+                place.slots += f64::from(entry.server.slots);
             }
-            if let Some(count) = self.demand_counts.get(&service) {
-                let region = regions.entry(self.settings.host.region.clone()).or_default();
-                region.demand += count.value(now);
+        }
+        let service_hash = hash::of(service) as u32;
+        for member in self.members.live(now) {
+            let reported = member.demand.iter().find(|(service, _)| *service == service_hash);
+            let host = &member.host;
+            if let Some((_, count)) = reported
+                && let Some(place) = places.get_mut(self.place_name(&host.domain, &host.region))
+            {
+                place.demand_per_s += demand_forecast::rate_per_s(f64::from(*count));
             }
-            self.region_shares.insert(service, RegionShares::new(&regions));
         }
+        if let Some(count) = self.demand_counts.get(service)
+            && let Some(place) = places.get_mut(self.place_name(&own.domain, &own.region))
+        {
+            place.demand_per_s += demand_forecast::rate_per_s(count.value(now));
+        }
+        places.into_iter().map(|(name, place)| Place { name, ..place }).collect()
     }
 
     fn update_host_counts(&mut self, now: Time) {
@@ -365,14 +428,17 @@
         let lost = self.members.expire(now);
         self.recount_loads();
         self.update_host_counts(now);
+        let demand = self.demand(now);
+        self.average_demand.update(now, &demand);
         self.elect_cold_senders(now);
         self.elect_limit_senders(now);
-        self.update_region_shares(now);
+        let placements = self.update_placements(now);
         self.assign_rollout_roles(now);
         self.view.expire_tombstones(now);
         self.expire_leaving(now);
         self.expire_limits(now);
         let mut changes = self.end_retention(now);
+        changes.extend(placements);
         let lapsed =
             self.servers.all().filter(|(_, entry)| entry.lapses_at.is_some_and(|at| now >= at));
         let lapsed: Vec<String> = lapsed.map(|(_, entry)| entry.id.clone()).collect();
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -13,6 +13,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
+    demand_forecast::AverageDemand,
     hash,
     heartbeat::{Heartbeat, LivenessUpdate, ServerLoad},
     settings::Host,
@@ -98,6 +99,8 @@
     pub loads: Vec<ServerLoad>,
     /// The host's recent requests, by hash of the service.
     pub demand: Vec<(u32, u32)>,
+    /// Average of the host's recent requests over a longer time.
+    pub average_demand: AverageDemand,
     /// Number of hosts that it considers possibly running.
     pub fleet_size: u32,
 }
@@ -188,6 +191,11 @@
             newer.map(|known| (known.newest_number, known.last_seen, known.ready, known.leaving));
         let (newest_number, last_seen, ready, leaving) =
             newer.unwrap_or((heartbeat.number, now, heartbeat.ready, heartbeat.leaving));
+        let mut average_demand = match known {
+            Some(known) if !restarted => known.average_demand.clone(),
+            _ => AverageDemand::default(),
+        };
+        average_demand.update(now, &heartbeat.demand);
         let member = Member {
             host: heartbeat.host.clone(),
             hash: hash::of(&heartbeat.host.name),
@@ -205,6 +213,7 @@
             store_ms: heartbeat.store_ms,
             loads: heartbeat.loads.clone(),
             demand: heartbeat.demand.clone(),
+            average_demand,
             fleet_size: heartbeat.fleet_size,
         };
         if known.is_none() {
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -1,27 +1,26 @@
 //! Selects the backend server of a request, or refuses the request.
 //!
-//! Requests with one key go to one server: [`crate::region_shares`] orders the regions for the key,
-//! and rendezvous hashing ranks the servers of a region. That server then has the key's data
-//! cached. A request goes to another server only if it would wait too long there, and preferably to
+//! Requests with one key go to one server: [`crate::placement`] orders the places for the key, and
+//! rendezvous hashing ranks the servers of a place. That server then has the key's data cached. A request goes to another server only if it would wait too long there, and preferably to
 //! one that is warm for the key. The wait is computed from the requests that all hosts together
 //! have in flight. A request that would wait too long everywhere is refused at once.
 //!
 //! Usable servers are compared by their cost: the expected answer time in milliseconds, plus
-//! penalties for failures, other regions and servers that are not warm for the key.
+//! penalties for failures, other places and servers that are not warm for the key.
 
 use elmstream::time::{MILLI, Time};
 
 use crate::{
     hash,
+    key_order::{DomainRank, KeyOrder},
     model::{Repeatability, Route},
-    region_shares::RegionShares,
+    placement::ServicePlacement,
+    policies::PlacementPolicy,
     rollout::RolloutArm,
     servers::{AnswerTimes, ServerEntry, ServerIndex, ServerTable},
     warm_keys::WarmKeys,
 };
 
-/// Cost of sending to another region, in milliseconds.
-const REMOTE_REGION_COST_MS: f64 = 30.0;
 /// A server's expected answer time is multiplied by 1 plus this factor times its failure rate,
 /// which is 1 if all of its answers fail.
 const FAILURE_COST_FACTOR: f64 = 6.0;
@@ -39,9 +38,10 @@
 const RETURNING_OBJECTIVE_FACTOR: f64 = 2.0;
 /// Lower bound of the longest accepted wait, as a fraction of the route's objective.
 const MIN_WAIT_FRACTION: f64 = 0.1;
-/// Number of ranked servers that are considered in the first region, and in each other region.
-const FIRST_REGION_RANKS: usize = 2;
-const OTHER_REGION_RANKS: usize = 1;
+/// Least number of ranked servers that are considered in the key's first place, and their number in
+/// each further place of the region and in each other region.
+const FIRST_PLACE_RANKS_MIN: usize = 2;
+const OTHER_PLACE_RANKS: usize = 1;
 /// Cost of each rank after the first, in milliseconds, for a server that is not warm for the key.
 const NOT_WARM_RANK_COST_MS: f64 = 60.0;
 /// Fraction of its slots up to which a server that is not warm for the key is used.
@@ -174,8 +174,10 @@
     /// Whether this host knows the addresses of the other hosts. Until then it can't tell its share
     /// of the requests to cold and limited servers, and sends them none.
     pub hosts_known: bool,
-    /// Division of the service's keys over the regions.
-    pub region_shares: &'a RegionShares,
+    /// Division of the service's keys over the places; `None` if it is not known yet.
+    pub placement: Option<&'a ServicePlacement>,
+    /// Settings of the placement.
+    pub policy: PlacementPolicy,
     /// Which servers have which keys' data cached.
     pub warm_keys: &'a WarmKeys,
 }
@@ -185,18 +187,20 @@
 struct Candidate<'a> {
     index: ServerIndex,
     entry: &'a ServerEntry,
-    /// Rank of the server's region in the key's region order.
-    region_rank: usize,
+    /// Rank of the server's failure domain in the key's order.
+    domain_rank: DomainRank,
     weight: u64,
     /// Requests in flight at the server, from all hosts.
     occupied: u32,
 }
 
 /// Servers that may take the request. They are gathered in one pass because a service has many
-/// servers, of which only the first few of each region are compared.
+/// servers, of which only the first few of each place are compared.
 struct Candidates<'a> {
-    /// The highest-ranked servers of each region, in rendezvous order.
+    /// The highest-ranked servers of each group of places, in rendezvous order.
     ranks: Vec<Vec<Candidate<'a>>>,
+    /// Number of ranks in the first group.
+    first_ranks: usize,
     /// The server with the lowest load among all candidates with spare slots, whatever its rank.
     least_loaded: Option<Candidate<'a>>,
     count: u32,
@@ -210,10 +214,11 @@
 }
 
 impl<'a> Candidates<'a> {
-    fn new(regions: usize) -> Candidates<'a> {
-        let ranks = vec![Vec::new(); regions];
+    fn new(groups: usize, copies: u32) -> Candidates<'a> {
+        let ranks = vec![Vec::new(); groups];
         Candidates {
             ranks,
+            first_ranks: FIRST_PLACE_RANKS_MIN.max(copies as usize),
             least_loaded: None,
             count: 0,
             free: 0,
@@ -235,10 +240,10 @@
         {
             self.least_loaded = Some(candidate);
         }
-        let ranks = &mut self.ranks[candidate.region_rank];
-        let max_ranks =
-            if candidate.region_rank == 0 { FIRST_REGION_RANKS } else { OTHER_REGION_RANKS };
-        let position = ranks.partition_point(|other| other.weight > candidate.weight);
+        let group = usize::from(candidate.domain_rank.group);
+        let ranks = &mut self.ranks[group];
+        let max_ranks = if group == 0 { self.first_ranks } else { OTHER_PLACE_RANKS };
+        let position = ranks.partition_point(|other| precedes(other, &candidate));
         if position < max_ranks {
             ranks.truncate(max_ranks - 1);
             ranks.insert(position, candidate);
@@ -262,7 +267,7 @@
 
 /// Selects the server of a request.
 ///
-/// The request goes to the server of lowest cost among the first ranks of each region that can run
+/// The request goes to the server of lowest cost among the first ranks of each place that can run
 /// it in time. If there is none and the service's load is low, it goes to the least loaded server
 /// with spare slots. Otherwise it is refused.
 pub fn pick_server(context: &PickContext<'_>, request: &PickRequest<'_>) -> Pick {
@@ -327,8 +332,9 @@
     request: &PickRequest<'_>,
     times: AnswerTimes,
 ) -> Candidates<'a> {
-    let region_order = context.region_shares.region_order(context.location.1, request.key);
-    let mut candidates = Candidates::new(region_order.len() + 1);
+    let order = context.placement.map(|placement| placement.order().order(request.key));
+    let order = order.unwrap_or_else(KeyOrder::default);
+    let mut candidates = Candidates::new(order.groups(), context.policy.copies);
     let mut ejected: Vec<Candidate<'a>> = Vec::new();
     for (index, entry) in context.servers.of_service(request.service) {
         if !may_send(context, request, index, entry) || !cold_bound_allows(context, entry) {
@@ -342,13 +348,10 @@
             candidates.add_spared(entry.server_limit.next_send());
             continue;
         }
-        let region_rank = region_order
-            .iter()
-            .position(|name| *name == entry.region)
-            .unwrap_or(region_order.len());
+        let domain_rank = order.rank(entry.domain_index);
         let weight = hash::combine(entry.hash, request.key);
         let occupied = entry.in_flight(context.now);
-        let candidate = Candidate { index, entry, region_rank, weight, occupied };
+        let candidate = Candidate { index, entry, domain_rank, weight, occupied };
         if entry.is_ejected(context.now, times, context.live_hosts) {
             ejected.push(candidate);
         } else {
@@ -407,13 +410,29 @@
 }
 
 /// Expected answer time without the wait, in milliseconds, with the penalties for failures and for
-/// another region.
+/// another place.
 fn cost_ms(context: &PickContext<'_>, entry: &ServerEntry, times: AnswerTimes, warm: bool) -> f64 {
-    let remote_ms = if entry.region == context.location.1 { 0.0 } else { REMOTE_REGION_COST_MS };
     let work_ms = if warm { times.warm_ms } else { times.not_warm_ms };
     let failing = 1.0 + FAILURE_COST_FACTOR * entry.failure_rate(context.now);
     let cold = if entry.is_cold(context.now) { COLD_SLOWDOWN } else { 1.0 };
-    remote_ms + work_ms * entry.slowness(context.now).max(0.7) * failing * cold
+    transfer_ms(context, entry) + work_ms * entry.slowness(context.now).max(0.7) * failing * cold
+}
+
+/// Cost of sending to the server's place, in milliseconds.
+fn transfer_ms(context: &PickContext<'_>, entry: &ServerEntry) -> f64 {
+    let (domain, region) = context.location;
+    if entry.region != region {
+        context.policy.region_cost_ms
+    } else if entry.server.domain != domain {
+        context.policy.domain_cost_ms
+    } else {
+        0.0
+    }
+}
+
+/// Whether a server of the same group of places comes before another in the key's order.
+fn precedes(one: &Candidate<'_>, other: &Candidate<'_>) -> bool {
+    (other.domain_rank.position, one.weight) > (one.domain_rank.position, other.weight)
 }
 
 /// Whether a cold server would probably not answer before the route's timeout.
@@ -450,9 +469,8 @@
 ) -> f64 {
     let objective = request.route.objective_ms as f64;
     let factor = if request.returning { RETURNING_OBJECTIVE_FACTOR } else { OBJECTIVE_FACTOR };
-    let remote_ms = if entry.region == context.location.1 { 0.0 } else { REMOTE_REGION_COST_MS };
-    let wait =
-        objective * factor - times.warm_ms * entry.slowness(context.now).max(1.0) - remote_ms;
+    let work_ms = times.warm_ms * entry.slowness(context.now).max(1.0);
+    let wait = objective * factor - work_ms - transfer_ms(context, entry);
     wait.max(objective * MIN_WAIT_FRACTION)
 }
 
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -59,6 +59,8 @@
     pub server: Server,
     /// Region of the server.
     pub region: String,
+    /// Index of the server's failure domain in the server table.
+    pub domain_index: u16,
     /// This host's requests in flight at the server.
     pub own_in_flight: u32,
     /// The other hosts' requests in flight at the server.
@@ -210,6 +212,7 @@
             hash: hash::of(id),
             server: server.clone(),
             region: region.to_owned(),
+            domain_index: 0,
             own_in_flight: 0,
             others_in_flight: 0,
             silent_elsewhere: 0,
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -20,6 +20,8 @@
     by_hash: FxHashMap<u32, ServerIndex>,
     by_service: HashMap<String, Vec<ServerIndex>>,
     answer_times: HashMap<String, AnswerTimes>,
+    /// Index of each failure domain that was ever asked for.
+    domain_indexes: HashMap<String, u16>,
     next_index: usize,
 }
 
@@ -82,6 +84,21 @@
         self.answer_times.get(service).copied().unwrap_or_default()
     }
 
+    /// Answer times of a service; `None` before the first answer.
+    pub fn known_answer_times(&self, service: &str) -> Option<AnswerTimes> {
+        self.answer_times.get(service).copied()
+    }
+
+    /// Index of a failure domain, which stays the same as long as the host runs.
+    pub fn domain_index(&mut self, domain: &str) -> u16 {
+        if let Some(index) = self.domain_indexes.get(domain) {
+            return *index;
+        }
+        let index = self.domain_indexes.len().min(usize::from(u16::MAX)) as u16;
+        self.domain_indexes.insert(domain.to_owned(), index);
+        index
+    }
+
     /// Ids of servers that became silent (`true`) or answer again (`false`) since the last call.
     pub fn silence_changes(&mut self, now: Time) -> Vec<(String, bool)> {
         let answer_times = &self.answer_times;
@@ -96,17 +113,20 @@
 
     /// Adds a server, or updates it to its present entry in the store.
     pub fn insert(&mut self, now: Time, id: &str, server: &Server, region: &str) -> ServerIndex {
+        let domain_index = self.domain_index(&server.domain);
         if let Some(index) = self.find(id)
             && let Some(entry) = self.entries.get_mut(&index.0)
         {
             entry.server = server.clone();
+            entry.domain_index = domain_index;
             entry.lapses_at = None;
             entry.extend_cold(now, server.cold_ms);
             return index;
         }
         let index = ServerIndex(self.next_index);
         self.next_index += 1;
-        let entry = ServerEntry::new(now, id, server, region);
+        let mut entry = ServerEntry::new(now, id, server, region);
+        entry.domain_index = domain_index;
         self.by_hash.insert(entry.hash as u32, index);
         self.by_id.insert(id.to_owned(), index);
         self.by_service.entry(server.service.clone()).or_default().push(index);
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     budget::Budgets,
+    demand_forecast::{AverageDemand, DecayingCount},
     digest::RequestDigest,
     era::Retention,
     hash,
@@ -23,11 +24,11 @@
     members::Members,
     model::{Limits, Route},
     pick::{self, Pick, PickContext, PickRequest},
+    placement::{OwnShares, ServicePlacement},
     poison::{PoisonChange, PoisonTracker},
     policies::Policies,
     quota::{self, QuotaDecision, Quotas},
     reader_rank::UNMEASURED_READ_MS,
-    region_shares::{DecayingCount, RegionShares},
     returning_callers::ReturningCallers,
     rollout::{RolloutArm, RolloutStage},
     rollout_control::Rollouts,
@@ -64,8 +65,11 @@
     pub(crate) servers: ServerTable,
     pub(crate) leaving_servers: LeavingServers,
     pub(crate) demand_counts: HashMap<String, DecayingCount>,
-    pub(crate) region_shares: HashMap<String, RegionShares>,
-    pub(crate) shares_updated_at: Time,
+    /// Average of the counts over a longer time.
+    pub(crate) average_demand: AverageDemand,
+    /// Division of each service's keys.
+    pub(crate) placements: HashMap<String, ServicePlacement>,
+    pub(crate) placements_updated_at: Time,
     pub(crate) warm_keys: WarmKeys,
     pub(crate) members: Members,
     pub(crate) budgets: Budgets,
@@ -126,6 +130,14 @@
     HostLost(String),
     /// The store was restored from a backup.
     StoreRestored(StoreRestored),
+    /// The parts of the own callers' requests that run in the host's place, in its region and
+    /// elsewhere have changed much.
+    Placement {
+        /// Name of the service.
+        service: String,
+        /// The parts.
+        shares: OwnShares,
+    },
     /// Rows of a table were dropped because they had been deleted since they were read.
     RowsOutdated {
         /// The table.
@@ -228,8 +240,9 @@
             servers: ServerTable::default(),
             leaving_servers: LeavingServers::default(),
             demand_counts: HashMap::new(),
-            region_shares: HashMap::new(),
-            shares_updated_at: Time(0),
+            average_demand: AverageDemand::default(),
+            placements: HashMap::new(),
+            placements_updated_at: Time(0),
             warm_keys: WarmKeys::default(),
             members,
             budgets: Budgets::new(start_hash),
@@ -421,7 +434,6 @@
 
     fn pick_from_arm(&self, now: Time, request: &PickRequest<'_>, arm: RolloutArm) -> Pick {
         let host = &self.settings.host;
-        let no_shares = RegionShares::default();
         let context = PickContext {
             rollout_arm: arm,
             now,
@@ -431,7 +443,8 @@
             evacuated: &self.evacuated,
             live_hosts: self.live_hosts,
             hosts_known: self.registry.is_known(),
-            region_shares: self.region_shares.get(request.service).unwrap_or(&no_shares),
+            placement: self.placements.get(request.service),
+            policy: self.settings.policies.placement,
             warm_keys: &self.warm_keys,
         };
         pick::pick_server(&context, request)
