--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -283,6 +283,11 @@
                 .set(age.map_or(f64::INFINITY, |age| age as f64));
         }
         metrics::gauge!("elmstream_store_rows_held").set(steer.view().retained_count() as f64);
+        for (service, shares) in steer.placement_shares() {
+            metrics::gauge!("elmstream_place_share", "service" => service.to_owned())
+                .set(shares.own);
+        }
+        metrics::counter!("elmstream_key_copies").absolute(steer.copies_begun());
         metrics::gauge!("elmstream_servers_limited").set(steer.limited_servers() as f64);
         metrics::gauge!("elmstream_workspaces_held_back").set(held_back as f64);
         metrics::gauge!("elmstream_workspaces_unanswered").set(unanswered as f64);
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -13,6 +13,7 @@
     digest::RequestDigest,
     hash,
     heartbeat::{Heartbeat, Message, Reachability, ServerLoad, TableStatus},
+    key_copies,
     members::Targets,
     placement::{Place, PlacementInput},
     poison::{PoisonChange, PoisonEvidence, ServerCrash},
@@ -317,6 +318,14 @@
         for service in services {
             let places = self.places(now, &service);
             let own = &self.settings.host;
+            let copy_domains = key_copies::domains_with_room(
+                now,
+                (&self.servers, &service),
+                &self.warm_keys,
+                &places,
+                &self.settings.policies.placement,
+                &own.region,
+            );
             let own_place = self.place_name(&own.domain, &own.region);
             let input = PlacementInput {
                 places,
@@ -327,6 +336,7 @@
             };
             let mut placement = self.placements.remove(&service).unwrap_or_default();
             placement.update(input);
+            placement.set_copy_domains(copy_domains);
             if let Some(shares) = placement.news() {
                 changes.push(StateChange::Placement { service: service.clone(), shares });
             }
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod heartbeat;
 pub mod host_registry;
 pub mod key;
+pub mod key_copies;
 pub mod key_order;
 pub mod leaving;
 mod limit_senders;
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -8,10 +8,12 @@
 //! Usable servers are compared by their cost: the expected answer time in milliseconds, plus
 //! penalties for failures, other places and servers that are not warm for the key.
 
+use std::cell::Cell;
+
 use elmstream::time::{MILLI, Time};
 
 use crate::{
-    hash,
+    hash, key_copies,
     key_order::{DomainRank, KeyOrder},
     model::{Repeatability, Route},
     placement::ServicePlacement,
@@ -178,6 +180,8 @@
     pub placement: Option<&'a ServicePlacement>,
     /// Settings of the placement.
     pub policy: PlacementPolicy,
+    /// Counts the requests that are sent to keep a copy of their key.
+    pub copies_begun: &'a Cell<u64>,
     /// Which servers have which keys' data cached.
     pub warm_keys: &'a WarmKeys,
 }
@@ -277,6 +281,10 @@
         return Pick::Refuse(no_candidate_refusal(context.now, &candidates));
     }
     let load = candidates.load();
+    if let Some(index) = copy_to_warm(context, request, &candidates, times) {
+        context.copies_begun.set(context.copies_begun.get() + 1);
+        return Pick::Send(index);
+    }
     let mut best: Option<(f64, ServerIndex)> = None;
     let mut shortest_wait_ms = f64::MAX;
     let mut rank_cost_ms = 0.0;
@@ -315,6 +323,66 @@
     }
 }
 
+/// Servers of the key's first place that are warm for the key and can run the request in time, the
+/// one of least cost first; at most as many as copies of a key are kept, and none if there are
+/// fewer than two.
+pub fn warm_choices(context: &PickContext<'_>, request: &PickRequest<'_>) -> Vec<ServerIndex> {
+    let copies = context.policy.copies as usize;
+    if copies < 2 {
+        return Vec::new();
+    }
+    let times = context.servers.answer_times(request.service);
+    let candidates = gather_candidates(context, request, times);
+    let mut choices: Vec<(f64, ServerIndex)> = Vec::new();
+    for candidate in candidates.ranks.first().into_iter().flatten() {
+        let warm = context.warm_keys.is_warm(context.now, candidate.index, request.key);
+        let wait = wait_ms(context.now, candidate, times);
+        let usable = wait <= max_wait_ms(context, request, candidate.entry, times)
+            && !would_time_out(context, request.route, candidate.entry, times, warm, wait);
+        if warm && usable {
+            let cost = cost_ms(context, candidate.entry, times, warm) + wait;
+            choices.push((cost, candidate.index));
+        }
+    }
+    choices.sort_by(|one, other| one.0.total_cmp(&other.0));
+    choices.truncate(copies);
+    if choices.len() < 2 {
+        return Vec::new();
+    }
+    choices.into_iter().map(|(_, index)| index).collect()
+}
+
+/// The server of the key's first place that the request should make or keep warm for the key.
+fn copy_to_warm(
+    context: &PickContext<'_>,
+    request: &PickRequest<'_>,
+    candidates: &Candidates<'_>,
+    times: AnswerTimes,
+) -> Option<ServerIndex> {
+    let copies = context.policy.copies as usize;
+    if copies < 2
+        || request.returning
+        || !key_copies::is_drawn(context.now, request.key, request.priority)
+        || candidates.load() >= key_copies::WARMING_LOAD_MAX
+    {
+        return None;
+    }
+    let is_warm = |c: &&Candidate<'_>| context.warm_keys.is_warm(context.now, c.index, request.key);
+    let ranks = candidates.ranks.first()?;
+    ranks.iter().find(is_warm)?;
+    let copy = ranks.iter().take(copies).find(|candidate| {
+        key_copies::needs_warming(context.now, context.warm_keys, candidate.index, request.key)
+    })?;
+    let keeps_copies = context.placement?.keeps_copies(copy.entry.domain_index);
+    let wait = wait_ms(context.now, copy, times);
+    let work_ms = times.not_warm_ms * copy.entry.slowness(context.now).max(1.0);
+    let has_time =
+        wait + work_ms <= request.remaining_ms as f64 * key_copies::WARMING_TIME_FRACTION;
+    let times_out = would_time_out(context, request.route, copy.entry, times, false, wait);
+    let usable = keeps_copies && has_spare_slots(copy) && has_time && !times_out;
+    usable.then_some(copy.index)
+}
+
 /// The refusal of a request for which there is no candidate.
 fn no_candidate_refusal(now: Time, candidates: &Candidates<'_>) -> Refusal {
     if candidates.spared == 0 {
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -4,6 +4,7 @@
 //! hosts.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
@@ -70,6 +71,8 @@
     /// Division of each service's keys.
     pub(crate) placements: HashMap<String, ServicePlacement>,
     pub(crate) placements_updated_at: Time,
+    /// Number of requests that were sent to a server to keep a copy of their key there.
+    copies_begun: Cell<u64>,
     pub(crate) warm_keys: WarmKeys,
     pub(crate) members: Members,
     pub(crate) budgets: Budgets,
@@ -243,6 +246,7 @@
             average_demand: AverageDemand::default(),
             placements: HashMap::new(),
             placements_updated_at: Time(0),
+            copies_begun: Cell::new(0),
             warm_keys: WarmKeys::default(),
             members,
             budgets: Budgets::new(start_hash),
@@ -433,8 +437,18 @@
     }
 
     fn pick_from_arm(&self, now: Time, request: &PickRequest<'_>, arm: RolloutArm) -> Pick {
+        pick::pick_server(&self.pick_context(now, request.service, arm), request)
+    }
+
+    /// State that the selection of a service's server depends on.
+    pub(crate) fn pick_context(
+        &self,
+        now: Time,
+        service: &str,
+        arm: RolloutArm,
+    ) -> PickContext<'_> {
         let host = &self.settings.host;
-        let context = PickContext {
+        PickContext {
             rollout_arm: arm,
             now,
             started: self.started,
@@ -443,11 +457,21 @@
             evacuated: &self.evacuated,
             live_hosts: self.live_hosts,
             hosts_known: self.registry.is_known(),
-            placement: self.placements.get(request.service),
+            placement: self.placements.get(service),
             policy: self.settings.policies.placement,
+            copies_begun: &self.copies_begun,
             warm_keys: &self.warm_keys,
-        };
-        pick::pick_server(&context, request)
+        }
+    }
+
+    /// Number of requests that were sent to a server to keep a copy of their key there.
+    pub fn copies_begun(&self) -> u64 {
+        self.copies_begun.get()
+    }
+
+    /// Parts of the own callers' requests by where they run, by service.
+    pub fn placement_shares(&self) -> impl Iterator<Item = (&str, OwnShares)> {
+        self.placements.iter().map(|(service, placement)| (service.as_str(), placement.shares()))
     }
 
     /// Records the outcome of a request that was sent to a server.
--- a/elmstream_steer/src/warm_keys.rs
+++ b/elmstream_steer/src/warm_keys.rs
@@ -88,6 +88,12 @@
         at.is_some_and(|at| now.since(*at) < WARM_TIMEOUT)
     }
 
+    /// Keys that a server is warm for, by the lower 32 bits of their hashes.
+    pub fn keys(&self, now: Time, server: ServerIndex) -> impl Iterator<Item = u32> {
+        let keys = self.keys_by_server.get(&server).into_iter().flatten();
+        keys.filter(move |(_, at)| now.since(**at) < WARM_TIMEOUT).map(|(key, _)| *key)
+    }
+
     /// Drops the keys of a removed server.
     pub fn remove_server(&mut self, server: ServerIndex) {
         self.keys_by_server.remove(&server);
