--- a/elmstream_steer/src/key_copies.rs
+++ b/elmstream_steer/src/key_copies.rs
@@ -24,13 +24,13 @@
 pub const WARMING_LOAD_MAX: f64 = 0.5;
 /// Fraction of the caller's remaining time in which a request that warms a copy must be expected to
 /// be answered.
-pub const WARMING_TIME_FRACTION: f64 = 0.5;
+pub const WARMING_TIME_FRACTION: f64 = 0.75;
 /// A copy that was not used for this long is used again, so that it remains known as warm.
 const REFRESH_AGE: u64 = 10 * SECOND;
 /// Seed of a request's draw.
 const WARMING_SEED: u64 = 0x636f_7079;
 
-/// Whether a request is one of the few that may warm a copy.
+/// Whether a request is one of the few that may warm another server for its key.
 pub fn is_drawn(now: Time, key: u64, priority: u32) -> bool {
     let halvings = LEAST_URGENT.saturating_sub(priority) as i32;
     let draw = hash::unit_interval(hash::combine(key ^ WARMING_SEED, now.0));
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -281,8 +281,7 @@
         return Pick::Refuse(no_candidate_refusal(context.now, &candidates));
     }
     let load = candidates.load();
-    if let Some(index) = copy_to_warm(context, request, &candidates, times) {
-        context.copies_begun.set(context.copies_begun.get() + 1);
+    if let Some(index) = server_to_warm(context, request, &candidates, times) {
         return Pick::Send(index);
     }
     let mut best: Option<(f64, ServerIndex)> = None;
@@ -300,7 +299,8 @@
         };
         let usable = usable
             && !would_time_out(context, request.route, candidate.entry, times, warm, wait_here_ms);
-        let cost = cost_ms(context, candidate.entry, times, warm) + wait_here_ms;
+        let cost = cost_ms(context, candidate.entry, times, warm) + wait_here_ms
+            - placed_ms(context, candidate);
         let cost = if warm { cost } else { cost + rank_cost_ms };
         if usable && best.is_none_or(|(least, _)| cost < least) {
             best = Some((cost, candidate.index));
@@ -352,35 +352,60 @@
     choices.into_iter().map(|(_, index)| index).collect()
 }
 
-/// The server of the key's first place that the request should make or keep warm for the key.
-fn copy_to_warm(
+/// The server of the key's first place that the request should make or keep warm for the key: the
+/// first one if the key was moved there, or else a copy.
+fn server_to_warm(
     context: &PickContext<'_>,
     request: &PickRequest<'_>,
     candidates: &Candidates<'_>,
     times: AnswerTimes,
 ) -> Option<ServerIndex> {
-    let copies = context.policy.copies as usize;
-    if copies < 2
-        || request.returning
+    let (copies, load) = (context.policy.copies as usize, candidates.load());
+    let may_copy = copies > 1 && load < key_copies::WARMING_LOAD_MAX;
+    let may_move = follows_domains(context) && load < NOT_WARM_SERVICE_LOAD_MAX;
+    if request.returning
+        || !(may_copy || may_move)
         || !key_copies::is_drawn(context.now, request.key, request.priority)
-        || candidates.load() >= key_copies::WARMING_LOAD_MAX
     {
         return None;
     }
-    let is_warm = |c: &&Candidate<'_>| context.warm_keys.is_warm(context.now, c.index, request.key);
+    let (now, key) = (context.now, request.key);
+    let is_warm = |c: &Candidate<'_>| context.warm_keys.is_warm(now, c.index, key);
+    if !candidates.ranks.iter().flatten().any(is_warm) {
+        return None;
+    }
     let ranks = candidates.ranks.first()?;
-    ranks.iter().find(is_warm)?;
-    let copy = ranks.iter().take(copies).find(|candidate| {
-        key_copies::needs_warming(context.now, context.warm_keys, candidate.index, request.key)
-    })?;
-    let keeps_copies = context.placement?.keeps_copies(copy.entry.domain_index);
-    let wait = wait_ms(context.now, copy, times);
-    let work_ms = times.not_warm_ms * copy.entry.slowness(context.now).max(1.0);
+    let moved = ranks.first().filter(|first| may_move && !is_warm(first));
+    let keeps_copies = |c: &&Candidate<'_>| {
+        context.placement.is_some_and(|known| known.keeps_copies(c.entry.domain_index))
+    };
+    let copy = || {
+        let mut copies = ranks.iter().take(copies).filter(keeps_copies);
+        copies.find(|c| key_copies::needs_warming(now, context.warm_keys, c.index, key))
+    };
+    let picked = moved.or_else(|| if may_copy { copy() } else { None })?;
+    let wait = wait_ms(now, picked, times);
+    let work_ms = times.not_warm_ms * picked.entry.slowness(now).max(1.0);
     let has_time =
         wait + work_ms <= request.remaining_ms as f64 * key_copies::WARMING_TIME_FRACTION;
-    let times_out = would_time_out(context, request.route, copy.entry, times, false, wait);
-    let usable = keeps_copies && has_spare_slots(copy) && has_time && !times_out;
-    usable.then_some(copy.index)
+    let times_out = would_time_out(context, request.route, picked.entry, times, false, wait);
+    let usable = has_spare_slots(picked) && has_time && !times_out;
+    if usable && moved.is_none() {
+        context.copies_begun.set(context.copies_begun.get() + 1);
+    }
+    usable.then_some(picked.index)
+}
+
+/// Whether keys are moved as the division over failure domains says.
+fn follows_domains(context: &PickContext<'_>) -> bool {
+    context.policy.domain_cost_ms > 0.0
+}
+
+/// Cost of sending to the key's first place, which the division over failure domains has weighed
+/// already, in milliseconds; 0 for other places.
+fn placed_ms(context: &PickContext<'_>, candidate: &Candidate<'_>) -> f64 {
+    let is_first = follows_domains(context) && candidate.domain_rank.group == 0;
+    if is_first { transfer_ms(context, candidate.entry) } else { 0.0 }
 }
 
 /// The refusal of a request for which there is no candidate.
