--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     hash, key_copies,
-    key_order::{DomainRank, KeyOrder},
+    key_order::DomainRank,
     model::{Repeatability, Route},
     placement::ServicePlacement,
     policies::PlacementPolicy,
@@ -426,7 +426,7 @@
     times: AnswerTimes,
 ) -> Candidates<'a> {
     let order = context.placement.map(|placement| placement.order().order(request.key));
-    let order = order.unwrap_or_else(KeyOrder::default);
+    let order = order.unwrap_or_default();
     let mut candidates = Candidates::new(order.groups(), context.policy.copies);
     let mut ejected: Vec<Candidate<'a>> = Vec::new();
     for (index, entry) in context.servers.of_service(request.service) {
