Use what servers report about how fast they work

Cause: the fourth figure of the load header was dropped. A server that is slow for 600 ms got requests as usual, and their answers were late.

Change: server_speed.rs keeps the newest report of each server, which returns to usual by policies.speed.report_decay_ms; own answer times are divided by the factor reported with them. Heartbeats carry the reports that a host read itself, with their age. probe_choice.rs and server_probe.rs ask up to two warm servers on the health path before a first attempt. With the default policies reports are not used.

--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -15,7 +15,9 @@
 use elmstreamd::clock;
 use serde_json::{Value, json};
 
-use crate::{backend::Pool, event_log::EventLog, rollout, settings::Settings};
+use crate::{
+    backend::Pool, event_log::EventLog, rollout, server_probe::ProbesInFlight, settings::Settings,
+};
 
 /// If more servers than this change at once, they are logged in one line.
 const SERVERS_LOGGED_SINGLY_MAX: usize = 12;
@@ -31,6 +33,8 @@
     pub steer: RefCell<Steer>,
     /// Idle connections to backend servers.
     pub pool: Pool,
+    /// Servers that are being asked how fast they work.
+    pub(crate) probes: ProbesInFlight,
     /// The event log on standard output.
     pub event_log: EventLog,
     /// Set when the list of refused requests must be read from the store again.
@@ -60,6 +64,7 @@
             settings,
             steer: RefCell::new(steer),
             pool: Pool::default(),
+            probes: ProbesInFlight::default(),
             event_log,
             reread_refused: Cell::new(false),
         })
@@ -144,6 +149,11 @@
                     let fields = json!({"server": id, "state": state.name(), "from": from});
                     self.event_log.state_change("server", fields);
                 }
+                StateChange::ServerSpeed { id, is_slow, factor } => {
+                    let factor = (factor * 100.0).round() / 100.0;
+                    let fields = json!({"server": id, "slow": is_slow, "factor": factor});
+                    self.event_log.state_change("server_speed", fields);
+                }
                 StateChange::HostLost(host) => {
                     self.event_log.state_change("host_lost", json!({"host": host}));
                 }
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -22,6 +22,7 @@
     headers,
     poison::{self, SuspectedServer},
     server_hints::Hints,
+    server_probe,
 };
 
 /// Time that must remain until the deadline for a request to be sent.
@@ -80,6 +81,7 @@
     let mut attempts = Attempts::default();
     let mut possibly_run = false;
     let mut failed_response = None;
+    server_probe::run(edge, request, &pick_request(request, &[])).await;
     while attempts.servers.len() < request.route.attempts.max(1) as usize
         && request.remaining() > REMAINING_MIN
     {
@@ -92,23 +94,7 @@
             // have run.
             break;
         }
-        let (route, service) = (&request.route, &request.service);
-        let (key, returning) = (request.key, request.returning);
-        let homes =
-            request.workspace.as_ref().map(|admitted| admitted.entry.workspace.homes.as_slice());
-        let homes = homes.unwrap_or_default();
-        let pick_request = PickRequest {
-            route,
-            service,
-            key,
-            tried: &attempts.servers,
-            returning,
-            homes,
-            priority: request.priority(),
-            workspace: request.workspace.as_ref().map(|admitted| admitted.entry.id),
-            remaining_ms: request.remaining().as_millis() as u64,
-        };
-        let index = match pick_next(edge, &pick_request, is_retry) {
+        let index = match pick_next(edge, &pick_request(request, &attempts.servers), is_retry) {
             Ok(index) => index,
             Err(refusal) if is_retry => {
                 return give_up(edge, request, &attempts, possibly_run, failed_response, refusal);
@@ -132,6 +118,23 @@
     give_up(edge, request, &attempts, possibly_run, failed_response, refusal)
 }
 
+/// What the choice of a server goes by.
+fn pick_request<'a>(request: &'a CallerRequest, tried: &'a [ServerIndex]) -> PickRequest<'a> {
+    let workspace = request.workspace.as_ref();
+    let homes = workspace.map(|admitted| admitted.entry.workspace.homes.as_slice());
+    PickRequest {
+        route: &request.route,
+        service: &request.service,
+        key: request.key,
+        tried,
+        returning: request.returning,
+        homes: homes.unwrap_or_default(),
+        priority: request.priority(),
+        workspace: workspace.map(|admitted| admitted.entry.id),
+        remaining_ms: request.remaining().as_millis() as u64,
+    }
+}
+
 /// Picks the next server; a retry must be within the retry budget.
 fn pick_next(
     edge: &Rc<Edge>,
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -1,7 +1,8 @@
 //! An entry host, which is a reverse proxy, that can send a request to any backend server.
 //!
 //! [`Edge`] holds the decisions of `elmstream_steer` and connects them to callers (`callers`,
-//! `access`, `forward`), backend servers (`backend`, `server_hints`), the other hosts
+//! `access`, `forward`), backend servers (`backend`, `server_hints`,
+//! `server_probe`), the other hosts
 //! (`peers`, `table_fetch`) and the store (`store_reader`, `rollout`, through a
 //! [`StoreSource`] that an adapter implements).
 
@@ -19,11 +20,13 @@
 pub mod headers;
 mod host_registry;
 pub mod lifecycle;
+pub mod load_header;
 pub mod peers;
 mod poison;
 pub mod request_digest;
 mod rollout;
 mod server_hints;
+mod server_probe;
 pub mod settings;
 mod shutdown;
 pub mod store_reader;
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -163,6 +163,8 @@
     if news.joined {
         edge.event_log.state_change("host_heard", json!({"host": heartbeat.host.name}));
     }
+    metrics::counter!("elmstream_speed_reports", "from" => "host")
+        .increment(news.speed_reports as u64);
     poison::log_refused(edge, &heartbeat.host.name, &news.refused);
     for server in &news.leaving {
         let fields = json!({"server": server, "from": heartbeat.host.name});
--- a/elmstream_edge/src/server_hints.rs
+++ b/elmstream_edge/src/server_hints.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use elmstream_steer::{Steer, server_limit::RequestRate, servers::ServerIndex};
+use elmstream_steer::{
+    Steer, server_limit::RequestRate, server_speed::SpeedSource, servers::ServerIndex,
+};
 use elmstreamd::clock;
 use http::{StatusCode, header, response};
 use serde_json::{Value, json};
@@ -10,13 +12,14 @@
 use crate::{
     edge::Edge,
     headers::{self, HeaderNames},
+    load_header::{ReportedLoad, ReportedSpeed},
 };
 
 /// Hints of one response about its server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Hints {
-    /// Running and waiting requests; `None` if not sent.
-    load: Option<u32>,
+    /// Load and speed; `None` if not sent.
+    load: Option<ReportedLoad>,
     /// The server limit.
     limit: LimitHint,
     /// Whether the server is about to leave.
@@ -40,7 +43,7 @@
 impl Hints {
     /// Reads the hints from the head of a response.
     pub fn read(names: &HeaderNames, parts: &response::Parts) -> Hints {
-        let load = headers::text(&parts.headers, &names.load).and_then(request_count);
+        let load = read_load(names, parts);
         let limit = match parts.headers.get(&names.server_limit) {
             None => LimitHint::None,
             Some(value) => {
@@ -55,10 +58,10 @@
     /// Applies the hints; the response must be known to be this server's.
     pub fn apply(self, edge: &Edge, index: ServerIndex) {
         let now = clock::now();
-        let mut steer = edge.steer.borrow_mut();
-        if let Some(requests) = self.load {
-            steer.record_server_load(now, index, requests);
+        if let Some(load) = self.load {
+            apply_load(edge, index, load, SpeedSource::Answer);
         }
+        let mut steer = edge.steer.borrow_mut();
         if self.leaving && steer.on_server_leaving(now, index) {
             log_hint(edge, &steer, index, "server_leaving", json!({"from": "itself"}));
         }
@@ -89,6 +92,29 @@
     }
 }
 
+/// Reads the load and the speed of the server from the head of a response.
+pub fn read_load(names: &HeaderNames, parts: &response::Parts) -> Option<ReportedLoad> {
+    headers::text(&parts.headers, &names.load).and_then(ReportedLoad::parse)
+}
+
+/// Takes in the load and the speed of a server; the response must be known to be this server's.
+pub fn apply_load(edge: &Edge, index: ServerIndex, load: ReportedLoad, source: SpeedSource) {
+    let now = clock::now();
+    let mut steer = edge.steer.borrow_mut();
+    steer.record_server_load(now, index, load.requests);
+    match load.speed {
+        ReportedSpeed::None => {}
+        ReportedSpeed::Percent(percent) => {
+            let from = if source == SpeedSource::Probe { "probe" } else { "answer" };
+            metrics::counter!("elmstream_speed_reports", "from" => from).increment(1);
+            steer.record_server_speed(now, index, percent, source);
+        }
+        ReportedSpeed::Unreadable => {
+            metrics::counter!("elmstream_speeds_unreadable").increment(1);
+        }
+    }
+}
+
 /// Logs a hint of a server.
 fn log_hint(edge: &Edge, steer: &Steer, index: ServerIndex, event: &str, mut fields: Value) {
     fields["server"] = steer.servers().get(index).map(|entry| entry.id.as_str()).into();
@@ -111,10 +137,3 @@
     let fields = json!({"server": server, "per_s": limit.map(RequestRate::value), "from": from});
     edge.event_log.state_change("server_limit", fields);
 }
-
-/// Sum of running and waiting requests in `running,waiting,slots`.
-fn request_count(load: &str) -> Option<u32> {
-    let mut numbers = load.split(',').map(|part| part.trim().parse::<u32>());
-    let running = numbers.next()?.ok()?;
-    Some(running.saturating_add(numbers.next()?.ok()?))
-}
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use elmstream::time::{SECOND, Time};
+use elmstream::time::{MILLI, SECOND, Time};
 
 use crate::{
     cold_start,
@@ -17,6 +17,7 @@
     quota::AddressedBroadcast,
     region_shares::{RegionDemand, RegionShares},
     server_limit::RequestRate,
+    server_speed::{self, SpeedSource},
     servers::{AnswerTimes, ServerEntry},
     steer::{PendingNews, ServerState, StateChange, Steer},
     table_sync::SyncRequest,
@@ -27,6 +28,8 @@
 
 /// Interval between two calculations of the region shares.
 const SHARES_INTERVAL: u64 = SECOND;
+/// Maximum number of servers in a heartbeat of which only the speed is reported.
+const SPEEDS_PER_HEARTBEAT_MAX: usize = 128;
 /// If a host reports at least this number of servers as silent, and these are most of the servers
 /// that it reports, its own connectivity is doubted and the report not believed.
 const MASS_SILENCE_SERVERS_MIN: usize = 4;
@@ -71,17 +74,7 @@
         self.heartbeat_number += 1;
         self.urgent = false;
         self.ready = self.serves();
-        let loads = self.servers.all().filter_map(|(_, entry)| {
-            let reachability =
-                reachability(now, entry, self.servers.answer_times(&entry.server.service));
-            let load = ServerLoad {
-                server: entry.hash as u32,
-                in_flight: entry.own_in_flight.min(u16::MAX as u32) as u16,
-                reachability,
-            };
-            (entry.own_in_flight > 0 || reachability != Reachability::Unreported).then_some(load)
-        });
-        let loads = loads.collect();
+        let loads = self.next_loads(now);
         let tables = self.table_statuses();
         let counts = self.demand_counts.iter();
         let demand = counts.map(|(name, count)| (hash::of(name) as u32, count.value(now) as u32));
@@ -107,6 +100,30 @@
         }
     }
 
+    /// What this host reports of servers in its next heartbeat.
+    fn next_loads(&self, now: Time) -> Vec<ServerLoad> {
+        let max_age = self.settings.policies.speed.report_decay_ms * MILLI;
+        let mut speeds_left = SPEEDS_PER_HEARTBEAT_MAX;
+        let loads = self.servers.all().filter_map(|(_, entry)| {
+            let times = self.servers.answer_times(&entry.server.service);
+            let (speed_percent, speed_age) = entry.speed.passed_on(now, max_age).unwrap_or((0, 0));
+            let load = ServerLoad {
+                server: entry.hash as u32,
+                in_flight: entry.own_in_flight.min(u16::MAX as u32) as u16,
+                reachability: reachability(now, entry, times),
+                speed_percent,
+                speed_age,
+            };
+            if reports_requests(&load) {
+                return Some(load);
+            }
+            let is_news = speed_percent > 0 && server_speed::is_unusual(speed_percent);
+            speeds_left = speeds_left.checked_sub(usize::from(is_news))?;
+            is_news.then_some(load)
+        });
+        loads.collect()
+    }
+
     /// Number of hosts, including this one, that this host itself considers possibly running. The
     /// size of the fleet is the highest such number of any live host.
     fn possibly_running(&self, now: Time) -> usize {
@@ -187,6 +204,7 @@
         let effect = self.members.on_heartbeat(now, heartbeat)?;
         self.apply_loads(&effect.previous_loads, false);
         self.apply_loads(&heartbeat.loads, true);
+        let speed_reports = self.merge_speeds(now, &heartbeat.loads);
         for update in heartbeat.liveness.iter().filter(|update| update.host != self.hash as u32) {
             self.members.on_liveness_update(now, update);
         }
@@ -217,7 +235,14 @@
         let leaving = &heartbeat.leaving_servers;
         let leaving =
             leaving.iter().filter_map(|notice| self.on_leaving_notice(now, *notice)).collect();
-        Some(HeartbeatNews { joined: effect.joined, outdated_tables, refused, limits, leaving })
+        Some(HeartbeatNews {
+            joined: effect.joined,
+            outdated_tables,
+            refused,
+            limits,
+            leaving,
+            speed_reports,
+        })
     }
 
     /// Merges crashes of servers that another host reported or that the store lists. Returns the
@@ -283,6 +308,18 @@
         }
     }
 
+    /// Takes in how fast servers told another host that they work. Returns the number of reports
+    /// that are used.
+    fn merge_speeds(&mut self, now: Time, loads: &[ServerLoad]) -> usize {
+        let reports = loads.iter().filter(|load| load.speed_percent > 0);
+        let used = reports.filter(|load| {
+            let Some(index) = self.servers.index_by_hash(load.server) else { return false };
+            let report = (load.speed_percent, server_speed::age_of(load.speed_age));
+            self.servers.record_speed(now, index, report, SpeedSource::Host)
+        });
+        used.count()
+    }
+
     /// Recalculates the other hosts' load on each server, as both servers and hosts come and go.
     fn recount_loads(&mut self) {
         for entry in self.servers.all_mut() {
@@ -385,6 +422,11 @@
         changes.extend(silence_changes.map(|(id, silent)| {
             StateChange::Server(id, if silent { ServerState::Silent } else { ServerState::Answers })
         }));
+        let speed_changes = self.servers.speed_changes(now).into_iter();
+        changes.extend(
+            speed_changes
+                .map(|(id, is_slow, factor)| StateChange::ServerSpeed { id, is_slow, factor }),
+        );
         changes
     }
 }
@@ -400,11 +442,16 @@
     }
 }
 
+/// Whether a host reports requests in flight or the reachability, not only the speed.
+fn reports_requests(load: &ServerLoad) -> bool {
+    load.in_flight > 0 || load.reachability != Reachability::Unreported
+}
+
 /// Whether most servers are silent to the reporting host, in which case its own connectivity is the
 /// more likely fault.
 fn reports_mass_silence(loads: &[ServerLoad]) -> bool {
     let silent = loads.iter().filter(|load| load.reachability == Reachability::Silent).count();
-    silent >= MASS_SILENCE_SERVERS_MIN && silent * 2 > loads.len()
+    silent >= MASS_SILENCE_SERVERS_MIN && silent * 2 > loads.iter().filter(|load| reports_requests(load)).count()
 }
 
 /// What the caller of [`Steer::on_heartbeat`] has to act on; the rest of the heartbeat is already
@@ -423,4 +470,6 @@
     pub limits: Vec<(String, Option<RequestRate>)>,
     /// Ids of servers of which this host did not know yet that they are about to leave.
     pub leaving: Vec<String>,
+    /// Number of reports of how fast servers work that are used from now on.
+    pub speed_reports: usize,
 }
--- a/elmstream_steer/src/heartbeat.rs
+++ b/elmstream_steer/src/heartbeat.rs
@@ -22,6 +22,11 @@
     pub in_flight: u16,
     /// Whether the server answers the sending host.
     pub reachability: Reachability,
+    /// Time that work takes at the server in percent of the usual time, as the server reported it
+    /// to the sending host; 0 if there is no recent report.
+    pub speed_percent: u16,
+    /// Time since that report was read, in units of 10 ms.
+    pub speed_age: u8,
 }
 
 /// Reachability of a backend server as seen by one host.
@@ -99,7 +104,7 @@
     /// Recent requests per service, with the hash of the service truncated to 32 bits.
     pub demand: Vec<(u32, u32)>,
     /// The sender's requests in flight per server. Servers without requests and with nothing to
-    /// report are omitted.
+    /// report are omitted; a speed that is about the usual one is nothing to report.
     pub loads: Vec<ServerLoad>,
     /// Keys for which servers have recently become warm. Sent only within the sender's region.
     pub warm_keys: Vec<WarmKey>,
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -459,3 +459,13 @@
 fn retry_ms(wait: f64) -> u64 {
     wait.clamp(RETRY_MIN_MS, RETRY_MAX_MS) as u64
 }
+
+/// Servers of the key's first region, in order of their rank, that are warm for the key and may get
+/// the request.
+pub fn warm_choices(context: &PickContext<'_>, request: &PickRequest<'_>) -> Vec<ServerIndex> {
+    let times = context.servers.answer_times(request.service);
+    let candidates = gather_candidates(context, request, times);
+    let first_region = candidates.ranks.iter().find(|ranks| !ranks.is_empty());
+    let indexes = first_region.into_iter().flatten().map(|candidate| candidate.index);
+    indexes.filter(|index| context.warm_keys.is_warm(context.now, *index, request.key)).collect()
+}
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -2,7 +2,13 @@
 
 use elmstream::time::{MILLI, SECOND, Time};
 
-use crate::{hash, model::Server, rollout::RolloutRole, server_limit::ServerLimit};
+use crate::{
+    hash,
+    model::Server,
+    rollout::RolloutRole,
+    server_limit::ServerLimit,
+    server_speed::{self, ServerSpeed, SpeedSource},
+};
 
 /// Weight of a new answer in the moving averages of answer times.
 const ANSWER_TIME_WEIGHT: f64 = 0.05;
@@ -104,6 +110,13 @@
     failure_rate: f64,
     /// Moving average of the ratio of answer times to the service's mean; 1 is average.
     slowness: f64,
+    /// What the server reports about how fast it works.
+    pub speed: ServerSpeed,
+    /// Time in which the weight of such a report decays to 1/e, in microseconds; 0 if reports are
+    /// not used.
+    pub report_decay: u64,
+    /// Factor that the server reported with the response whose outcome is recorded next.
+    answer_factor: Option<f64>,
     /// When the failure rate and the slowness were last updated.
     observed_at: Time,
     /// When the server leaves the table because the store no longer lists it.
@@ -232,6 +245,9 @@
             backoff_until: Time(0),
             failure_rate: 0.0,
             slowness: 1.0,
+            speed: ServerSpeed::default(),
+            report_decay: 0,
+            answer_factor: None,
             observed_at: now,
             lapses_at: None,
             known_since: now,
@@ -295,9 +311,15 @@
         self.failure_rate * self.observation_weight(now)
     }
 
-    /// Recent answer time relative to the service's mean; 1 is average. It decays like the failure
-    /// rate.
+    /// Expected answer time relative to the service's mean; 1 is average. It is the product of what
+    /// the server reports about itself and of what this host observes beyond that.
     pub fn slowness(&self, now: Time) -> f64 {
+        self.observed_slowness(now) * self.speed.factor(now, self.report_decay)
+    }
+
+    /// Recent answer time relative to what the service's mean and the server's reports let expect.
+    /// It decays like the failure rate.
+    fn observed_slowness(&self, now: Time) -> f64 {
         1.0 + (self.slowness - 1.0) * self.observation_weight(now)
     }
 
@@ -367,6 +389,27 @@
         self.reported_load = Some((requests, now));
     }
 
+    /// Takes in a report of how fast the server works, in percent of the usual time, that was read
+    /// from it `age` microseconds ago. Returns whether it is used: it is plausible and the newest.
+    pub fn record_speed(
+        &mut self,
+        now: Time,
+        percent: u16,
+        age: u64,
+        source: SpeedSource,
+    ) -> bool {
+        if self.report_decay == 0 || !server_speed::is_plausible(percent) {
+            return false;
+        }
+        if source == SpeedSource::Answer {
+            self.answer_factor = Some(server_speed::factor_of(percent));
+        }
+        match source {
+            SpeedSource::Answer | SpeedSource::Probe => self.speed.on_own_report(now, percent),
+            SpeedSource::Host => self.speed.on_report(now, percent, age),
+        }
+    }
+
     /// Records that the server's process ended, observed by this host or reported by another.
     ///
     /// The failure rate and the slowness stay as they are: a crash says nothing about how the
@@ -386,11 +429,14 @@
     /// Records the outcome of a request that was sent.
     pub fn record_outcome(&mut self, now: Time, outcome: Outcome, times: &mut AnswerTimes) {
         self.own_in_flight = self.own_in_flight.saturating_sub(1);
+        let answer_factor = self.answer_factor.take().unwrap_or(1.0);
         match outcome {
             Outcome::Answered { micros, was_warm } => {
                 self.record_answer(now);
                 self.update_failure_rate(now, false);
-                let ratio = times.record(micros as f64 / MILLI as f64, was_warm);
+                // What the server reported with the answer is not counted here again.
+                let usual_ms = micros as f64 / MILLI as f64 / answer_factor;
+                let ratio = times.record(usual_ms, was_warm);
                 self.slowness += (ratio - self.slowness) * ANSWER_TIME_WEIGHT;
             }
             Outcome::Failed | Outcome::Unknown => {
@@ -457,7 +503,7 @@
     }
 
     fn update_failure_rate(&mut self, now: Time, failed: bool) {
-        (self.failure_rate, self.slowness) = (self.failure_rate(now), self.slowness(now));
+        (self.failure_rate, self.slowness) = (self.failure_rate(now), self.observed_slowness(now));
         self.observed_at = now;
         let value = if failed { 1.0 } else { 0.0 };
         self.failure_rate += (value - self.failure_rate) * FAILURE_WEIGHT;
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -5,7 +5,7 @@
 use elmstream::time::Time;
 use rustc_hash::FxHashMap;
 
-use crate::model::Server;
+use crate::{model::Server, server_speed::SpeedSource};
 pub use crate::server::{AnswerTimes, Outcome, ServerEntry};
 
 /// Index of a server in the table. It is never reused.
@@ -20,6 +20,11 @@
     by_hash: FxHashMap<u32, ServerIndex>,
     by_service: HashMap<String, Vec<ServerIndex>>,
     answer_times: HashMap<String, AnswerTimes>,
+    /// When a server of the service last reported how fast it works, by service.
+    speeds_reported: HashMap<String, Time>,
+    /// Time in which the weight of reported speeds decays to 1/e, in microseconds; 0 if they are not
+    /// used.
+    report_decay: u64,
     next_index: usize,
 }
 
@@ -82,6 +87,52 @@
         self.answer_times.get(service).copied().unwrap_or_default()
     }
 
+    /// Takes in a server's report of how fast it works, as [`ServerEntry::record_speed`] does.
+    pub fn record_speed(
+        &mut self,
+        now: Time,
+        index: ServerIndex,
+        (percent, age): (u16, u64),
+        source: SpeedSource,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(&index.0) else { return false };
+        let is_used = entry.record_speed(now, percent, age, source);
+        if is_used {
+            let read_at = Time(now.0.saturating_sub(age));
+            match self.speeds_reported.get_mut(&entry.server.service) {
+                Some(last) => *last = read_at.max(*last),
+                None => {
+                    self.speeds_reported.insert(entry.server.service.clone(), read_at);
+                }
+            }
+        }
+        is_used
+    }
+
+    /// When a server of the service last reported how fast it works; `None` if none did.
+    pub fn last_speed_report(&self, service: &str) -> Option<Time> {
+        self.speeds_reported.get(service).copied()
+    }
+
+    /// Sets the time in which the weight of reported speeds decays to 1/e, in microseconds.
+    pub fn set_report_decay(&mut self, decay: u64) {
+        self.report_decay = decay;
+        for entry in self.entries.values_mut() {
+            entry.report_decay = decay;
+        }
+    }
+
+    /// Ids of servers that became slow (`true`) or no longer are (`false`) since the last call, by
+    /// their reports, with the factor on the time that work takes.
+    pub fn speed_changes(&mut self, now: Time) -> Vec<(String, bool, f64)> {
+        let entries = self.entries.values_mut();
+        let changed = entries.filter_map(|entry| {
+            let is_slow = entry.speed.slow_change(now, entry.report_decay)?;
+            Some((entry.id.clone(), is_slow, entry.speed.factor(now, entry.report_decay)))
+        });
+        changed.collect()
+    }
+
     /// Ids of servers that became silent (`true`) or answer again (`false`) since the last call.
     pub fn silence_changes(&mut self, now: Time) -> Vec<(String, bool)> {
         let answer_times = &self.answer_times;
@@ -106,7 +157,8 @@
         }
         let index = ServerIndex(self.next_index);
         self.next_index += 1;
-        let entry = ServerEntry::new(now, id, server, region);
+        let mut entry = ServerEntry::new(now, id, server, region);
+        entry.report_decay = self.report_decay;
         self.by_hash.insert(entry.hash as u32, index);
         self.by_id.insert(id.to_owned(), index);
         self.by_service.entry(server.service.clone()).or_default().push(index);
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use elmstream::time::{SECOND, Time};
+use elmstream::time::{MILLI, SECOND, Time};
 
 use crate::{
     budget::Budgets,
@@ -25,6 +25,7 @@
     pick::{self, Pick, PickContext, PickRequest},
     poison::{PoisonChange, PoisonTracker},
     policies::Policies,
+    probe_choice,
     quota::{self, QuotaDecision, Quotas},
     reader_rank::UNMEASURED_READ_MS,
     region_shares::{DecayingCount, RegionShares},
@@ -32,6 +33,7 @@
     rollout::{RolloutArm, RolloutStage},
     rollout_control::Rollouts,
     routes::RouteTable,
+    server_speed::SpeedSource,
     servers::{Outcome, ServerIndex, ServerTable},
     settings::{Bounds, Settings},
     store_schedule::StoreSchedule,
@@ -65,6 +67,8 @@
     pub(crate) leaving_servers: LeavingServers,
     pub(crate) demand_counts: HashMap<String, DecayingCount>,
     pub(crate) region_shares: HashMap<String, RegionShares>,
+    /// Shares of a service for which none have been calculated.
+    no_shares: RegionShares,
     pub(crate) shares_updated_at: Time,
     pub(crate) warm_keys: WarmKeys,
     pub(crate) members: Members,
@@ -122,6 +126,15 @@
     Evacuation(String, bool),
     /// A server was added, changed, left or became unreachable.
     Server(String, ServerState),
+    /// A server began or ceased to work slowly, by its own reports.
+    ServerSpeed {
+        /// Id of the server.
+        id: String,
+        /// Whether it works slowly now.
+        is_slow: bool,
+        /// Expected time of work as a factor of the usual time.
+        factor: f64,
+    },
     /// A host, given by its name, is no longer live.
     HostLost(String),
     /// The store was restored from a backup.
@@ -214,6 +227,8 @@
         let start_hash = hash::combine(hash, settings.incarnation);
         let members = Members::new(&settings.host.region);
         let own_address_hash = hash::address(settings.host.peers);
+        let mut servers = ServerTable::default();
+        servers.set_report_decay(settings.policies.speed.report_decay_ms * MILLI);
         Steer {
             settings,
             hash,
@@ -225,10 +240,11 @@
             quotas: Quotas::new(start_hash, now),
             evacuated: BTreeSet::new(),
             cold_settings: HashMap::new(),
-            servers: ServerTable::default(),
+            servers,
             leaving_servers: LeavingServers::default(),
             demand_counts: HashMap::new(),
             region_shares: HashMap::new(),
+            no_shares: RegionShares::default(),
             shares_updated_at: Time(0),
             warm_keys: WarmKeys::default(),
             members,
@@ -277,6 +293,7 @@
         self.settings.domains = domains;
         self.settings.bounds = bounds;
         self.settings.policies = policies;
+        self.servers.set_report_decay(policies.speed.report_decay_ms * MILLI);
     }
 
     /// The store's contents as known to this host.
@@ -420,9 +437,17 @@
     }
 
     fn pick_from_arm(&self, now: Time, request: &PickRequest<'_>, arm: RolloutArm) -> Pick {
+        pick::pick_server(&self.pick_context(now, request, arm), request)
+    }
+
+    fn pick_context(
+        &self,
+        now: Time,
+        request: &PickRequest<'_>,
+        arm: RolloutArm,
+    ) -> PickContext<'_> {
         let host = &self.settings.host;
-        let no_shares = RegionShares::default();
-        let context = PickContext {
+        PickContext {
             rollout_arm: arm,
             now,
             started: self.started,
@@ -431,10 +456,9 @@
             evacuated: &self.evacuated,
             live_hosts: self.live_hosts,
             hosts_known: self.registry.is_known(),
-            region_shares: self.region_shares.get(request.service).unwrap_or(&no_shares),
+            region_shares: self.region_shares.get(request.service).unwrap_or(&self.no_shares),
             warm_keys: &self.warm_keys,
-        };
-        pick::pick_server(&context, request)
+        }
     }
 
     /// Records the outcome of a request that was sent to a server.
@@ -449,6 +473,36 @@
         }
     }
 
+    /// Records how fast a server reported to this host that it works, in percent of the usual time.
+    /// The report that comes with an answer is recorded before the outcome of the request.
+    pub fn record_server_speed(
+        &mut self,
+        now: Time,
+        index: ServerIndex,
+        percent: u16,
+        source: SpeedSource,
+    ) {
+        self.servers.record_speed(now, index, (percent, 0), source);
+    }
+
+    /// Servers to ask how fast they work before the server of a first attempt is picked, at most
+    /// two.
+    pub fn probe_targets(&mut self, now: Time, request: &PickRequest<'_>) -> Vec<ServerIndex> {
+        let policy = self.settings.policies.speed;
+        if self.leaving || !probe_choice::may_probe(now, &policy, &self.servers, request) {
+            return Vec::new();
+        }
+        let arm = self.pick_rollout_arm(now, request);
+        let warm = pick::warm_choices(&self.pick_context(now, request, arm), request);
+        probe_choice::probe_targets(now, &self.servers, &warm)
+    }
+
+    /// Path on which the servers of a service answer probes; `None` if it is not known.
+    pub fn health_path(&self, service: &str) -> Option<&str> {
+        let services = &self.view.configuration()?.services;
+        services.iter().find(|known| known.name == service)?.health_path.as_deref()
+    }
+
     /// Records that a server announced in an answer that it is leaving. Returns whether this is
     /// new.
     pub fn on_server_leaving(&mut self, now: Time, index: ServerIndex) -> bool {
