--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -423,10 +423,11 @@
             StateChange::Server(id, if silent { ServerState::Silent } else { ServerState::Answers })
         }));
         let speed_changes = self.servers.speed_changes(now).into_iter();
-        changes.extend(
-            speed_changes
-                .map(|(id, is_slow, factor)| StateChange::ServerSpeed { id, is_slow, factor }),
-        );
+        changes.extend(speed_changes.map(|(id, is_slow, factor)| StateChange::ServerSpeed {
+            id,
+            is_slow,
+            factor,
+        }));
         changes
     }
 }
@@ -451,7 +452,8 @@
 /// more likely fault.
 fn reports_mass_silence(loads: &[ServerLoad]) -> bool {
     let silent = loads.iter().filter(|load| load.reachability == Reachability::Silent).count();
-    silent >= MASS_SILENCE_SERVERS_MIN && silent * 2 > loads.iter().filter(|load| reports_requests(load)).count()
+    silent >= MASS_SILENCE_SERVERS_MIN
+        && silent * 2 > loads.iter().filter(|load| reports_requests(load)).count()
 }
 
 /// What the caller of [`Steer::on_heartbeat`] has to act on; the rest of the heartbeat is already
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -391,13 +391,7 @@
 
     /// Takes in a report of how fast the server works, in percent of the usual time, that was read
     /// from it `age` microseconds ago. Returns whether it is used: it is plausible and the newest.
-    pub fn record_speed(
-        &mut self,
-        now: Time,
-        percent: u16,
-        age: u64,
-        source: SpeedSource,
-    ) -> bool {
+    pub fn record_speed(&mut self, now: Time, percent: u16, age: u64, source: SpeedSource) -> bool {
         if self.report_decay == 0 || !server_speed::is_plausible(percent) {
             return false;
         }
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -5,8 +5,8 @@
 use elmstream::time::Time;
 use rustc_hash::FxHashMap;
 
-use crate::{model::Server, server_speed::SpeedSource};
 pub use crate::server::{AnswerTimes, Outcome, ServerEntry};
+use crate::{model::Server, server_speed::SpeedSource};
 
 /// Index of a server in the table. It is never reused.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
--- a/elmstream_steer/tests/server_speed.rs
+++ b/elmstream_steer/tests/server_speed.rs
@@ -10,11 +10,13 @@
 
 use elmstream::time::{MILLI, Time};
 use elmstream_steer::{
-    Bounds, Pick, Steer, hash,
+    Bounds, Pick, PickRequest, Steer, hash,
+    heartbeat::{Reachability, ServerLoad},
     model::{Repeatability, Route},
     policies::{Policies, SpeedPolicy},
     server_speed::{ServerSpeed, SpeedSource},
     servers::{Outcome, ServerIndex},
+    view::Table,
 };
 use support::{domains, exchange_heartbeats, ms, pick_request, ready, route, send, server, with};
 
@@ -93,8 +95,7 @@
         for key in 0..KEYS {
             let mut tried = Vec::new();
             for _ in 0..2 {
-                let request =
-                    elmstream_steer::PickRequest { tried: &tried, ..pick_request(&route, key) };
+                let request = PickRequest { tried: &tried, ..pick_request(&route, key) };
                 let Pick::Send(index) = host.pick_server(ms(1), &request) else { panic!("idle") };
                 host.record_outcome(ms(1), index, Outcome::NotSent);
                 host.record_warm_key(ms(1), index, key);
@@ -110,10 +111,8 @@
     warm_up(&mut fleet);
     let mut running: Vec<Running> = Vec::new();
     let mut played = Play::default();
-    let routes: [(&str, Route); 2] = [
-        ("read", route(Repeatability::Safe, &[])),
-        ("write", route(Repeatability::Once, &[])),
-    ];
+    let routes: [(&str, Route); 2] =
+        [("read", route(Repeatability::Safe, &[])), ("write", route(Repeatability::Once, &[]))];
     for at in (10..PLAY_MS).step_by(STEP_MS as usize) {
         if at % HEARTBEAT_MS == 0 {
             exchange_heartbeats(ms(at), &mut fleet, |_, _| true);
@@ -280,19 +279,34 @@
     assert_eq!(sent, [(75, 1), (125, 1)]);
 }
 
+/// A heartbeat must fit into a datagram of 16 KiB whatever servers report.
+#[test]
+fn heartbeat_with_all_servers_slow_stays_small() {
+    let rows = (0..600).map(|n| server(&format!("s-{n}"), "a1", 10)).collect();
+    let mut host = ready(0, ms(0), rows);
+    set_policy(&mut host, REPORTS);
+    let all: Vec<ServerIndex> = host.servers().all().map(|(index, _)| index).collect();
+    for index in all {
+        host.record_server_speed(ms(100), index, 10_000, SpeedSource::Probe);
+    }
+    let heartbeat = host.next_heartbeat(ms(600));
+    assert_eq!(heartbeat.loads.len(), 128);
+    let bytes = postcard::to_allocvec(&heartbeat).expect("a heartbeat can be serialized").len();
+    assert!(bytes < 2_048, "{bytes} bytes");
+}
+
 /// Reports of speed alone must not make a host that is cut off look connected.
 #[test]
 fn speeds_do_not_count_as_servers_that_answer() {
     let mut hosts = fleet(2, REPORTS);
     let mut heartbeat = hosts[0].next_heartbeat(ms(100));
-    let entry = |n: usize, reachability| elmstream_steer::heartbeat::ServerLoad {
+    let entry = |n: usize, reachability| ServerLoad {
         server: hash::of(&format!("s-{n}")) as u32,
         in_flight: 0,
         reachability,
         speed_percent: SLOW_PERCENT,
         speed_age: 0,
     };
-    use elmstream_steer::heartbeat::Reachability;
     heartbeat.loads = (0..4).map(|n| entry(n, Reachability::Silent)).collect();
     heartbeat.loads.extend((4..SERVERS).map(|n| entry(n, Reachability::Unreported)));
     hosts[1].on_heartbeat(ms(100), &heartbeat);
@@ -315,9 +329,9 @@
     }
     assert!(host.probe_targets(ms(600), &request).is_empty(), "their reports are recent");
     assert_eq!(host.probe_targets(ms(601), &request), targets);
-    let retry = elmstream_steer::PickRequest { tried: &targets[..1], ..request };
+    let retry = PickRequest { tried: &targets[..1], ..request };
     assert!(host.probe_targets(ms(700), &retry).is_empty(), "not a first attempt");
-    let hurried = elmstream_steer::PickRequest { remaining_ms: 100, ..request };
+    let hurried = PickRequest { remaining_ms: 100, ..request };
     assert!(host.probe_targets(ms(700), &hurried).is_empty(), "little time is left");
     let unknown = pick_request(&route, KEYS + 1);
     assert!(host.probe_targets(ms(700), &unknown).is_empty(), "no server is warm");
@@ -337,6 +351,6 @@
     host.record_server_speed(ms(10), reporting, 100, SpeedSource::Answer);
     let first = host.probe_targets(ms(500), &request)[0];
     let row = with(server(&support::id(&host, first), "a1", 10), 11, |s| s.draining = true);
-    host.on_changes(ms(510), elmstream_steer::view::Table::Servers, vec![row]);
+    host.on_changes(ms(510), Table::Servers, vec![row]);
     assert!(host.probe_targets(ms(520), &request).is_empty());
 }
