--- a/elmstream_edge/tests/server_probe.rs
+++ b/elmstream_edge/tests/server_probe.rs
@@ -215,3 +215,39 @@
         assert_eq!((two.counts(0).0, two.counts(1).0), (0, 0));
     });
 }
+
+/// A server that does not answer probes must not get more of them the more requests wait.
+#[test]
+fn server_is_asked_once_at_a_time() {
+    run(async || {
+        let two = two(["s-0", "s-1"], LATE_PATH, true).await;
+        compio::time::sleep(REPORT_AGED).await;
+        let before = [two.counts(0).0, two.counts(1).0];
+        let requests = ["a", "b", "c", "d"].map(|id| two.get(id));
+        for answer in futures_util::future::join_all(requests).await {
+            assert_eq!(answer.status, 200);
+        }
+        let asked = two.counts(0).0 + two.counts(1).0;
+        assert!(asked > before[0] + before[1], "servers were asked");
+        for (n, before) in before.into_iter().enumerate() {
+            assert!(two.counts(n).0 <= before + 1, "server {n}: {:?}", two.counts(n));
+        }
+    });
+}
+
+/// A request whose caller left while servers were asked is sent to none.
+#[test]
+fn nothing_is_sent_for_a_caller_that_left_during_the_probe() {
+    run(async || {
+        let two = two(["s-0", "s-1"], LATE_PATH, true).await;
+        compio::time::sleep(REPORT_AGED).await;
+        let asked = two.counts(0).0 + two.counts(1).0;
+        let before = two.counts(0).1 + two.counts(1).1;
+        let host = two.host.callers;
+        let answer = support::send_request_within(host, "gone", "/key", TIMEOUT / 3).await;
+        assert!(answer.is_none(), "the caller left before an answer");
+        compio::time::sleep(TIMEOUT * 3).await;
+        assert!(two.counts(0).0 + two.counts(1).0 > asked, "servers were asked");
+        assert_eq!(two.counts(0).1 + two.counts(1).1, before);
+    });
+}
--- a/elmstream_steer/tests/server_speed.rs
+++ b/elmstream_steer/tests/server_speed.rs
@@ -61,7 +61,7 @@
 fn percent(name: &str, at: u64) -> u16 {
     let server = hash::of(name);
     let turn = (at + server % TURN_MS) / TURN_MS;
-    if hash::combine(server, turn) % 6 == 0 { SLOW_PERCENT } else { 100 }
+    if hash::combine(server, turn).is_multiple_of(6) { SLOW_PERCENT } else { 100 }
 }
 
 /// A request that a server works on.
@@ -301,7 +301,7 @@
     let mut hosts = fleet(2, REPORTS);
     let mut heartbeat = hosts[0].next_heartbeat(ms(100));
     let entry = |n: usize, reachability| ServerLoad {
-        server: hash::of(&format!("s-{n}")) as u32,
+        server: hash::of(format!("s-{n}")) as u32,
         in_flight: 0,
         reachability,
         speed_percent: SLOW_PERCENT,
