--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use elmstream::time::{SECOND, Time};
+use elmstream::time::{MILLI, SECOND, Time};
 
 use crate::{
     budget::Budgets,
@@ -28,12 +28,14 @@
     placement::{OwnShares, ServicePlacement},
     poison::{PoisonChange, PoisonTracker},
     policies::Policies,
+    probe_choice,
     quota::{self, QuotaDecision, Quotas},
     reader_rank::UNMEASURED_READ_MS,
     returning_callers::ReturningCallers,
     rollout::{RolloutArm, RolloutStage},
     rollout_control::Rollouts,
     routes::RouteTable,
+    server_speed::SpeedSource,
     servers::{Outcome, ServerIndex, ServerTable},
     settings::{Bounds, Settings},
     store_schedule::StoreSchedule,
@@ -129,6 +131,15 @@
     Evacuation(String, bool),
     /// A server was added, changed, left or became unreachable.
     Server(String, ServerState),
+    /// A server began or ceased to work slowly, by its own reports.
+    ServerSpeed {
+        /// Id of the server.
+        id: String,
+        /// Whether it works slowly now.
+        is_slow: bool,
+        /// Expected time of work as a factor of the usual time.
+        factor: f64,
+    },
     /// A host, given by its name, is no longer live.
     HostLost(String),
     /// The store was restored from a backup.
@@ -229,6 +240,8 @@
         let start_hash = hash::combine(hash, settings.incarnation);
         let members = Members::new(&settings.host.region);
         let own_address_hash = hash::address(settings.host.peers);
+        let mut servers = ServerTable::default();
+        servers.set_report_decay(settings.policies.speed.report_decay_ms * MILLI);
         Steer {
             settings,
             hash,
@@ -240,7 +253,7 @@
             quotas: Quotas::new(start_hash, now),
             evacuated: BTreeSet::new(),
             cold_settings: HashMap::new(),
-            servers: ServerTable::default(),
+            servers,
             leaving_servers: LeavingServers::default(),
             demand_counts: HashMap::new(),
             average_demand: AverageDemand::default(),
@@ -294,6 +307,7 @@
         self.settings.domains = domains;
         self.settings.bounds = bounds;
         self.settings.policies = policies;
+        self.servers.set_report_decay(policies.speed.report_decay_ms * MILLI);
     }
 
     /// The store's contents as known to this host.
@@ -486,6 +500,36 @@
         }
     }
 
+    /// Records how fast a server reported to this host that it works, in percent of the usual time.
+    /// The report that comes with an answer is recorded before the outcome of the request.
+    pub fn record_server_speed(
+        &mut self,
+        now: Time,
+        index: ServerIndex,
+        percent: u16,
+        source: SpeedSource,
+    ) {
+        self.servers.record_speed(now, index, (percent, 0), source);
+    }
+
+    /// Servers to ask how fast they work before the server of a first attempt is picked, at most
+    /// two.
+    pub fn probe_targets(&mut self, now: Time, request: &PickRequest<'_>) -> Vec<ServerIndex> {
+        let policy = self.settings.policies.speed;
+        if self.leaving || !probe_choice::may_probe(now, &policy, &self.servers, request) {
+            return Vec::new();
+        }
+        let arm = self.pick_rollout_arm(now, request);
+        let warm = pick::warm_choices(&self.pick_context(now, request.service, arm), request);
+        probe_choice::probe_targets(now, &self.servers, &warm)
+    }
+
+    /// Path on which the servers of a service answer probes; `None` if it is not known.
+    pub fn health_path(&self, service: &str) -> Option<&str> {
+        let services = &self.view.configuration()?.services;
+        services.iter().find(|known| known.name == service)?.health_path.as_deref()
+    }
+
     /// Records that a server announced in an answer that it is leaving. Returns whether this is
     /// new.
     pub fn on_server_leaving(&mut self, now: Time, index: ServerIndex) -> bool {
