Retry budget: order of spending by the worth of a second send

Cause: the budget goes to whoever asks first, so callers who are there for the last time get nothing while first attempts, whose callers come back, use it up. Change: with policies.retries.by_worth, last chances may use the whole balance, others the part that more valuable requests are not expected to need. Balances, caps and deposits stay, so retries are only withdrawn later or less. Draws of hosts with less than one retry take only the free part. Metrics and not_run lines carry the worth.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -9,6 +9,7 @@
     Pick, PickRequest, Refusal,
     model::Repeatability,
     pick::RefusalReason,
+    retry_worth::RetryWorth,
     servers::{Outcome, ServerIndex},
 };
 use elmstreamd::{clock, waits};
@@ -36,6 +37,8 @@
     servers: Vec<ServerIndex>,
     /// Id of the server, outcome, and duration in microseconds, by attempt.
     outcomes: Vec<(String, Outcome, u64)>,
+    /// Value of the last second send that was considered.
+    worth: Option<RetryWorth>,
 }
 
 /// Result of an attempt.
@@ -108,7 +111,11 @@
             workspace: request.workspace.as_ref().map(|admitted| admitted.entry.id),
             remaining_ms: request.remaining().as_millis() as u64,
         };
-        let index = match pick_next(edge, &pick_request, is_retry) {
+        if is_retry {
+            let steer = edge.steer.borrow();
+            attempts.worth = Some(steer.retry_worth(&pick_request, possibly_run, RETRY_AFTER_MS));
+        }
+        let index = match pick_next(edge, &pick_request, attempts.worth) {
             Ok(index) => index,
             Err(refusal) if is_retry => {
                 return give_up(edge, request, &attempts, possibly_run, failed_response, refusal);
@@ -132,22 +139,24 @@
     give_up(edge, request, &attempts, possibly_run, failed_response, refusal)
 }
 
-/// Picks the next server; a retry must be within the retry budget.
+/// Picks the next server. A retry, of the value `retry`, must be within the retry budget.
 fn pick_next(
     edge: &Rc<Edge>,
     pick_request: &PickRequest<'_>,
-    is_retry: bool,
+    retry: Option<RetryWorth>,
 ) -> Result<ServerIndex, Refusal> {
     let mut steer = edge.steer.borrow_mut();
-    if is_retry && !steer.can_retry(pick_request.service) {
-        metrics::counter!("elmstream_retries_denied").increment(1);
+    let (now, service) = (clock::now(), pick_request.service);
+    if let Some(worth) = retry.filter(|worth| !steer.can_retry(now, service, *worth)) {
+        metrics::counter!("elmstream_retries_denied", "worth" => worth.name()).increment(1);
         return Err(Refusal::new(RefusalReason::Budget, RETRY_AFTER_MS));
     }
-    match steer.pick_server(clock::now(), pick_request) {
+    match steer.pick_server(now, pick_request) {
         Pick::Send(index) => {
             // The budget is charged only for requests that are sent.
-            if is_retry {
-                steer.withdraw_retry(pick_request.service);
+            if let Some(worth) = retry {
+                steer.withdraw_retry(service, worth);
+                metrics::counter!("elmstream_retries_spent", "worth" => worth.name()).increment(1);
             }
             Ok(index)
         }
@@ -391,7 +400,7 @@
         "route": request.route.name, "service": request.service,
         "status": status.as_u16(),
         "workspace": request.workspace_name(),
-        "tried": tries, "took_ms": took / MILLI, "version": steer.configuration_version(),
+        "tried": tries, "worth": attempts.worth.map(RetryWorth::name), "took_ms": took / MILLI, "version": steer.configuration_version(),
         "stale_ms": steer.staleness(now) / MILLI,
     });
     edge.event_log.request(event, fields);
--- a/elmstream_steer/src/budget.rs
+++ b/elmstream_steer/src/budget.rs
@@ -7,7 +7,12 @@
 
 use std::collections::HashMap;
 
-use crate::hash;
+use elmstream::time::Time;
+
+use crate::{
+    hash,
+    retry_worth::{Deposit, RetryWorth, SpendingOrder},
+};
 
 /// Fraction of the ratio that a host deposits. Nearly all of it can be used, because retries in a
 /// window that were not deposited in it come from balances, which `SLACK_FRACTION_SAVED` bounds.
@@ -24,6 +29,8 @@
     /// retries.
     balance_max: f64,
     balances: HashMap<String, f64>,
+    /// Order in which requests use the balances; without deposits in order, all are equal.
+    order: SpendingOrder,
 }
 
 impl Budgets {
@@ -43,6 +50,33 @@
         }
     }
 
+    /// Deposits like [`Budgets::deposit`], and keeps a part for the more valuable requests.
+    pub fn deposit_in_order(
+        &mut self,
+        now: Time,
+        service: &str,
+        ratio: f64,
+        slack: f64,
+        hosts: usize,
+    ) {
+        let before = self.balance(service);
+        self.deposit(service, ratio, slack, hosts);
+        let (balance, balance_max) = (self.balance(service), self.balance_max);
+        let amount = ratio * RATIO_FRACTION_DEPOSITED;
+        let deposit = Deposit { amount, before, balance, balance_max };
+        self.order.record_deposit(now, service, deposit);
+    }
+
+    /// Counts a request that asks for a retry, for what later requests are expected to need.
+    pub fn record_asked(&mut self, now: Time, service: &str, worth: RetryWorth) {
+        self.order.record_asked(now, service, worth);
+    }
+
+    /// Ends the order in which requests use the balances.
+    pub fn clear_order(&mut self) {
+        self.order = SpendingOrder::default();
+    }
+
     /// Sets a service's balance to the maximum at once, for hosts that need retries before many
     /// requests have made deposits.
     pub fn grant(&mut self, service: &str, slack: f64, hosts: usize) {
@@ -58,22 +92,49 @@
     /// hosts that all retry at once use 315, where a whole retry for each would come to 1,205. A
     /// drawn retry that is not withdrawn becomes a fraction again with the next deposit.
     pub fn can_withdraw(&mut self, service: &str) -> bool {
+        self.can_withdraw_for(service, RetryWorth::LastChance)
+    }
+
+    /// Withdraws one retry if there is one. Returns whether it did.
+    pub fn withdraw(&mut self, service: &str) -> bool {
+        self.withdraw_for(service, RetryWorth::LastChance)
+    }
+
+    /// Whether a request of a value can withdraw a retry. A draw takes only the part of the balance
+    /// that the request may use, and the rest remains.
+    pub fn can_withdraw_for(&mut self, service: &str, worth: RetryWorth) -> bool {
         let draw = hash::unit_interval(hash::combine(self.seed, self.draw_count));
         let Some(balance) = self.balances.get_mut(service) else { return false };
-        if *balance >= 1.0 || self.balance_max >= 1.0 {
-            return *balance >= 1.0;
+        let free = self.order.free_part(service, worth);
+        if self.balance_max >= 1.0 {
+            return balance.min(free) >= 1.0;
+        }
+        if *balance >= 1.0 {
+            return true;
         }
         self.draw_count += 1;
-        *balance = if draw < *balance { 1.0 } else { 0.0 };
+        let stake = balance.min(free);
+        *balance -= stake;
+        if draw < stake {
+            *balance += 1.0;
+        } else {
+            self.order.record_used(service, worth, stake, *balance);
+        }
         *balance >= 1.0
     }
 
-    /// Withdraws one retry if there is one. Returns whether it did.
-    pub fn withdraw(&mut self, service: &str) -> bool {
-        let available = self.can_withdraw(service);
+    /// Withdraws one retry for a request of a value if there is one for it. Returns whether it did.
+    pub fn withdraw_for(&mut self, service: &str, worth: RetryWorth) -> bool {
+        let available = self.can_withdraw_for(service, worth);
         if let Some(balance) = self.balances.get_mut(service).filter(|_| available) {
             *balance -= 1.0;
+            self.order.record_used(service, worth, 1.0, *balance);
         }
         available
     }
+
+    /// Balance of a service, in retries.
+    fn balance(&self, service: &str) -> f64 {
+        self.balances.get(service).copied().unwrap_or_default()
+    }
 }
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod reader_rank;
 pub mod region_shares;
 mod restore;
+pub mod retry_worth;
 pub mod returning_callers;
 pub mod rollout;
 mod rollout_control;
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -28,6 +28,7 @@
     quota::{self, QuotaDecision, Quotas},
     reader_rank::UNMEASURED_READ_MS,
     region_shares::{DecayingCount, RegionShares},
+    retry_worth::{RetryRequest, RetryWorth},
     returning_callers::ReturningCallers,
     rollout::{RolloutArm, RolloutStage},
     rollout_control::Rollouts,
@@ -277,6 +278,9 @@
         self.settings.domains = domains;
         self.settings.bounds = bounds;
         self.settings.policies = policies;
+        if !policies.retries.by_worth {
+            self.budgets.clear_order();
+        }
     }
 
     /// The store's contents as known to this host.
@@ -500,13 +504,12 @@
         } else {
             self.demand_counts.entry(service.to_owned()).or_default().add(now);
         }
-        let bounds = &self.settings.bounds;
-        self.budgets.deposit(
-            service,
-            bounds.retry_ratio,
-            bounds.retry_slack,
-            self.address_hashes.len(),
-        );
+        let Bounds { retry_ratio: ratio, retry_slack: slack, .. } = self.settings.bounds;
+        let hosts = self.address_hashes.len();
+        match self.settings.policies.retries.by_worth {
+            true => self.budgets.deposit_in_order(now, service, ratio, slack, hosts),
+            false => self.budgets.deposit(service, ratio, slack, hosts),
+        }
     }
 
     /// Whether a request, whose caller waits `remaining_ms` milliseconds for an answer, most likely
@@ -515,14 +518,33 @@
         self.returning_callers.is_returning(now, route, remaining_ms)
     }
 
-    /// Whether a service's retry budget allows a retry.
-    pub fn can_retry(&mut self, service: &str) -> bool {
-        self.budgets.can_withdraw(service)
+    /// Value of a second send of a request that was sent to the servers in `request.tried`.
+    pub fn retry_worth(
+        &self,
+        request: &PickRequest<'_>,
+        may_have_run: bool,
+        retry_after_ms: u64,
+    ) -> RetryWorth {
+        RetryWorth::of(&RetryRequest {
+            returning: request.returning,
+            may_have_run,
+            priority: request.priority,
+            remaining_ms: request.remaining_ms,
+            retry_after_ms,
+            answer_ms: self.servers.answer_times(request.service).mean_ms,
+        })
+    }
+
+    /// Whether a service's retry budget allows a retry to a request of a value. To be called once
+    /// for each second send, as it counts the requests that need one.
+    pub fn can_retry(&mut self, now: Time, service: &str, worth: RetryWorth) -> bool {
+        self.budgets.record_asked(now, service, worth);
+        self.budgets.can_withdraw_for(service, worth)
     }
 
     /// Takes one retry from a service's budget. Returns whether one was available.
-    pub fn withdraw_retry(&mut self, service: &str) -> bool {
-        self.budgets.withdraw(service)
+    pub fn withdraw_retry(&mut self, service: &str, worth: RetryWorth) -> bool {
+        self.budgets.withdraw_for(service, worth)
     }
 
     // Requests that crash servers.
