Servers that refuse at random: rates, choice and second sends

Cause: servers that refuse with free slots are treated as full ones, so hosts pause them, and second sends are refused by a load that is low in truth. Change: with policies.retries.by_worth, refusals with free slots (by the server's answer, or by what is in flight) are counted by server and service; the service's counts go into heartbeats. A server that refuses clearly more than its service costs more; a second send goes to no server expected to refuse, and to any with spare slots if the whole service refuses. Metric, log line. A literal Heartbeat in the edge tests names the new field.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -113,7 +113,8 @@
         };
         if is_retry {
             let steer = edge.steer.borrow();
-            attempts.worth = Some(steer.retry_worth(&pick_request, possibly_run, RETRY_AFTER_MS));
+            let retry_ms = steer.refused_retry_ms(clock::now(), service, RETRY_AFTER_MS);
+            attempts.worth = Some(steer.retry_worth(&pick_request, possibly_run, retry_ms));
         }
         let index = match pick_next(edge, &pick_request, attempts.worth) {
             Ok(index) => index,
@@ -135,7 +136,10 @@
             break;
         }
     }
-    let refusal = Refusal::new(RefusalReason::Tries, RETRY_AFTER_MS);
+    let steer = edge.steer.borrow();
+    let retry_ms = steer.refused_retry_ms(clock::now(), &request.service, RETRY_AFTER_MS);
+    drop(steer);
+    let refusal = Refusal::new(RefusalReason::Tries, retry_ms);
     give_up(edge, request, &attempts, possibly_run, failed_response, refusal)
 }
 
@@ -149,7 +153,8 @@
     let (now, service) = (clock::now(), pick_request.service);
     if let Some(worth) = retry.filter(|worth| !steer.can_retry(now, service, *worth)) {
         metrics::counter!("elmstream_retries_denied", "worth" => worth.name()).increment(1);
-        return Err(Refusal::new(RefusalReason::Budget, RETRY_AFTER_MS));
+        let retry_ms = steer.refused_retry_ms(now, service, RETRY_AFTER_MS);
+        return Err(Refusal::new(RefusalReason::Budget, retry_ms));
     }
     match steer.pick_server(now, pick_request) {
         Pick::Send(index) => {
@@ -214,7 +219,11 @@
             if !matches!(outcome, Some(Outcome::Unknown | Outcome::WrongServer)) {
                 hints.apply(edge, index);
             }
-            (outcome.unwrap_or(Outcome::Answered { micros, was_warm }), result)
+            let outcome = match outcome {
+                Some(Outcome::Full) if hints.has_free_slots() => Outcome::RefusedWithFreeSlots,
+                outcome => outcome.unwrap_or(Outcome::Answered { micros, was_warm }),
+            };
+            (outcome, result)
         }
     };
     if matches!(result, Attempt::NotRun) {
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod lifecycle;
 pub mod peers;
 mod poison;
+mod refusal_report;
 pub mod request_digest;
 mod rollout;
 mod server_hints;
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -24,7 +24,7 @@
 use serde_json::json;
 
 use crate::{
-    concurrency_limit::ConcurrencyLimit, edge::Edge, poison, server_hints,
+    concurrency_limit::ConcurrencyLimit, edge::Edge, poison, refusal_report, server_hints,
     table_fetch::TableFetcher,
 };
 
@@ -274,6 +274,7 @@
         }
         let changes = edge.steer.borrow_mut().tick(clock::now());
         edge.log_changes("time", &changes);
+        refusal_report::update(&edge);
         let steer = edge.steer.borrow();
         let (held_back, unanswered) = steer.quota_counts(clock::now());
         metrics::gauge!("elmstream_store_era").set(steer.era() as f64);
--- a/elmstream_edge/src/server_hints.rs
+++ b/elmstream_edge/src/server_hints.rs
@@ -15,8 +15,8 @@
 /// Hints of one response about its server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Hints {
-    /// Running and waiting requests; `None` if not sent.
-    load: Option<u32>,
+    /// Requests at the server; `None` if not sent.
+    load: Option<LoadHint>,
     /// The server limit.
     limit: LimitHint,
     /// Whether the server is about to leave.
@@ -25,6 +25,15 @@
     backoff: Option<Duration>,
 }
 
+/// Load of a server, as a response states it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct LoadHint {
+    /// Running and waiting requests.
+    requests: u32,
+    /// Requests that the server runs at once; `None` if not stated.
+    slots: Option<u32>,
+}
+
 /// A server limit, as a response states it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 enum LimitHint {
@@ -40,7 +49,7 @@
 impl Hints {
     /// Reads the hints from the head of a response.
     pub fn read(names: &HeaderNames, parts: &response::Parts) -> Hints {
-        let load = headers::text(&parts.headers, &names.load).and_then(request_count);
+        let load = headers::text(&parts.headers, &names.load).and_then(LoadHint::parse);
         let limit = match parts.headers.get(&names.server_limit) {
             None => LimitHint::None,
             Some(value) => {
@@ -52,12 +61,17 @@
         Hints { load, limit, leaving, backoff: backoff(parts) }
     }
 
+    /// Whether the server states that it has free slots.
+    pub fn has_free_slots(&self) -> bool {
+        self.load.is_some_and(|load| load.slots.is_some_and(|slots| load.requests < slots))
+    }
+
     /// Applies the hints; the response must be known to be this server's.
     pub fn apply(self, edge: &Edge, index: ServerIndex) {
         let now = clock::now();
         let mut steer = edge.steer.borrow_mut();
-        if let Some(requests) = self.load {
-            steer.record_server_load(now, index, requests);
+        if let Some(load) = self.load {
+            steer.record_server_load(now, index, load.requests);
         }
         if self.leaving && steer.on_server_leaving(now, index) {
             log_hint(edge, &steer, index, "server_leaving", json!({"from": "itself"}));
@@ -112,9 +126,12 @@
     edge.event_log.state_change("server_limit", fields);
 }
 
-/// Sum of running and waiting requests in `running,waiting,slots`.
-fn request_count(load: &str) -> Option<u32> {
-    let mut numbers = load.split(',').map(|part| part.trim().parse::<u32>());
-    let running = numbers.next()?.ok()?;
-    Some(running.saturating_add(numbers.next()?.ok()?))
+impl LoadHint {
+    /// Parses `running,waiting,slots`.
+    fn parse(load: &str) -> Option<LoadHint> {
+        let mut numbers = load.split(',').map(|part| part.trim().parse::<u32>());
+        let running = numbers.next()?.ok()?;
+        let requests = running.saturating_add(numbers.next()?.ok()?);
+        Some(LoadHint { requests, slots: numbers.next().and_then(Result::ok) })
+    }
 }
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -86,6 +86,7 @@
         crashes: Vec::new(),
         limits: Vec::new(),
         leaving_servers: Vec::new(),
+        refusals: Vec::new(),
     };
     compio::runtime::spawn(async move {
         for number in 0.. {
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -104,6 +104,7 @@
             crashes: self.poison.next_reports(now),
             limits: self.limit_notices(now),
             leaving_servers: self.leaving_notices(now),
+            refusals: self.refusals.own_reports(now),
         }
     }
 
@@ -209,6 +210,8 @@
                 self.view.confirm_keys(table, &status);
             }
         }
+        let sender = hash::of(&heartbeat.host.name) as u32;
+        self.refusals.on_reports(now, sender, &heartbeat.refusals);
         if effect.joined {
             self.poison.rebroadcast(now);
         }
--- a/elmstream_steer/src/heartbeat.rs
+++ b/elmstream_steer/src/heartbeat.rs
@@ -5,6 +5,7 @@
 use crate::{
     leaving::LeavingNotice,
     poison::ServerCrash,
+    refusal_rate::RefusalReport,
     rollout_counts::RolloutReport,
     server_limit::LimitNotice,
     settings::Host,
@@ -114,6 +115,8 @@
     pub limits: Vec<LimitNotice>,
     /// Instances of servers that announced in answers that they are leaving.
     pub leaving_servers: Vec<LeavingNotice>,
+    /// The sender's counts of refusals by servers with free slots, by service.
+    pub refusals: Vec<RefusalReport>,
 }
 
 /// A datagram between hosts.
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod policies;
 pub mod quota;
 pub mod reader_rank;
+pub mod refusal_rate;
 pub mod region_shares;
 mod restore;
 pub mod retry_worth;
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -14,6 +14,7 @@
 use crate::{
     hash,
     model::{Repeatability, Route},
+    refusal_rate::RefusalOutlook,
     region_shares::RegionShares,
     rollout::RolloutArm,
     servers::{AnswerTimes, ServerEntry, ServerIndex, ServerTable},
@@ -178,6 +179,8 @@
     pub region_shares: &'a RegionShares,
     /// Which servers have which keys' data cached.
     pub warm_keys: &'a WarmKeys,
+    /// Refusals of the service's servers with free slots; `None` if they are not considered.
+    pub refusals: Option<RefusalOutlook>,
 }
 
 /// A server that may take the request.
@@ -283,10 +286,12 @@
         let usable = if first || warm {
             wait_here_ms <= max_wait_ms(context, request, candidate.entry, times)
         } else {
-            load < NOT_WARM_SERVICE_LOAD_MAX && has_spare_slots(candidate)
+            (load < NOT_WARM_SERVICE_LOAD_MAX || seeks_chance(context, request))
+                && has_spare_slots(candidate)
         };
         let usable = usable
-            && !would_time_out(context, request.route, candidate.entry, times, warm, wait_here_ms);
+            && !would_time_out(context, request.route, candidate.entry, times, warm, wait_here_ms)
+            && !wastes_retry(context, request, candidate.entry);
         let cost = cost_ms(context, candidate.entry, times, warm) + wait_here_ms;
         let cost = if warm { cost } else { cost + rank_cost_ms };
         if usable && best.is_none_or(|(least, _)| cost < least) {
@@ -296,7 +301,8 @@
     }
     let spill = candidates
         .least_loaded
-        .filter(|_| load < SPILL_SERVICE_LOAD_MAX)
+        .filter(|_| load < SPILL_SERVICE_LOAD_MAX || seeks_chance(context, request))
+        .filter(|candidate| !wastes_retry(context, request, candidate.entry))
         .map(|candidate| candidate.index);
     match best.map(|(_, index)| index).or(spill) {
         Some(index) => Pick::Send(index),
@@ -413,7 +419,20 @@
     let work_ms = if warm { times.warm_ms } else { times.not_warm_ms };
     let failing = 1.0 + FAILURE_COST_FACTOR * entry.failure_rate(context.now);
     let cold = if entry.is_cold(context.now) { COLD_SLOWDOWN } else { 1.0 };
-    remote_ms + work_ms * entry.slowness(context.now).max(0.7) * failing * cold
+    let refused_ms = context.refusals.map_or(0.0, |refusals| refusals.cost_ms(context.now, entry));
+    remote_ms + work_ms * entry.slowness(context.now).max(0.7) * failing * cold + refused_ms
+}
+
+/// Whether a second send may go to any server with spare slots, because the service's refusals do
+/// not go with its load.
+fn seeks_chance(context: &PickContext<'_>, request: &PickRequest<'_>) -> bool {
+    !request.tried.is_empty() && context.refusals.is_some_and(RefusalOutlook::service_refuses)
+}
+
+/// Whether a second send to a server is expected to be refused as well.
+fn wastes_retry(context: &PickContext<'_>, request: &PickRequest<'_>, entry: &ServerEntry) -> bool {
+    let refusals = context.refusals.filter(|_| !request.tried.is_empty());
+    refusals.is_some_and(|refusals| refusals.will_refuse(context.now, entry))
 }
 
 /// Whether a cold server would probably not answer before the route's timeout.
--- a/elmstream_steer/src/rollout_counts.rs
+++ b/elmstream_steer/src/rollout_counts.rs
@@ -180,6 +180,7 @@
             Outcome::Answered { .. } => slow && !answer.cold,
             Outcome::Failed | Outcome::Unknown | Outcome::ServerCrashed | Outcome::Silent => true,
             Outcome::Full
+            | Outcome::RefusedWithFreeSlots
             | Outcome::WrongServer
             | Outcome::NoConnection
             | Outcome::NotSent
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -2,7 +2,10 @@
 
 use elmstream::time::{MILLI, SECOND, Time};
 
-use crate::{hash, model::Server, rollout::RolloutRole, server_limit::ServerLimit};
+use crate::{
+    hash, model::Server, refusal_rate::RefusalCounts, rollout::RolloutRole,
+    server_limit::ServerLimit,
+};
 
 /// Weight of a new answer in the moving averages of answer times.
 const ANSWER_TIME_WEIGHT: f64 = 0.05;
@@ -100,6 +103,8 @@
     pub leaving: bool,
     /// The server asked this host not to send until then.
     pub backoff_until: Time,
+    /// Requests that the server refused with free slots, and all requests.
+    pub refusals: RefusalCounts,
     /// Moving average of failed answers, 0 to 1.
     failure_rate: f64,
     /// Moving average of the ratio of answer times to the service's mean; 1 is average.
@@ -128,6 +133,8 @@
     Failed,
     /// The server was full and did not run the request.
     Full,
+    /// The server did not run the request, although it had free slots.
+    RefusedWithFreeSlots,
     /// Another server now has the address.
     WrongServer,
     /// No connection could be established; nothing was sent.
@@ -159,6 +166,7 @@
             Outcome::Answered { .. } => "answered",
             Outcome::Failed => "failed",
             Outcome::Full => "full",
+            Outcome::RefusedWithFreeSlots => "refused",
             Outcome::WrongServer => "elsewhere",
             Outcome::NoConnection => "no_connection",
             Outcome::NotSent => "not_sent",
@@ -230,6 +238,7 @@
             server_limit: ServerLimit::default(),
             leaving: false,
             backoff_until: Time(0),
+            refusals: RefusalCounts::default(),
             failure_rate: 0.0,
             slowness: 1.0,
             observed_at: now,
@@ -243,13 +252,23 @@
 
     /// Requests in flight from all hosts, as far as this host knows.
     pub fn in_flight(&self, now: Time) -> u32 {
-        let counted = self.own_in_flight + self.others_in_flight;
+        (self.own_in_flight + self.others_in_flight).max(self.fresh_reported_load(now))
+    }
+
+    /// Number of requests that the server reported very recently; 0 if it reported none.
+    fn fresh_reported_load(&self, now: Time) -> u32 {
         match self.reported_load {
-            Some((requests, at)) if now.since(at) < REPORTED_LOAD_TIMEOUT => counted.max(requests),
-            _ => counted,
+            Some((requests, at)) if now.since(at) < REPORTED_LOAD_TIMEOUT => requests,
+            _ => 0,
         }
     }
 
+    /// Whether the server has a free slot if one request of this host does not count.
+    pub fn has_slot_beside_one(&self, now: Time) -> bool {
+        let counted = (self.own_in_flight + self.others_in_flight).saturating_sub(1);
+        counted.max(self.fresh_reported_load(now)) < self.server.slots
+    }
+
     /// Whether the server is leaving, by the store or by its own announcement.
     pub fn is_leaving(&self) -> bool {
         self.server.draining || self.leaving
@@ -401,6 +420,7 @@
                 self.record_answer(now);
                 self.refused_until = now + FULL_PAUSE;
             }
+            Outcome::RefusedWithFreeSlots => self.record_answer(now),
             Outcome::WrongServer => {
                 self.record_answer(now);
                 self.refused_until = now + RECONNECT_PAUSE_MAX;
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -27,6 +27,7 @@
     policies::Policies,
     quota::{self, QuotaDecision, Quotas},
     reader_rank::UNMEASURED_READ_MS,
+    refusal_rate::ServiceRefusals,
     region_shares::{DecayingCount, RegionShares},
     retry_worth::{RetryRequest, RetryWorth},
     returning_callers::ReturningCallers,
@@ -70,6 +71,7 @@
     pub(crate) warm_keys: WarmKeys,
     pub(crate) members: Members,
     pub(crate) budgets: Budgets,
+    pub(crate) refusals: ServiceRefusals,
     pub(crate) poison: PoisonTracker,
     pub(crate) returning_callers: ReturningCallers,
     pub(crate) rollouts: Rollouts,
@@ -234,6 +236,7 @@
             warm_keys: WarmKeys::default(),
             members,
             budgets: Budgets::new(start_hash),
+            refusals: ServiceRefusals::default(),
             poison: PoisonTracker::default(),
             returning_callers: ReturningCallers::default(),
             rollouts: Rollouts::new(start_hash),
@@ -280,6 +283,7 @@
         self.settings.policies = policies;
         if !policies.retries.by_worth {
             self.budgets.clear_order();
+            self.refusals = ServiceRefusals::default();
         }
     }
 
@@ -437,12 +441,14 @@
             hosts_known: self.registry.is_known(),
             region_shares: self.region_shares.get(request.service).unwrap_or(&no_shares),
             warm_keys: &self.warm_keys,
+            refusals: self.refusal_outlook(now, request.service),
         };
         pick::pick_server(&context, request)
     }
 
     /// Records the outcome of a request that was sent to a server.
     pub fn record_outcome(&mut self, now: Time, index: ServerIndex, outcome: Outcome) {
+        let outcome = self.count_refusal(now, index, outcome);
         self.servers.record_outcome(now, index, outcome);
     }
 
