--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -206,6 +206,7 @@
             "its time ran out before a connection was established; it did not run"
         }
         (_, Some("full")) => "the server reported that it is full; it did not run",
+        (_, Some("refused")) => "the server refused although it had free slots; it did not run",
         (_, Some("elsewhere")) => "another server has the address now; it did not run",
         ("not_run_budget", _) => "servers did not run it, and the retry budget was used up",
         _ => "unknown; see the lines of the request above",
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -165,6 +165,11 @@
             }
             Ok(index)
         }
+        // Every usable server was tried.
+        Pick::Refuse(refusal) if retry.is_some() && refusal.reason == RefusalReason::NoServer => {
+            let retry_ms = steer.refused_retry_ms(now, service, refusal.retry_ms);
+            Err(Refusal { retry_ms, ..refusal })
+        }
         Pick::Refuse(refusal) => Err(refusal),
     }
 }
@@ -232,6 +237,7 @@
             admitted.refund(had_run);
         }
     }
+    let outcome = edge.steer.borrow().refusal_outcome(clock::now(), index, outcome);
     attempts.outcomes.push((id, outcome, micros));
     in_flight.outcome = outcome;
     result
--- a/elmstream_steer/src/refusal_rate.rs
+++ b/elmstream_steer/src/refusal_rate.rs
@@ -240,32 +240,31 @@
         used.then(|| RefusalOutlook { service_rate: self.refusals.rate(now, service) })
     }
 
-    /// Counts whether a server took or refused a request. Returns the outcome, which says whether
-    /// the server refused with free slots.
-    pub(crate) fn count_refusal(
-        &mut self,
-        now: Time,
-        index: ServerIndex,
-        outcome: Outcome,
-    ) -> Outcome {
+    /// The outcome of a request that is still counted as in flight, with refusals by servers that
+    /// have free slots told from those by full ones.
+    pub fn refusal_outcome(&self, now: Time, index: ServerIndex, outcome: Outcome) -> Outcome {
         let used = self.settings.policies.retries.by_worth;
-        let Some(entry) = self.servers.get_mut(index) else { return outcome };
-        let outcome = match outcome {
+        let is_free =
+            || self.servers.get(index).is_some_and(|entry| entry.has_slot_beside_one(now));
+        match outcome {
             Outcome::RefusedWithFreeSlots if !used => Outcome::Full,
-            Outcome::Full if used && entry.has_slot_beside_one(now) => {
-                Outcome::RefusedWithFreeSlots
-            }
+            Outcome::Full if used && is_free() => Outcome::RefusedWithFreeSlots,
             other => other,
-        };
+        }
+    }
+
+    /// Counts whether a server took a request or refused it with free slots.
+    pub(crate) fn count_refusal(&mut self, now: Time, index: ServerIndex, outcome: Outcome) {
         let refused = match outcome {
             Outcome::RefusedWithFreeSlots => true,
             Outcome::Answered { .. } | Outcome::Failed => false,
-            _ => return outcome,
+            _ => return,
         };
-        if used {
+        if self.settings.policies.retries.by_worth
+            && let Some(entry) = self.servers.get_mut(index)
+        {
             entry.refusals.record(now, refused);
             self.refusals.record(now, &entry.server.service, refused);
         }
-        outcome
     }
 }
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -448,7 +448,8 @@
 
     /// Records the outcome of a request that was sent to a server.
     pub fn record_outcome(&mut self, now: Time, index: ServerIndex, outcome: Outcome) {
-        let outcome = self.count_refusal(now, index, outcome);
+        let outcome = self.refusal_outcome(now, index, outcome);
+        self.count_refusal(now, index, outcome);
         self.servers.record_outcome(now, index, outcome);
     }
 
