--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -9,6 +9,7 @@
     Pick, PickRequest, Refusal,
     model::Repeatability,
     pick::RefusalReason,
+    retry_worth::RetryWorth,
     servers::{Outcome, ServerIndex},
 };
 use elmstreamd::{clock, waits};
@@ -37,6 +38,8 @@
     servers: Vec<ServerIndex>,
     /// Id of the server, outcome, and duration in microseconds, by attempt.
     outcomes: Vec<(String, Outcome, u64)>,
+    /// Value of the last second send that was considered.
+    worth: Option<RetryWorth>,
 }
 
 /// Result of an attempt.
@@ -94,7 +97,14 @@
             // have run.
             break;
         }
-        let index = match pick_next(edge, &pick_request(request, &attempts.servers), is_retry) {
+        let pick_request = pick_request(request, &attempts.servers);
+        if is_retry {
+            let steer = edge.steer.borrow();
+            let service = &request.service;
+            let retry_ms = steer.refused_retry_ms(clock::now(), service, RETRY_AFTER_MS);
+            attempts.worth = Some(steer.retry_worth(&pick_request, possibly_run, retry_ms));
+        }
+        let index = match pick_next(edge, &pick_request, attempts.worth) {
             Ok(index) => index,
             Err(refusal) if is_retry => {
                 return give_up(edge, request, &attempts, possibly_run, failed_response, refusal);
@@ -114,7 +124,10 @@
             break;
         }
     }
-    let refusal = Refusal::new(RefusalReason::Tries, RETRY_AFTER_MS);
+    let steer = edge.steer.borrow();
+    let retry_ms = steer.refused_retry_ms(clock::now(), &request.service, RETRY_AFTER_MS);
+    drop(steer);
+    let refusal = Refusal::new(RefusalReason::Tries, retry_ms);
     give_up(edge, request, &attempts, possibly_run, failed_response, refusal)
 }
 
@@ -135,25 +148,33 @@
     }
 }
 
-/// Picks the next server; a retry must be within the retry budget.
+/// Picks the next server. A retry, of the value `retry`, must be within the retry budget.
 fn pick_next(
     edge: &Rc<Edge>,
     pick_request: &PickRequest<'_>,
-    is_retry: bool,
+    retry: Option<RetryWorth>,
 ) -> Result<ServerIndex, Refusal> {
     let mut steer = edge.steer.borrow_mut();
-    if is_retry && !steer.can_retry(pick_request.service) {
-        metrics::counter!("elmstream_retries_denied").increment(1);
-        return Err(Refusal::new(RefusalReason::Budget, RETRY_AFTER_MS));
+    let (now, service) = (clock::now(), pick_request.service);
+    if let Some(worth) = retry.filter(|worth| !steer.can_retry(now, service, *worth)) {
+        metrics::counter!("elmstream_retries_denied", "worth" => worth.name()).increment(1);
+        let retry_ms = steer.refused_retry_ms(now, service, RETRY_AFTER_MS);
+        return Err(Refusal::new(RefusalReason::Budget, retry_ms));
     }
-    match steer.pick_server(clock::now(), pick_request) {
+    match steer.pick_server(now, pick_request) {
         Pick::Send(index) => {
             // The budget is charged only for requests that are sent.
-            if is_retry {
-                steer.withdraw_retry(pick_request.service);
+            if let Some(worth) = retry {
+                steer.withdraw_retry(service, worth);
+                metrics::counter!("elmstream_retries_spent", "worth" => worth.name()).increment(1);
             }
             Ok(index)
         }
+        // Every usable server was tried.
+        Pick::Refuse(refusal) if retry.is_some() && refusal.reason == RefusalReason::NoServer => {
+            let retry_ms = steer.refused_retry_ms(now, service, refusal.retry_ms);
+            Err(Refusal { retry_ms, ..refusal })
+        }
         Pick::Refuse(refusal) => Err(refusal),
     }
 }
@@ -208,7 +229,11 @@
             if !matches!(outcome, Some(Outcome::Unknown | Outcome::WrongServer)) {
                 hints.apply(edge, index);
             }
-            (outcome.unwrap_or(Outcome::Answered { micros, was_warm }), result)
+            let outcome = match outcome {
+                Some(Outcome::Full) if hints.has_free_slots() => Outcome::RefusedWithFreeSlots,
+                outcome => outcome.unwrap_or(Outcome::Answered { micros, was_warm }),
+            };
+            (outcome, result)
         }
     };
     if matches!(result, Attempt::NotRun) {
@@ -217,6 +242,7 @@
             admitted.refund(had_run);
         }
     }
+    let outcome = edge.steer.borrow().refusal_outcome(clock::now(), index, outcome);
     attempts.outcomes.push((id, outcome, micros));
     in_flight.outcome = outcome;
     result
@@ -394,7 +420,7 @@
         "route": request.route.name, "service": request.service,
         "status": status.as_u16(),
         "workspace": request.workspace_name(),
-        "tried": tries, "took_ms": took / MILLI, "version": steer.configuration_version(),
+        "tried": tries, "worth": attempts.worth.map(RetryWorth::name), "took_ms": took / MILLI, "version": steer.configuration_version(),
         "stale_ms": steer.staleness(now) / MILLI,
     });
     edge.event_log.request(event, fields);
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod load_header;
 pub mod peers;
 mod poison;
+mod refusal_report;
 pub mod request_digest;
 mod rollout;
 mod server_hints;
--- a/elmstream_edge/src/load_header.rs
+++ b/elmstream_edge/src/load_header.rs
@@ -7,6 +7,8 @@
 pub struct ReportedLoad {
     /// Sum of running and waiting requests.
     pub requests: u32,
+    /// Requests that the server runs at once; `None` if not stated.
+    pub slots: Option<u32>,
     /// How fast the server works.
     pub speed: ReportedSpeed,
 }
@@ -29,8 +31,9 @@
         let mut figures = text.split(',').map(str::trim);
         let running: u32 = figures.next()?.parse().ok()?;
         let waiting = figures.next()?.parse().ok()?;
-        let speed = figures.nth(1).map_or(ReportedSpeed::None, ReportedSpeed::parse);
-        Some(ReportedLoad { requests: running.saturating_add(waiting), speed })
+        let slots = figures.next().and_then(|slots| slots.parse().ok());
+        let speed = figures.next().map_or(ReportedSpeed::None, ReportedSpeed::parse);
+        Some(ReportedLoad { requests: running.saturating_add(waiting), slots, speed })
     }
 }
 
--- a/elmstream_edge/src/server_hints.rs
+++ b/elmstream_edge/src/server_hints.rs
@@ -55,6 +55,11 @@
         Hints { load, limit, leaving, backoff: backoff(parts) }
     }
 
+    /// Whether the server states that it has free slots.
+    pub fn has_free_slots(&self) -> bool {
+        self.load.is_some_and(|load| load.slots.is_some_and(|slots| load.requests < slots))
+    }
+
     /// Applies the hints; the response must be known to be this server's.
     pub fn apply(self, edge: &Edge, index: ServerIndex) {
         let now = clock::now();
