--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -10,14 +10,14 @@
 
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle};
-use cyper_core::HyperStream;
 use elmstream::time::Time;
-use elmstream_http::{LocalBody, body, client};
+use elmstream_http::{LocalBody, WindowedStream, body, client};
 use elmstreamd::{clock, waits};
 use http::{HeaderMap, Request, header, response};
-use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 
+use crate::{buffer_bound::BufferBound, counted_body};
+
 /// Timeout of opening a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// A connection is closed if sent data is not acknowledged for this long.
@@ -78,6 +78,8 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<HashMap<String, Vec<Connection>>>,
+    /// Counts the bytes of responses.
+    buffers: BufferBound,
     /// Why a connection's unacknowledged-data timeout could not be set, until it is taken.
     timeout_error: RefCell<Option<io::Error>>,
     timeout_error_reported: Cell<bool>,
@@ -98,6 +100,11 @@
 }
 
 impl Pool {
+    /// A pool without connections that counts the bytes of responses in `buffers`.
+    pub fn new(buffers: BufferBound) -> Pool {
+        Pool { buffers, ..Pool::default() }
+    }
+
     /// Sends a request and reads the complete response.
     ///
     /// `request` builds the request once a connection is open, so that it carries the time
@@ -163,7 +170,8 @@
         answer: http::Response<hyper::body::Incoming>,
     ) -> Exchange {
         let (parts, incoming) = answer.into_parts();
-        let Ok(whole) = Limited::new(incoming, RESPONSE_BYTES_MAX).collect().await else {
+        let reading = counted_body::collect(incoming, RESPONSE_BYTES_MAX, self.buffers.hold());
+        let Ok(whole) = reading.await else {
             return Exchange::Broken(Some(Box::new(parts)));
         };
         if let Some(idle_timeout) = idle_timeout(&parts.headers) {
@@ -171,7 +179,7 @@
             connection.idle_until = connection.last_response + idle_timeout.as_micros() as u64;
             self.put_back(id, connection);
         }
-        Exchange::Whole(parts, whole.to_bytes())
+        Exchange::Whole(parts, whole)
     }
 
     /// Takes a usable idle connection, or opens a new one.
@@ -279,7 +287,7 @@
 }
 
 async fn start_connection(stream: TcpStream) -> io::Result<Connection> {
-    let handshake = handshake(HyperStream::new_plain(stream)).await;
+    let handshake = handshake(WindowedStream::new_plain(stream)).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = compio::runtime::spawn(async move {
         // The future of the request returns the error.
--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -18,12 +18,12 @@
 use elmstreamd::clock;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use serde_json::json;
 
 use crate::{
     access::{self, AdmittedRequest},
+    counted_body::{self, BodyOf},
     edge::Edge,
     forward, headers,
     request_digest::RequestDigests,
@@ -175,14 +175,16 @@
         Ok(workspace) => workspace,
         Err(answer) => return Ok(*answer),
     };
-    let limits = edge.steer.borrow().limits();
-    let body = match Limited::new(incoming, limits.body_bytes as usize).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.downcast_ref::<LengthLimitError>().is_some() => {
-            return Ok(reply(Code::BadRequest, StatusCode::PAYLOAD_TOO_LARGE));
-        }
-        // The caller closed the connection, so nobody reads a response.
-        Err(_) => return Err(Aborted),
+    let body_of = BodyOf {
+        id: headers::text(&head.headers, &edge.settings.headers.request_id).unwrap_or_default(),
+        route: &route,
+        remaining: Duration::from_millis(
+            timeout_ms(edge, &head.headers, &route).min(route.timeout_ms),
+        ),
+    };
+    let body = match counted_body::read_request(edge, body_of, incoming).await {
+        Ok(body) => body,
+        Err(answer) => return answer,
     };
     let caller_request =
         caller_request(edge, (caller, head), (route, workspace), body, received, progress);
@@ -224,6 +226,11 @@
     Err(missing)
 }
 
+/// Time in which the caller wants the answer, in milliseconds; the route's may be shorter.
+fn timeout_ms(edge: &Edge, headers: &HeaderMap, route: &Route) -> u64 {
+    headers::number(headers, &edge.settings.headers.deadline).unwrap_or(route.timeout_ms)
+}
+
 fn caller_request(
     edge: &Edge,
     (caller, head): (IpAddr, request::Parts),
@@ -239,7 +246,7 @@
     let affinity = forwarded.get(&names.affinity).filter(|_| route.affinity);
     let has_key = affinity.is_some();
     let key = affinity.map_or(draw, |key| hash::of(key.as_bytes()));
-    let timeout_ms = headers::number(&forwarded, &names.deadline).unwrap_or(route.timeout_ms);
+    let timeout_ms = timeout_ms(edge, &forwarded, &route);
     headers::strip(&mut forwarded);
     set_workspace(edge, &mut forwarded, workspace.as_ref());
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/elmstream_edge/src/connections.rs
+++ b/elmstream_edge/src/connections.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -51,6 +52,11 @@
     open: &Rc<OpenConnections>,
 ) -> server::Options {
     let (edge, open) = (edge.clone(), open.clone());
+    let unread_timeout = match edge.settings.buffers.reader_timeout_ms {
+        0 => None,
+        millis => Some(Duration::from_millis(millis)),
+    };
+    let noticing = edge.clone();
     let idle_timeout =
         move || idle_timeout(Duration::from_millis(edge.steer.borrow().limits().idle_timeout_ms));
     server::Options {
@@ -59,5 +65,14 @@
         head_timeout: Rc::new(idle_timeout),
         notice: notice.clone(),
         observe: Rc::new(move |stopped| open.record(stopped)),
+        unread_timeout,
+        on_unread: Rc::new(move |caller| slow_reader_closed(&noticing, caller)),
     }
 }
+
+/// Records that a caller's connection was closed because the caller did not read.
+fn slow_reader_closed(edge: &Edge, caller: SocketAddr) {
+    metrics::counter!("elmstream_slow_readers_closed").increment(1);
+    let fields = json!({"caller": caller.ip(), "held": edge.buffers.held()});
+    edge.event_log.request("slow_reader", fields);
+}
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -15,7 +15,7 @@
 use elmstreamd::clock;
 use serde_json::{Value, json};
 
-use crate::{backend::Pool, event_log::EventLog, rollout, settings::Settings};
+use crate::{backend::Pool, buffer_bound::BufferBound, event_log::EventLog, rollout, settings::Settings};
 
 /// If more servers than this change at once, they are logged in one line.
 const SERVERS_LOGGED_SINGLY_MAX: usize = 12;
@@ -31,6 +31,8 @@
     pub steer: RefCell<Steer>,
     /// Idle connections to backend servers.
     pub pool: Pool,
+    /// Bytes held for requests and answers.
+    pub buffers: BufferBound,
     /// The event log on standard output.
     pub event_log: EventLog,
     /// Set when the list of refused requests must be read from the store again.
@@ -56,10 +58,12 @@
             },
             clock::now(),
         );
+        let buffers = BufferBound::new(settings.buffers.total_bytes);
         Rc::new(Edge {
             settings,
             steer: RefCell::new(steer),
-            pool: Pool::default(),
+            pool: Pool::new(buffers.clone()),
+            buffers,
             event_log,
             reread_refused: Cell::new(false),
         })
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -64,6 +64,7 @@
         let mut steer = self.edge.steer.borrow_mut();
         steer.count_rollout_outcome(now, self.index, &self.request.route.name, self.outcome);
         steer.record_outcome(now, self.index, self.outcome);
+        steer.remove_body_in_flight(self.index, self.request.body.len() as u64);
         if self.outcome == Outcome::CallerGone && !self.request.progress.ended.get() {
             metrics::counter!("elmstream_requests", "outcome" => "left").increment(1);
             let server = steer.servers().get(self.index).map(|entry| entry.id.as_str());
@@ -164,6 +165,9 @@
 ) -> Attempt {
     let mut in_flight = InFlight { edge, request, index, outcome: Outcome::CallerGone };
     attempts.servers.push(index);
+    let server_bytes = edge.settings.buffers.server_bytes;
+    let body_bytes = request.body.len() as u64;
+    edge.steer.borrow_mut().add_body_in_flight(index, body_bytes, server_bytes);
     let target = {
         let steer = edge.steer.borrow();
         let entry = steer.servers().get(index);
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -9,9 +9,11 @@
 
 pub mod access;
 pub mod backend;
+pub mod buffer_bound;
 pub mod callers;
 pub mod concurrency_limit;
 pub mod connections;
+mod counted_body;
 pub mod edge;
 pub mod event_log;
 pub mod fetch_schedule;
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -34,6 +34,9 @@
     /// Settings of the decisions under load.
     #[serde(default)]
     pub policies: Policies,
+    /// Bounds on the bytes that the host holds.
+    #[serde(default)]
+    pub buffers: Buffers,
     /// How request digests are computed.
     #[serde(default)]
     pub content: Content,
@@ -54,6 +57,27 @@
     pub secret: String,
 }
 
+/// Bounds on the bytes that the host holds for callers and servers, and on the time that it holds
+/// them for a caller that does not read.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Buffers {
+    /// Bytes of requests and answers above which no further body of a request is read; 0 for no
+    /// bound.
+    pub total_bytes: u64,
+    /// A caller's connection is closed if the caller reads nothing for this long while bytes wait
+    /// for it, in milliseconds; 0 for no limit.
+    pub reader_timeout_ms: u64,
+    /// Bytes of request bodies in flight to one server at which this host sends it no further
+    /// request; 0 for no bound.
+    pub server_bytes: u64,
+}
+
+/// Smallest bound on held bytes.
+const TOTAL_BYTES_MIN: u64 = 1 << 20;
+/// Shortest time for which a caller may leave bytes unread, in milliseconds.
+const READER_TIMEOUT_MS_MIN: u64 = 500;
+
 /// Timing of the planned stop.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -165,6 +189,7 @@
         );
         ensure!(self.bounds.exposure_slack >= 0.0, value("bounds.exposure_slack", "is below 0"));
         ensure!(self.bounds.rollback_ms > 0, value("bounds.rollback_ms", "is 0"));
+        self.check_buffers()?;
         self.check_policies()?;
         let scheme = &self.headers.key_scheme;
         let one_word = !scheme.is_empty() && scheme.chars().all(|c| c.is_ascii_graphic());
@@ -172,6 +197,24 @@
         Ok(())
     }
 
+    fn check_buffers(&self) -> Result<(), SettingsError> {
+        let value = |key, problem| ValueSnafu { key, problem };
+        let Buffers { total_bytes, reader_timeout_ms, server_bytes } = self.buffers;
+        ensure!(
+            total_bytes == 0 || total_bytes >= TOTAL_BYTES_MIN,
+            value("buffers.total_bytes", "is below 1 MiB")
+        );
+        ensure!(
+            reader_timeout_ms == 0 || reader_timeout_ms >= READER_TIMEOUT_MS_MIN,
+            value("buffers.reader_timeout_ms", "is below 500")
+        );
+        ensure!(
+            total_bytes == 0 || server_bytes <= total_bytes,
+            value("buffers.server_bytes", "is above total_bytes")
+        );
+        Ok(())
+    }
+
     fn check_policies(&self) -> Result<(), SettingsError> {
         let value = |key, problem| ValueSnafu { key, problem };
         let Policies { placement, speed, contention, .. } = &self.policies;
--- a/elmstream_http/src/lib.rs
+++ b/elmstream_http/src/lib.rs
@@ -8,8 +8,10 @@
 pub mod server;
 pub mod stop;
 pub mod watched;
+mod windowed;
 
 pub use body::{BoxError, LocalBody};
 pub use executor::LocalExecutor;
 pub use stop::{Stop, StopNotice, Stopper};
 pub use watched::ConnectionState;
+pub use windowed::WindowedStream;
--- a/elmstream_http/src/server.rs
+++ b/elmstream_http/src/server.rs
@@ -22,7 +22,7 @@
 use socket2::SockRef;
 
 use crate::{
-    ConnectionState, LocalBody, LocalExecutor, Stop, StopNotice,
+    ConnectionState, LocalBody, LocalExecutor, Stop, StopNotice, client,
     watched::{Traffic, WatchedStream},
 };
 
@@ -82,6 +82,11 @@
     pub notice: StopNotice,
     /// Called for each connection that is open at the stop.
     pub observe: Rc<dyn Fn(StoppedConnection)>,
+    /// A connection fails if its client reads nothing for this long while bytes wait for it;
+    /// no limit if `None`.
+    pub unread_timeout: Option<Duration>,
+    /// Called for each connection that failed for that reason.
+    pub on_unread: Rc<dyn Fn(SocketAddr)>,
 }
 
 impl fmt::Debug for Options {
@@ -100,6 +105,8 @@
             head_timeout: Rc::new(|| HEADERS_TIMEOUT),
             notice: StopNotice::default(),
             observe: Rc::new(|_| {}),
+            unread_timeout: None,
+            on_unread: Rc::new(|_| {}),
         }
     }
 }
@@ -240,8 +247,20 @@
 {
     /// Serves the connection until it closes.
     async fn serve(self) {
-        let Connection { stream, client, queued, options, stop, handler } = self;
+        let traffic = Rc::new(Traffic::default());
+        let (client, on_unread) = (self.client, self.options.on_unread.clone());
+        self.serve_watched(traffic.clone()).await;
+        if traffic.left_unread() {
+            on_unread(client);
+        }
+    }
+
+    async fn serve_watched(self, traffic: Rc<Traffic>) {
+        let Connection { stream, client: address, queued, options, stop, handler } = self;
         let _ = stream.set_nodelay(true);
+        if let Some(timeout) = options.unread_timeout {
+            client::limit_unacked(&stream, timeout);
+        }
         let socket = stream.clone();
         let stream = match options.tls {
             None => HyperStream::new_plain(stream),
@@ -250,12 +269,11 @@
                 _ => return,
             },
         };
-        let traffic = Rc::new(Traffic::default());
         let stream = WatchedStream::new(stream, traffic.clone());
         let (notice, counted) = (options.notice, traffic.clone());
         let service = service_fn(move |request| {
             let in_flight = counted.enter();
-            let answering = handler(client, request);
+            let answering = handler(address, request);
             let notice = notice.clone();
             async move {
                 let mut response = answering.await?;
--- a/elmstream_http/src/watched.rs
+++ b/elmstream_http/src/watched.rs
@@ -11,10 +11,11 @@
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use futures_util::AsyncRead;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 
+use crate::WindowedStream;
+
 /// Bytes read at once; compio's own buffer has the same size.
 const READ_BYTES_MAX: usize = 8 << 10;
 /// First bytes of an HTTP/2 connection; no method of HTTP/1.1 begins with them.
@@ -59,6 +60,7 @@
     in_flight: Cell<usize>,
     partial_head: Cell<bool>,
     served: Cell<bool>,
+    unread_timeout: Cell<bool>,
 }
 
 impl Traffic {
@@ -86,6 +88,21 @@
         }
     }
 
+    /// Whether the connection failed because the client did not read.
+    pub(crate) fn left_unread(&self) -> bool {
+        self.unread_timeout.get()
+    }
+
+    /// Passes the result of an operation on, and notes a timeout of unacknowledged bytes.
+    fn noted<T>(&self, polled: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if let Poll::Ready(Err(error)) = &polled
+            && error.kind() == io::ErrorKind::TimedOut
+        {
+            self.unread_timeout.set(true);
+        }
+        polled
+    }
+
     fn read(&self, bytes: &[u8]) {
         if self.bytes.get() == 0 {
             self.http2.set(bytes.starts_with(HTTP2_PREFIX));
@@ -119,13 +136,13 @@
 
 /// A stream that reports what it reads to a [`Traffic`].
 pub(crate) struct WatchedStream {
-    stream: HyperStream<TcpStream>,
+    stream: WindowedStream,
     traffic: Rc<Traffic>,
 }
 
 impl WatchedStream {
     pub(crate) fn new(stream: HyperStream<TcpStream>, traffic: Rc<Traffic>) -> WatchedStream {
-        WatchedStream { stream, traffic }
+        WatchedStream { stream: WindowedStream::new(stream), traffic }
     }
 }
 
@@ -137,8 +154,8 @@
     ) -> Poll<io::Result<()>> {
         let mut chunk = [0; READ_BYTES_MAX];
         let room = into.remaining().min(READ_BYTES_MAX);
-        let reading = AsyncRead::poll_read(Pin::new(&mut self.stream), cx, &mut chunk[..room]);
-        let bytes = &chunk[..ready!(reading)?];
+        let reading = self.stream.poll_read_bytes(cx, &mut chunk[..room]);
+        let bytes = &chunk[..ready!(self.traffic.noted(reading))?];
         self.traffic.read(bytes);
         into.put_slice(bytes);
         Poll::Ready(Ok(()))
@@ -151,11 +168,13 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Write::poll_write(Pin::new(&mut self.stream), cx, bytes)
+        let polled = Write::poll_write(Pin::new(&mut self.stream), cx, bytes);
+        self.traffic.noted(polled)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Write::poll_flush(Pin::new(&mut self.stream), cx)
+        let polled = Write::poll_flush(Pin::new(&mut self.stream), cx);
+        self.traffic.noted(polled)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -171,6 +190,7 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Write::poll_write_vectored(Pin::new(&mut self.stream), cx, slices)
+        let polled = Write::poll_write_vectored(Pin::new(&mut self.stream), cx, slices);
+        self.traffic.noted(polled)
     }
 }
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -384,6 +384,7 @@
         && !context.evacuated.contains(&entry.server.domain)
         && !request.tried.contains(&index)
         && entry.is_reachable(context.now)
+        && entry.bears_more_bytes()
         && (entry.own_in_flight == 0 || !entry.is_probing())
 }
 
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -61,6 +61,9 @@
     pub region: String,
     /// This host's requests in flight at the server.
     pub own_in_flight: u32,
+    /// Bytes of the bodies of those requests, and their bound; 0 for none.
+    body_bytes: u64,
+    body_bytes_max: u64,
     /// The other hosts' requests in flight at the server.
     pub others_in_flight: u32,
     /// Number of other hosts that find the server silent.
@@ -211,6 +214,8 @@
             server: server.clone(),
             region: region.to_owned(),
             own_in_flight: 0,
+            body_bytes: 0,
+            body_bytes_max: 0,
             others_in_flight: 0,
             silent_elsewhere: 0,
             answers_elsewhere: 0,
@@ -250,6 +255,22 @@
         }
     }
 
+    /// Counts `bytes` of a body as in flight, under the given bound.
+    pub fn add_body_in_flight(&mut self, bytes: u64, bytes_max: u64) {
+        self.body_bytes += bytes;
+        self.body_bytes_max = bytes_max;
+    }
+
+    /// Counts `bytes` of a body as no longer in flight.
+    pub fn remove_body_in_flight(&mut self, bytes: u64) {
+        self.body_bytes = self.body_bytes.saturating_sub(bytes);
+    }
+
+    /// Whether the bodies in flight are below their bound.
+    pub fn bears_more_bytes(&self) -> bool {
+        self.body_bytes_max == 0 || self.body_bytes < self.body_bytes_max
+    }
+
     /// Whether the server is leaving, by the store or by its own announcement.
     pub fn is_leaving(&self) -> bool {
         self.server.draining || self.leaving
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -442,6 +442,21 @@
         self.servers.record_outcome(now, index, outcome);
     }
 
+    /// Counts `bytes` of a request's body as in flight to a server, which gets no further requests
+    /// while it holds `bytes_max` or more; 0 for no bound.
+    pub fn add_body_in_flight(&mut self, index: ServerIndex, bytes: u64, bytes_max: u64) {
+        if let Some(entry) = self.servers.get_mut(index) {
+            entry.add_body_in_flight(bytes, bytes_max);
+        }
+    }
+
+    /// Takes back [`Steer::add_body_in_flight`] after the request.
+    pub fn remove_body_in_flight(&mut self, index: ServerIndex, bytes: u64) {
+        if let Some(entry) = self.servers.get_mut(index) {
+            entry.remove_body_in_flight(bytes);
+        }
+    }
+
     /// Records the load that a server reported, in requests.
     pub fn record_server_load(&mut self, now: Time, index: ServerIndex, requests: u32) {
         if let Some(entry) = self.servers.get_mut(index) {
