Slow readers: limit the time that bytes wait in the host, in its own clock

Cause: TCP_USER_TIMEOUT also closed a caller that reads 16 KB at a time, as its window never takes a whole segment. Change: a timer while writes wait, with a small send buffer.

--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -15,7 +15,9 @@
 use elmstreamd::clock;
 use serde_json::{Value, json};
 
-use crate::{backend::Pool, buffer_bound::BufferBound, event_log::EventLog, rollout, settings::Settings};
+use crate::{
+    backend::Pool, buffer_bound::BufferBound, event_log::EventLog, rollout, settings::Settings,
+};
 
 /// If more servers than this change at once, they are logged in one line.
 const SERVERS_LOGGED_SINGLY_MAX: usize = 12;
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -65,8 +65,9 @@
     /// Bytes of requests and answers above which no further body of a request is read; 0 for no
     /// bound.
     pub total_bytes: u64,
-    /// A caller's connection is closed if the caller reads nothing for this long while bytes wait
-    /// for it, in milliseconds; 0 for no limit.
+    /// A caller's connection is closed if bytes of its answer wait in the host for this long
+    /// because the caller has not read those before them, in milliseconds; 0 for no limit. A caller
+    /// that reads 100 KB in this time is not closed.
     pub reader_timeout_ms: u64,
     /// Bytes of request bodies in flight to one server at which this host sends it no further
     /// request; 0 for no bound.
--- a/elmstream_http/src/client.rs
+++ b/elmstream_http/src/client.rs
@@ -51,18 +51,13 @@
     timeout: Duration,
     unacked_timeout: Duration,
 ) -> io::Result<SendRequest<LocalBody>> {
+    static WARN_ONCE: Once = Once::new();
     let connecting = compio::time::timeout(timeout, TcpStream::connect(address));
     let stream = connecting.await.map_err(|_| io::ErrorKind::TimedOut)??;
-    limit_unacked(&stream, unacked_timeout);
-    start(stream).await
-}
-
-/// Sets the timeout of [`set_unacked_timeout`]; logs a warning once if it is refused.
-pub(crate) fn limit_unacked(stream: &TcpStream, unacked_timeout: Duration) {
-    static WARN_ONCE: Once = Once::new();
-    if let Err(error) = set_unacked_timeout(stream, unacked_timeout) {
+    if let Err(error) = set_unacked_timeout(&stream, unacked_timeout) {
         WARN_ONCE.call_once(|| log::warn!("cannot limit the time of unacknowledged data: {error}"));
     }
+    start(stream).await
 }
 
 /// Makes a connection fail if sent data is not acknowledged within `unacked_timeout`.
--- a/elmstream_http/src/server.rs
+++ b/elmstream_http/src/server.rs
@@ -22,7 +22,7 @@
 use socket2::SockRef;
 
 use crate::{
-    ConnectionState, LocalBody, LocalExecutor, Stop, StopNotice, client,
+    ConnectionState, LocalBody, LocalExecutor, Stop, StopNotice,
     watched::{Traffic, WatchedStream},
 };
 
@@ -46,6 +46,9 @@
 /// Time after the stop in which a partly received head must be complete; a host that gets a
 /// tenth of a core lags some 200 ms.
 const PARTIAL_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Send buffer of connections with a limit on unread bytes. The kernel's own would take in
+/// megabytes for a client that does not read, and would hide for long that one reads.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Interval of the check for the state of a connection that waits for its request.
 const STATE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -82,8 +85,8 @@
     pub notice: StopNotice,
     /// Called for each connection that is open at the stop.
     pub observe: Rc<dyn Fn(StoppedConnection)>,
-    /// A connection fails if its client reads nothing for this long while bytes wait for it;
-    /// no limit if `None`.
+    /// A connection fails if bytes wait in the program for this long because its client has not
+    /// read what was sent before; no limit if `None`.
     pub unread_timeout: Option<Duration>,
     /// Called for each connection that failed for that reason.
     pub on_unread: Rc<dyn Fn(SocketAddr)>,
@@ -258,8 +261,10 @@
     async fn serve_watched(self, traffic: Rc<Traffic>) {
         let Connection { stream, client: address, queued, options, stop, handler } = self;
         let _ = stream.set_nodelay(true);
-        if let Some(timeout) = options.unread_timeout {
-            client::limit_unacked(&stream, timeout);
+        if options.unread_timeout.is_some()
+            && let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)
+        {
+            log::warn!("cannot set the send buffer of a connection: {error}");
         }
         let socket = stream.clone();
         let stream = match options.tls {
@@ -269,7 +274,7 @@
                 _ => return,
             },
         };
-        let stream = WatchedStream::new(stream, traffic.clone());
+        let stream = WatchedStream::new(stream, traffic.clone(), options.unread_timeout);
         let (notice, counted) = (options.notice, traffic.clone());
         let service = service_fn(move |request| {
             let in_flight = counted.enter();
--- a/elmstream_http/src/watched.rs
+++ b/elmstream_http/src/watched.rs
@@ -7,6 +7,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use compio::net::TcpStream;
@@ -93,16 +94,6 @@
         self.unread_timeout.get()
     }
 
-    /// Passes the result of an operation on, and notes a timeout of unacknowledged bytes.
-    fn noted<T>(&self, polled: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        if let Poll::Ready(Err(error)) = &polled
-            && error.kind() == io::ErrorKind::TimedOut
-        {
-            self.unread_timeout.set(true);
-        }
-        polled
-    }
-
     fn read(&self, bytes: &[u8]) {
         if self.bytes.get() == 0 {
             self.http2.set(bytes.starts_with(HTTP2_PREFIX));
@@ -138,11 +129,36 @@
 pub(crate) struct WatchedStream {
     stream: WindowedStream,
     traffic: Rc<Traffic>,
+    /// Time for which bytes may wait because the client does not read.
+    unread_timeout: Option<Duration>,
+    /// Runs while bytes wait.
+    unread: Option<Pin<Box<dyn Future<Output = ()>>>>,
 }
 
 impl WatchedStream {
-    pub(crate) fn new(stream: HyperStream<TcpStream>, traffic: Rc<Traffic>) -> WatchedStream {
-        WatchedStream { stream: WindowedStream::new(stream), traffic }
+    pub(crate) fn new(
+        stream: HyperStream<TcpStream>,
+        traffic: Rc<Traffic>,
+        unread_timeout: Option<Duration>,
+    ) -> WatchedStream {
+        let stream = WindowedStream::new(stream);
+        WatchedStream { stream, traffic, unread_timeout, unread: None }
+    }
+
+    /// Passes the result of a write on, or an error if writes have waited for too long.
+    fn limited<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        polled: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        let Some(timeout) = self.unread_timeout.filter(|_| polled.is_pending()) else {
+            self.unread = None;
+            return polled;
+        };
+        let unread = self.unread.get_or_insert_with(|| Box::pin(compio::time::sleep(timeout)));
+        ready!(unread.as_mut().poll(cx));
+        self.traffic.unread_timeout.set(true);
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
 
@@ -155,7 +171,7 @@
         let mut chunk = [0; READ_BYTES_MAX];
         let room = into.remaining().min(READ_BYTES_MAX);
         let reading = self.stream.poll_read_bytes(cx, &mut chunk[..room]);
-        let bytes = &chunk[..ready!(self.traffic.noted(reading))?];
+        let bytes = &chunk[..ready!(reading)?];
         self.traffic.read(bytes);
         into.put_slice(bytes);
         Poll::Ready(Ok(()))
@@ -169,12 +185,12 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Write::poll_write(Pin::new(&mut self.stream), cx, bytes);
-        self.traffic.noted(polled)
+        self.limited(cx, polled)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let polled = Write::poll_flush(Pin::new(&mut self.stream), cx);
-        self.traffic.noted(polled)
+        self.limited(cx, polled)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -191,6 +207,6 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Write::poll_write_vectored(Pin::new(&mut self.stream), cx, slices);
-        self.traffic.noted(polled)
+        self.limited(cx, polled)
     }
 }
--- a/elmstream_http/src/windowed.rs
+++ b/elmstream_http/src/windowed.rs
@@ -13,7 +13,7 @@
 
 /// Bytes that are taken before the ones taken earlier must be in the socket. Without it compio
 /// copies up to 64 MiB for a peer that does not read.
-const WINDOW_BYTES: usize = 64 << 10;
+const WINDOW_BYTES: usize = 32 << 10;
 
 /// A stream with a bounded buffer of bytes to send.
 pub struct WindowedStream {
