--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -182,6 +182,10 @@
             "the route requires a key that the configuration in force here accepts, and the request \
              has none"
         }
+        ("body_refused", _) if fields["code"] == 1121 => {
+            "the host held as many bytes of requests as it may, so it did not read the body"
+        }
+        ("body_refused", _) => "its body did not arrive in its time; it did not run",
         ("harmful", _) => {
             "servers crashed one after another under requests with this content, so it is refused"
         }
@@ -232,7 +236,7 @@
         "server" => is_tried(&line.fields["server"]),
         "servers" => line.fields["lost"].as_array().into_iter().flatten().any(is_tried),
         "host_heard" | "host_lost" | "refused" | "answered" | "unknown" | "left" | "ended"
-        | "no_route" | "denied" | "limited" | "harmful" => false,
+        | "no_route" | "denied" | "limited" | "harmful" | "body_refused" | "slow_reader" => false,
         "refuses" | "server_ended" | "let_in_again" => {
             line.fields["content"] == request.fields["content"]
         }
