--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -16,7 +16,8 @@
 use serde_json::{Value, json};
 
 use crate::{
-    backend::Pool, event_log::EventLog, rollout, server_probe::ProbesInFlight, settings::Settings,
+    backend::Pool, buffer_bound::BufferBound, event_log::EventLog, rollout,
+    server_probe::ProbesInFlight, settings::Settings,
 };
 
 /// If more servers than this change at once, they are logged in one line.
@@ -35,6 +36,8 @@
     pub pool: Pool,
     /// Servers that are being asked how fast they work.
     pub(crate) probes: ProbesInFlight,
+    /// Bytes held for requests and answers.
+    pub buffers: BufferBound,
     /// The event log on standard output.
     pub event_log: EventLog,
     /// Set when the list of refused requests must be read from the store again.
@@ -60,11 +63,13 @@
             },
             clock::now(),
         );
+        let buffers = BufferBound::new(settings.buffers.total_bytes);
         Rc::new(Edge {
             settings,
             steer: RefCell::new(steer),
-            pool: Pool::default(),
+            pool: Pool::new(buffers.clone()),
             probes: ProbesInFlight::default(),
+            buffers,
             event_log,
             reread_refused: Cell::new(false),
         })
--- a/elmstream_http/src/server.rs
+++ b/elmstream_http/src/server.rs
@@ -46,6 +46,9 @@
 /// Time after the stop in which a partly received head must be complete; a host that gets a
 /// tenth of a core lags some 200 ms.
 const PARTIAL_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Send buffer of connections with a limit on unread bytes. The kernel's own would take in
+/// megabytes for a client that does not read, and would hide for long that one reads.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Interval of the check for the state of a connection that waits for its request.
 const STATE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -82,6 +85,11 @@
     pub notice: StopNotice,
     /// Called for each connection that is open at the stop.
     pub observe: Rc<dyn Fn(StoppedConnection)>,
+    /// A connection fails if bytes wait in the program for this long because its client has not
+    /// read what was sent before; no limit if `None`.
+    pub unread_timeout: Option<Duration>,
+    /// Called for each connection that failed for that reason.
+    pub on_unread: Rc<dyn Fn(SocketAddr)>,
 }
 
 impl fmt::Debug for Options {
@@ -100,6 +108,8 @@
             head_timeout: Rc::new(|| HEADERS_TIMEOUT),
             notice: StopNotice::default(),
             observe: Rc::new(|_| {}),
+            unread_timeout: None,
+            on_unread: Rc::new(|_| {}),
         }
     }
 }
@@ -240,8 +250,22 @@
 {
     /// Serves the connection until it closes.
     async fn serve(self) {
-        let Connection { stream, client, queued, options, stop, handler } = self;
+        let traffic = Rc::new(Traffic::default());
+        let (client, on_unread) = (self.client, self.options.on_unread.clone());
+        self.serve_watched(traffic.clone()).await;
+        if traffic.left_unread() {
+            on_unread(client);
+        }
+    }
+
+    async fn serve_watched(self, traffic: Rc<Traffic>) {
+        let Connection { stream, client: address, queued, options, stop, handler } = self;
         let _ = stream.set_nodelay(true);
+        if options.unread_timeout.is_some()
+            && let Err(error) = SockRef::from(&stream).set_send_buffer_size(SEND_BUFFER_BYTES)
+        {
+            log::warn!("cannot set the send buffer of a connection: {error}");
+        }
         let socket = stream.clone();
         let stream = match options.tls {
             None => HyperStream::new_plain(stream),
@@ -250,12 +274,11 @@
                 _ => return,
             },
         };
-        let traffic = Rc::new(Traffic::default());
-        let stream = WatchedStream::new(stream, traffic.clone());
+        let stream = WatchedStream::new(stream, traffic.clone(), options.unread_timeout);
         let (notice, counted) = (options.notice, traffic.clone());
         let service = service_fn(move |request| {
             let in_flight = counted.enter();
-            let answering = handler(client, request);
+            let answering = handler(address, request);
             let notice = notice.clone();
             async move {
                 let mut response = answering.await?;
--- a/elmstream_http/src/watched.rs
+++ b/elmstream_http/src/watched.rs
@@ -7,14 +7,16 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use futures_util::AsyncRead;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 
+use crate::WindowedStream;
+
 /// Bytes read at once; compio's own buffer has the same size.
 const READ_BYTES_MAX: usize = 8 << 10;
 /// First bytes of an HTTP/2 connection; no method of HTTP/1.1 begins with them.
@@ -59,6 +61,7 @@
     in_flight: Cell<usize>,
     partial_head: Cell<bool>,
     served: Cell<bool>,
+    unread_timeout: Cell<bool>,
 }
 
 impl Traffic {
@@ -86,6 +89,11 @@
         }
     }
 
+    /// Whether the connection failed because the client did not read.
+    pub(crate) fn left_unread(&self) -> bool {
+        self.unread_timeout.get()
+    }
+
     fn read(&self, bytes: &[u8]) {
         if self.bytes.get() == 0 {
             self.http2.set(bytes.starts_with(HTTP2_PREFIX));
@@ -119,13 +127,38 @@
 
 /// A stream that reports what it reads to a [`Traffic`].
 pub(crate) struct WatchedStream {
-    stream: HyperStream<TcpStream>,
+    stream: WindowedStream,
     traffic: Rc<Traffic>,
+    /// Time for which bytes may wait because the client does not read.
+    unread_timeout: Option<Duration>,
+    /// Runs while bytes wait.
+    unread: Option<Pin<Box<dyn Future<Output = ()>>>>,
 }
 
 impl WatchedStream {
-    pub(crate) fn new(stream: HyperStream<TcpStream>, traffic: Rc<Traffic>) -> WatchedStream {
-        WatchedStream { stream, traffic }
+    pub(crate) fn new(
+        stream: HyperStream<TcpStream>,
+        traffic: Rc<Traffic>,
+        unread_timeout: Option<Duration>,
+    ) -> WatchedStream {
+        let stream = WindowedStream::new(stream);
+        WatchedStream { stream, traffic, unread_timeout, unread: None }
+    }
+
+    /// Passes the result of a write on, or an error if writes have waited for too long.
+    fn limited<T>(
+        &mut self,
+        cx: &mut Context<'_>,
+        polled: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        let Some(timeout) = self.unread_timeout.filter(|_| polled.is_pending()) else {
+            self.unread = None;
+            return polled;
+        };
+        let unread = self.unread.get_or_insert_with(|| Box::pin(compio::time::sleep(timeout)));
+        ready!(unread.as_mut().poll(cx));
+        self.traffic.unread_timeout.set(true);
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 }
 
@@ -137,7 +170,7 @@
     ) -> Poll<io::Result<()>> {
         let mut chunk = [0; READ_BYTES_MAX];
         let room = into.remaining().min(READ_BYTES_MAX);
-        let reading = AsyncRead::poll_read(Pin::new(&mut self.stream), cx, &mut chunk[..room]);
+        let reading = self.stream.poll_read_bytes(cx, &mut chunk[..room]);
         let bytes = &chunk[..ready!(reading)?];
         self.traffic.read(bytes);
         into.put_slice(bytes);
@@ -151,11 +184,13 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Write::poll_write(Pin::new(&mut self.stream), cx, bytes)
+        let polled = Write::poll_write(Pin::new(&mut self.stream), cx, bytes);
+        self.limited(cx, polled)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Write::poll_flush(Pin::new(&mut self.stream), cx)
+        let polled = Write::poll_flush(Pin::new(&mut self.stream), cx);
+        self.limited(cx, polled)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -171,6 +206,7 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Write::poll_write_vectored(Pin::new(&mut self.stream), cx, slices)
+        let polled = Write::poll_write_vectored(Pin::new(&mut self.stream), cx, slices);
+        self.limited(cx, polled)
     }
 }
