--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -309,6 +309,10 @@
     let took = clock::now().since(request.received);
     metrics::counter!("elmstream_requests", "outcome" => "refused").increment(1);
     let code = result_code(refusal.reason, &Attempts::default());
+    if refusal.reason == RefusalReason::LessUrgent {
+        let reason = format!("{:?}", refusal.reason);
+        metrics::counter!("elmstream_contention_refused", "reason" => reason).increment(1);
+    }
     let fields = json!({
         "id": request.id, "code": code.number(),
         "route": request.route.name, "service": request.service, "status": 503,
@@ -328,7 +332,10 @@
 fn result_code(reason: RefusalReason, attempts: &Attempts) -> Code {
     let last = attempts.outcomes.last().map(|(_, outcome, _)| *outcome);
     match reason {
-        RefusalReason::NoServer | RefusalReason::Spared | RefusalReason::Full => Code::NoCapacity,
+        RefusalReason::NoServer
+        | RefusalReason::Spared
+        | RefusalReason::Full
+        | RefusalReason::LessUrgent => Code::NoCapacity,
         RefusalReason::Budget => Code::RetryBudget,
         RefusalReason::Tries if last == Some(Outcome::NoConnection) => Code::BackendConnect,
         RefusalReason::Tries => Code::BackendShed,
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod budget;
 pub mod canary_analysis;
 pub mod cold_start;
+pub mod contention;
 pub mod digest;
 pub mod era;
 pub mod gossip;
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -12,6 +12,7 @@
 use elmstream::time::{MILLI, Time};
 
 use crate::{
+    contention::Standing,
     hash,
     model::{Repeatability, Route},
     region_shares::RegionShares,
@@ -146,6 +147,8 @@
     Spared,
     /// The request would wait too long at every server that may get it.
     Full,
+    /// The service is short of slots, and others of its requests are more urgent.
+    LessUrgent,
     /// Earlier attempts gave no final answer, and the retry budget allows no further one.
     Budget,
     /// Earlier attempts gave no final answer, and no further one may follow: the route's number of
@@ -178,6 +181,8 @@
     pub region_shares: &'a RegionShares,
     /// Which servers have which keys' data cached.
     pub warm_keys: &'a WarmKeys,
+    /// How the request stands among the others of its service; `None` if all stand alike.
+    pub standing: Option<&'a Standing>,
 }
 
 /// A server that may take the request.
@@ -203,6 +208,7 @@
     free: u32,
     slots: u32,
     occupied_slots: u32,
+    in_flight: u32,
     /// Servers left out because of a back-off or a server limit, and the earliest known time at
     /// which this host may send to one of them.
     spared: u32,
@@ -219,6 +225,7 @@
             free: 0,
             slots: 0,
             occupied_slots: 0,
+            in_flight: 0,
             spared: 0,
             spared_until: None,
         }
@@ -230,6 +237,7 @@
         self.free += u32::from(candidate.occupied < slots);
         self.slots += slots;
         self.occupied_slots += candidate.occupied.min(slots);
+        self.in_flight += candidate.occupied;
         if has_spare_slots(&candidate)
             && self.least_loaded.is_none_or(|best| has_lower_load(&candidate, &best))
         {
@@ -254,6 +262,22 @@
         };
     }
 
+    /// A refusal that states the counts of the candidates.
+    fn refusal(&self, reason: RefusalReason, retry_ms: u64) -> Refusal {
+        Refusal {
+            servers: self.count,
+            free_servers: self.free,
+            load_percent: (self.load() * 100.0) as u32,
+            spared: self.spared,
+            ..Refusal::new(reason, retry_ms)
+        }
+    }
+
+    /// Requests in flight for each slot of all candidates; above 1 if requests wait.
+    fn in_flight_per_slot(&self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.slots.max(1))
+    }
+
     /// Occupied fraction of the slots of all candidates, 0 to 1.
     fn load(&self) -> f64 {
         f64::from(self.occupied_slots) / f64::from(self.slots.max(1))
@@ -272,6 +296,18 @@
         return Pick::Refuse(no_candidate_refusal(context.now, &candidates));
     }
     let load = candidates.load();
+    if let Some(standing) = context.standing {
+        standing.set_load(candidates.in_flight_per_slot());
+    }
+    let less_urgent = |standing: &Standing| {
+        let retry = standing.retry_ms(times.mean_ms);
+        Pick::Refuse(candidates.refusal(RefusalReason::LessUrgent, retry))
+    };
+    if let Some(standing) = context.standing.filter(|standing| standing.is_refused()) {
+        return less_urgent(standing);
+    }
+    let wait_factor = context.standing.map_or(1.0, |standing| standing.wait_factor());
+    let mut would_wait_longer = None;
     let mut best: Option<(f64, ServerIndex)> = None;
     let mut shortest_wait_ms = f64::MAX;
     let mut rank_cost_ms = 0.0;
@@ -281,7 +317,11 @@
         shortest_wait_ms = shortest_wait_ms.min(wait_here_ms);
         let first = rank_cost_ms == 0.0;
         let usable = if first || warm {
-            wait_here_ms <= max_wait_ms(context, request, candidate.entry, times)
+            let max_wait_ms = max_wait_ms(context, request, candidate.entry, times);
+            if wait_here_ms <= max_wait_ms && wait_here_ms > max_wait_ms * wait_factor {
+                would_wait_longer = context.standing;
+            }
+            wait_here_ms <= max_wait_ms * wait_factor
         } else {
             load < NOT_WARM_SERVICE_LOAD_MAX && has_spare_slots(candidate)
         };
@@ -300,13 +340,10 @@
         .map(|candidate| candidate.index);
     match best.map(|(_, index)| index).or(spill) {
         Some(index) => Pick::Send(index),
-        None => Pick::Refuse(Refusal {
-            servers: candidates.count,
-            free_servers: candidates.free,
-            load_percent: (load * 100.0) as u32,
-            spared: candidates.spared,
-            ..Refusal::new(RefusalReason::Full, retry_ms(shortest_wait_ms))
-        }),
+        None => would_wait_longer.map_or_else(
+            || Pick::Refuse(candidates.refusal(RefusalReason::Full, retry_ms(shortest_wait_ms))),
+            less_urgent,
+        ),
     }
 }
 
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     budget::Budgets,
+    contention::{Contention, Standing},
     digest::RequestDigest,
     era::Retention,
     hash,
@@ -69,6 +70,7 @@
     pub(crate) warm_keys: WarmKeys,
     pub(crate) members: Members,
     pub(crate) budgets: Budgets,
+    pub(crate) contention: Contention,
     pub(crate) poison: PoisonTracker,
     pub(crate) returning_callers: ReturningCallers,
     pub(crate) rollouts: Rollouts,
@@ -233,6 +235,7 @@
             warm_keys: WarmKeys::default(),
             members,
             budgets: Budgets::new(start_hash),
+            contention: Contention::new(start_hash),
             poison: PoisonTracker::default(),
             returning_callers: ReturningCallers::default(),
             rollouts: Rollouts::new(start_hash),
@@ -404,11 +407,16 @@
     /// unless all traffic has shifted.
     pub fn pick_server(&mut self, now: Time, request: &PickRequest<'_>) -> Pick {
         let arm = self.pick_rollout_arm(now, request);
-        let mut picked = self.pick_from_arm(now, request, arm);
+        let standing = self.contention.count(now, self.settings.policies.contention, request);
+        let mut picked = self.pick_from_arm(now, request, arm, standing.as_ref());
         let falls_back = matches!(arm, RolloutArm::Canary | RolloutArm::Target)
             && !self.traffic_shifted(request.service);
         if matches!(picked, Pick::Refuse(_)) && falls_back {
-            picked = self.pick_from_arm(now, request, RolloutArm::Old);
+            picked = self.pick_from_arm(now, request, RolloutArm::Old, standing.as_ref());
+        }
+        if let Some(standing) = &standing {
+            let sent = matches!(picked, Pick::Send(_));
+            self.contention.record(request.service, standing, sent);
         }
         if let Pick::Send(index) = picked
             && let Some(entry) = self.servers.get_mut(index)
@@ -419,7 +427,13 @@
         picked
     }
 
-    fn pick_from_arm(&self, now: Time, request: &PickRequest<'_>, arm: RolloutArm) -> Pick {
+    fn pick_from_arm(
+        &self,
+        now: Time,
+        request: &PickRequest<'_>,
+        arm: RolloutArm,
+        standing: Option<&Standing>,
+    ) -> Pick {
         let host = &self.settings.host;
         let no_shares = RegionShares::default();
         let context = PickContext {
@@ -433,6 +447,7 @@
             hosts_known: self.registry.is_known(),
             region_shares: self.region_shares.get(request.service).unwrap_or(&no_shares),
             warm_keys: &self.warm_keys,
+            standing,
         };
         pick::pick_server(&context, request)
     }
