Workspaces get fair shares when a service is short of slots

Cause: a hot workspace's requests were served at the expense of the others'. Change: replies of tallies carry the fleet-wide rate; contention.rs cuts workspaces above the max-min level first, then goes by urgency. The part to refuse aims at a load halfway between short_load and all slots. Reason FairShare, level in the refused line, gauge elmstream_fair_level.

--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -126,12 +126,23 @@
     /// Number of otherwise usable servers that this host must not send to now because of a back-off
     /// or a server limit.
     pub spared: u32,
+    /// Requests a second above which a workspace has more than its share of the service, if that is
+    /// why the request is refused.
+    pub level: Option<f64>,
 }
 
 impl Refusal {
     /// Creates a refusal in which all counts of servers are 0.
     pub fn new(reason: RefusalReason, retry_ms: u64) -> Refusal {
-        Refusal { reason, retry_ms, servers: 0, free_servers: 0, load_percent: 0, spared: 0 }
+        Refusal {
+            reason,
+            retry_ms,
+            servers: 0,
+            free_servers: 0,
+            load_percent: 0,
+            spared: 0,
+            level: None,
+        }
     }
 }
 
@@ -147,6 +158,8 @@
     Spared,
     /// The request would wait too long at every server that may get it.
     Full,
+    /// The service is short of slots, and the workspace asks for more than its fair share.
+    FairShare,
     /// The service is short of slots, and others of its requests are more urgent.
     LessUrgent,
     /// Earlier attempts gave no final answer, and the retry budget allows no further one.
@@ -299,12 +312,17 @@
     if let Some(standing) = context.standing {
         standing.set_load(candidates.in_flight_per_slot());
     }
-    let less_urgent = |standing: &Standing| {
-        let retry = standing.retry_ms(times.mean_ms);
-        Pick::Refuse(candidates.refusal(RefusalReason::LessUrgent, retry))
+    let refuse = |standing: &Standing| {
+        let reason = if standing.level().is_some() {
+            RefusalReason::FairShare
+        } else {
+            RefusalReason::LessUrgent
+        };
+        let refusal = candidates.refusal(reason, standing.retry_ms(times.mean_ms));
+        Pick::Refuse(Refusal { level: standing.level(), ..refusal })
     };
     if let Some(standing) = context.standing.filter(|standing| standing.is_refused()) {
-        return less_urgent(standing);
+        return refuse(standing);
     }
     let wait_factor = context.standing.map_or(1.0, |standing| standing.wait_factor());
     let mut would_wait_longer = None;
@@ -342,7 +360,7 @@
         Some(index) => Pick::Send(index),
         None => would_wait_longer.map_or_else(
             || Pick::Refuse(candidates.refusal(RefusalReason::Full, retry_ms(shortest_wait_ms))),
-            less_urgent,
+            refuse,
         ),
     }
 }
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -14,14 +14,14 @@
 
 use crate::{
     budget::Budgets,
-    contention::{Contention, Standing},
+    contention::{Contention, Standing, WorkspaceRates},
     digest::RequestDigest,
     era::Retention,
     hash,
     host_registry::Registry,
     leaving::LeavingServers,
     lookup::{self, ReadyHost},
-    members::Members,
+    members::{Members, heartbeat_interval},
     model::{Limits, Route},
     pick::{self, Pick, PickContext, PickRequest},
     poison::{PoisonChange, PoisonTracker},
@@ -360,6 +360,9 @@
 
     /// Decides whether a workspace's limit admits a request, and counts the request if it does.
     pub fn admit(&mut self, now: Time, workspace: &WorkspaceEntry) -> QuotaDecision {
+        if self.settings.policies.contention.enabled && workspace.workspace.rate_per_s <= 0.0 {
+            self.quotas.count_unlimited(now, workspace);
+        }
         self.with_quotas(now, |quotas, context, _| quotas.admit(context, workspace))
     }
 
@@ -407,7 +410,15 @@
     /// unless all traffic has shifted.
     pub fn pick_server(&mut self, now: Time, request: &PickRequest<'_>) -> Pick {
         let arm = self.pick_rollout_arm(now, request);
-        let standing = self.contention.count(now, self.settings.policies.contention, request);
+        // Before the first heartbeats have come, the load of the other hosts is not known.
+        let knows_load = now.since(self.started) >= 2 * heartbeat_interval(self.live_hosts);
+        let usage = WorkspaceRates {
+            quotas: &self.quotas,
+            workspaces: &self.workspaces,
+            live_hosts: self.live_hosts,
+        };
+        let policy = self.settings.policies.contention;
+        let standing = self.contention.count(now, policy, request, &usage).filter(|_| knows_load);
         let mut picked = self.pick_from_arm(now, request, arm, standing.as_ref());
         let falls_back = matches!(arm, RolloutArm::Canary | RolloutArm::Target)
             && !self.traffic_shifted(request.service);
@@ -452,6 +463,11 @@
         pick::pick_server(&context, request)
     }
 
+    /// Fair levels of the services that are short of slots, for metrics.
+    pub fn fair_levels(&self) -> impl Iterator<Item = (&str, Option<f64>)> {
+        self.contention.levels()
+    }
+
     /// Records the outcome of a request that was sent to a server.
     pub fn record_outcome(&mut self, now: Time, index: ServerIndex, outcome: Outcome) {
         self.servers.record_outcome(now, index, outcome);
--- a/elmstream_steer/tests/contention.rs
+++ b/elmstream_steer/tests/contention.rs
@@ -4,10 +4,16 @@
 mod fleet;
 mod support;
 
-use elmstream_steer::policies::ContentionPolicy;
+use elmstream_steer::{
+    contention::{Demand, Level, excess_to_refuse},
+    policies::ContentionPolicy,
+};
 use fleet::{Fleet, Kind, SLOTS, WORK_MS};
+use quickcheck::quickcheck;
 
 const HOSTS: usize = 12;
+/// Load of the service when no workspace is hot, as a fraction of the slots.
+const USUAL_LOAD: f64 = 0.85;
 /// Requests a second that the servers can answer.
 const CAPACITY_PER_S: f64 = SLOTS as f64 * 1_000.0 / WORK_MS as f64;
 
@@ -65,3 +71,131 @@
         assert_eq!(kind.less_urgent, 0, "{kind:?}");
     }
 }
+
+/// Plays 20 workspaces of the same usual rate, of which the first one asks for a multiple of it.
+fn workspaces(enabled: bool, hot: f64, retries_at_once: bool, seed: u64) -> Vec<Kind> {
+    let usual_per_s = CAPACITY_PER_S * USUAL_LOAD / 20.0;
+    let kind = |number: usize| Kind {
+        workspace: Some(format!("w-{number}")),
+        rate_per_s: if number == 0 { usual_per_s * hot } else { usual_per_s },
+        retries_at_once: retries_at_once && number == 0,
+        ..Kind::default()
+    };
+    Fleet::new(HOSTS, policy(enabled), (0..20).map(kind).collect(), seed).run(20_000)
+}
+
+/// Fractions of the requests that are served in time, of the hot workspace and of the others.
+fn in_time(kinds: &[Kind]) -> (f64, f64) {
+    let of = |kinds: &[Kind]| {
+        let served = kinds.iter().map(|kind| kind.served - kind.late).sum::<usize>();
+        served as f64 / kinds.iter().map(|kind| kind.asked).sum::<usize>().max(1) as f64
+    };
+    (of(&kinds[..1]), of(&kinds[1..]))
+}
+
+/// Part of a workspace's attempts that is refused because it is above its share.
+fn refused_for_share(kind: &Kind) -> f64 {
+    let refused = kind.above_share as f64;
+    refused / (refused + kind.served as f64)
+}
+
+#[test]
+fn hot_workspace_gets_what_the_others_leave() {
+    for seed in 0..3 {
+        let kinds = workspaces(true, 6.0, false, seed);
+        let (hot, others) = in_time(&kinds);
+        // The others keep what a busy service gives, and the hot one is not shut out.
+        assert!(others > 0.9, "{others:.3} of the others in time");
+        assert!(hot > 0.2, "{hot:.3} of the hot workspace in time");
+        let (_, others) = in_time(&workspaces(false, 6.0, false, seed));
+        assert!(others < 0.9, "without the rule, {others:.3} of the others in time");
+    }
+}
+
+#[test]
+fn retries_at_once_lower_the_chances_of_their_workspace() {
+    for seed in 0..3 {
+        let polite = workspaces(true, 6.0, false, seed);
+        let abusive = workspaces(true, 6.0, true, seed);
+        assert!(refused_for_share(&abusive[0]) > refused_for_share(&polite[0]));
+        let (_, others) = in_time(&abusive);
+        assert!(others > 0.9, "{others:.3} of the others in time");
+        let (_, others) = in_time(&workspaces(false, 6.0, true, seed));
+        assert!(others < 0.9, "without the rule, {others:.3} of the others in time");
+    }
+}
+
+#[test]
+fn nobody_is_refused_for_shares_under_calm_load() {
+    let kinds = workspaces(true, 1.0, false, 1);
+    let calm: Vec<Kind> = kinds
+        .into_iter()
+        .map(|kind| Kind {
+            rate_per_s: kind.rate_per_s / 2.0,
+            asked: 0,
+            served: 0,
+            late: 0,
+            above_share: 0,
+            ..kind
+        })
+        .collect();
+    for kind in Fleet::new(HOSTS, policy(true), calm, 1).run(20_000) {
+        assert_eq!((kind.above_share, kind.less_urgent), (0, 0), "{kind:?}");
+    }
+}
+
+/// Demands from drawn rates, with weights if each workspace has a limit.
+fn demands(rates: &[(u16, u8)], weighted: bool) -> Vec<Demand> {
+    let demand = |(rate, weight): &(u16, u8)| Demand {
+        rate: f64::from(*rate % 5_000) + 0.1,
+        weight: if weighted { f64::from(*weight) + 1.0 } else { 1.0 },
+    };
+    rates.iter().map(demand).collect()
+}
+
+type Refused = fn(&[Demand], f64) -> Vec<f64>;
+
+/// Requests of each workspace a second that are refused for shares.
+fn by_level(demands: &[Demand], excess: f64) -> Vec<f64> {
+    let level = Level::for_excess(demands, excess);
+    let refused = |one: &Demand| level.map_or(0.0, |level| level.excess_fraction(*one) * one.rate);
+    demands.iter().map(refused).collect()
+}
+
+/// The same part of each workspace's requests, which is what a fleet without levels refuses.
+fn in_proportion(demands: &[Demand], excess: f64) -> Vec<f64> {
+    let total: f64 = demands.iter().map(|one| one.rate).sum();
+    demands.iter().map(|one| one.rate * excess / total).collect()
+}
+
+/// Whether the admitted requests are as many as the service takes, and nobody with a lower
+/// admitted rate for its weight than another one is refused anything.
+fn shares_are_fair(refused: Refused, rates: &[(u16, u8)], weighted: bool, part: u8) -> bool {
+    let demands = demands(rates, weighted);
+    let total: f64 = demands.iter().map(|one| one.rate).sum();
+    let excess = total * f64::from(part) / 256.0;
+    let refused = refused(&demands, excess);
+    let admitted = |n: usize| (demands[n].rate - refused[n]) / demands[n].weight;
+    let highest = (0..demands.len()).map(admitted).fold(0.0, f64::max);
+    let slack = 1e-6 * total;
+    (refused.iter().sum::<f64>() - excess).abs() <= slack
+        && (0..demands.len()).all(|n| refused[n] <= slack || admitted(n) >= highest - slack)
+}
+
+quickcheck! {
+    fn nobody_below_the_level_is_refused(rates: Vec<(u16, u8)>, weighted: bool, part: u8) -> bool {
+        shares_are_fair(by_level, &rates, weighted, part)
+    }
+
+    fn urgency_spares_workspaces_at_the_even_share(rate: u16, others: u8, part: u8) -> bool {
+        let demands = vec![Demand { rate: f64::from(rate) + 1.0, weight: 1.0 }; others as usize + 1];
+        let needed = (f64::from(rate) + 1.0) * f64::from(part) / 256.0;
+        excess_to_refuse(&demands, needed, needed) <= 1e-6 * needed
+            && (excess_to_refuse(&demands, needed, 0.0) - needed).abs() <= 1e-6 * needed
+    }
+}
+
+#[test]
+fn refusal_in_proportion_is_found_unfair() {
+    assert!(!shares_are_fair(in_proportion, &[(100, 0), (600, 0)], false, 100));
+}
