--- a/elmstream_steer/src/contention.rs
+++ b/elmstream_steer/src/contention.rs
@@ -1,19 +1,20 @@
 //! Decides whose requests are refused when a service is short of slots.
 //!
 //! A service is short of slots while its requests in flight exceed a set fraction of its slots. The
-//! part of its requests that is refused then grows with the load, up to what exceeds the slots.
-//! Workspaces above the max-min level (Bertsekas and Gallager, Data Networks, 1992) are cut down to
+//! part of its requests that is refused then grows with the load, up to what keeps the load below
+//! all slots. Workspaces above the max-min level (Bertsekas and Gallager, Data Networks, 1992) are cut down to
 //! it first, each in proportion to its excess. While urgency can take the rest, the level does not
 //! fall below the even share of the workspaces. Shares are equal, or in proportion to the
 //! workspaces' limits `rate_per_s` if all of them have one. Requests without a workspace have no
 //! level.
 //!
-//! Of what remains, the least urgent priority that is present is refused first, down to a floor, then the next one; the
-//! most urgent one is never refused by this rule. Of one priority, first attempts are refused
-//! before the requests of returning callers.
+//! Of what remains, the least urgent priority that is present is refused first, down to a floor,
+//! then the next one; the most urgent one is never refused by this rule. Of one priority, first
+//! attempts are refused before the requests of returning callers.
 //!
 //! Each host counts the priorities by itself: callers pick hosts by chance, so what a host receives
-//! is a fair sample.
+//! is a fair sample. A host that gets few requests sees only some of the workspaces, and then refuses
+//! less than is needed.
 
 use std::{cell::Cell, collections::HashMap};
 
@@ -26,14 +27,15 @@
 };
 
 /// Time in which the counts of requests decay to 1/e, in microseconds.
-const COUNT_DECAY_US: f64 = 3e6;
+const COUNT_DECAY_US: f64 = 5e6;
 /// Time over which the load is averaged, in microseconds. What hosts know of each other's requests
 /// is a heartbeat old; by the load of the moment all of them would admit and refuse in turns.
 const LOAD_DECAY_US: f64 = 500.0 * MILLI as f64;
 /// Decayed count of requests below which a class is not present at a service.
 const PRESENT_COUNT_MIN: f64 = 0.05;
-/// Number of requests that are assumed to have been sent before the first one.
-const PRIOR_SENT: f64 = 5.0;
+/// Number of requests that are assumed to have been sent before the first one. More would hide from
+/// a host with few requests how many of them are refused.
+const PRIOR_SENT: f64 = 0.25;
 /// Factor on the longest accepted wait for each more urgent priority that is present.
 const WAIT_FACTOR: f64 = 0.5;
 /// Time for which a computed level is used, in microseconds.
@@ -379,7 +381,7 @@
         let mix = self.mixes.get(request.service)?;
         let fair_part = mix.fair_part;
         let above_share = mix.level.zip(request.workspace).and_then(|(level, workspace)| {
-            let demand = self.demand(now, mix, workspace, rates);
+            let demand = self.demand(now, mix, workspace, rates, 1.0);
             let excess = level.excess_fraction(demand);
             (excess > 0.0).then_some((excess, level.per_weight * demand.weight))
         });
@@ -420,7 +422,8 @@
         let refused = refused_part(mix.load, policy.short_load, sent_part);
         let level = (refused > 0.0).then(|| {
             let ids = mix.workspaces.keys();
-            let demands: Vec<Demand> = ids.map(|id| self.demand(now, mix, *id, rates)).collect();
+            let demands: Vec<Demand> =
+                ids.map(|id| self.demand(now, mix, *id, rates, 0.0)).collect();
             let named: f64 = demands.iter().map(|demand| demand.rate).sum();
             let total = named / mix.named_part().max(f64::MIN_POSITIVE);
             let by_urgency = mix.refusable_part(policy.floor_share) * total;
@@ -438,12 +441,19 @@
 
     /// A workspace's demand at a service. Its fleet-wide rate is divided over services as its
     /// requests at this host are. Without a fresh rate, all hosts are taken to get what this one
-    /// does.
-    fn demand(&self, now: Time, mix: &Mix, id: u64, rates: &WorkspaceRates<'_>) -> Demand {
+    /// does, apart from `excluded` requests: the one that is decided on says nothing of the rate.
+    fn demand(
+        &self,
+        now: Time,
+        mix: &Mix,
+        id: u64,
+        rates: &WorkspaceRates<'_>,
+        excluded: f64,
+    ) -> Demand {
         let here = mix.workspaces.get(&id).copied().unwrap_or_default();
         let everywhere: f64 = self.mixes.values().filter_map(|mix| mix.workspaces.get(&id)).sum();
         let rate = rates.quotas.fleet_rate(now, id).map_or_else(
-            || here * 1e6 / COUNT_DECAY_US * rates.live_hosts as f64,
+            || (here - excluded).max(0.0) * 1e6 / COUNT_DECAY_US * rates.live_hosts as f64,
             |rate| rate * here / everywhere.max(f64::MIN_POSITIVE),
         );
         let all_limited = rates.workspaces.all().all(|entry| entry.workspace.rate_per_s > 0.0);
