--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod canary_analysis;
 pub mod cold_start;
+pub mod contention;
 pub mod demand_forecast;
 pub mod digest;
 pub mod era;
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -13,6 +13,7 @@
 use elmstream::time::{MILLI, Time};
 
 use crate::{
+    contention::Standing,
     hash, key_copies,
     key_order::DomainRank,
     model::{Repeatability, Route},
@@ -128,12 +129,23 @@
     /// Number of otherwise usable servers that this host must not send to now because of a back-off
     /// or a server limit.
     pub spared: u32,
+    /// Requests a second above which a workspace has more than its share of the service, if that is
+    /// why the request is refused.
+    pub level: Option<f64>,
 }
 
 impl Refusal {
     /// Creates a refusal in which all counts of servers are 0.
     pub fn new(reason: RefusalReason, retry_ms: u64) -> Refusal {
-        Refusal { reason, retry_ms, servers: 0, free_servers: 0, load_percent: 0, spared: 0 }
+        Refusal {
+            reason,
+            retry_ms,
+            servers: 0,
+            free_servers: 0,
+            load_percent: 0,
+            spared: 0,
+            level: None,
+        }
     }
 }
 
@@ -149,6 +161,10 @@
     Spared,
     /// The request would wait too long at every server that may get it.
     Full,
+    /// The service is short of slots, and the workspace asks for more than its fair share.
+    FairShare,
+    /// The service is short of slots, and others of its requests are more urgent.
+    LessUrgent,
     /// Earlier attempts gave no final answer, and the retry budget allows no further one.
     Budget,
     /// Earlier attempts gave no final answer, and no further one may follow: the route's number of
@@ -187,6 +203,8 @@
     pub warm_keys: &'a WarmKeys,
     /// Refusals of the service's servers with free slots; `None` if they are not considered.
     pub refusals: Option<RefusalOutlook>,
+    /// How the request stands among the others of its service; `None` if all stand alike.
+    pub standing: Option<&'a Standing>,
 }
 
 /// A server that may take the request.
@@ -214,6 +232,7 @@
     free: u32,
     slots: u32,
     occupied_slots: u32,
+    in_flight: u32,
     /// Servers left out because of a back-off or a server limit, and the earliest known time at
     /// which this host may send to one of them.
     spared: u32,
@@ -231,6 +250,7 @@
             free: 0,
             slots: 0,
             occupied_slots: 0,
+            in_flight: 0,
             spared: 0,
             spared_until: None,
         }
@@ -242,6 +262,7 @@
         self.free += u32::from(candidate.occupied < slots);
         self.slots += slots;
         self.occupied_slots += candidate.occupied.min(slots);
+        self.in_flight += candidate.occupied;
         if has_spare_slots(&candidate)
             && self.least_loaded.is_none_or(|best| has_lower_load(&candidate, &best))
         {
@@ -266,6 +287,32 @@
         };
     }
 
+    /// A refusal that states the counts of the candidates.
+    fn refusal(&self, reason: RefusalReason, retry_ms: u64) -> Refusal {
+        Refusal {
+            servers: self.count,
+            free_servers: self.free,
+            load_percent: (self.load() * 100.0) as u32,
+            spared: self.spared,
+            ..Refusal::new(reason, retry_ms)
+        }
+    }
+
+    /// Requests in flight for each slot of all candidates; above 1 if requests wait.
+    fn in_flight_per_slot(&self) -> f64 {
+        f64::from(self.in_flight) / f64::from(self.slots.max(1))
+    }
+
+    /// The refusal of a request that stands behind others.
+    fn standing_refusal(&self, standing: &Standing, times: AnswerTimes) -> Refusal {
+        let reason = match standing.level() {
+            Some(_) => RefusalReason::FairShare,
+            None => RefusalReason::LessUrgent,
+        };
+        let refusal = self.refusal(reason, standing.retry_ms(times.mean_ms));
+        Refusal { level: standing.level(), ..refusal }
+    }
+
     /// Occupied fraction of the slots of all candidates, 0 to 1.
     fn load(&self) -> f64 {
         f64::from(self.occupied_slots) / f64::from(self.slots.max(1))
@@ -283,20 +330,65 @@
     if candidates.count == 0 {
         return Pick::Refuse(no_candidate_refusal(context.now, &candidates));
     }
-    let load = candidates.load();
+    if let Some(standing) = context.standing {
+        standing.set_load(candidates.in_flight_per_slot());
+        if standing.is_refused() {
+            return Pick::Refuse(candidates.standing_refusal(standing, times));
+        }
+    }
     if let Some(index) = server_to_warm(context, request, &candidates, times) {
         return Pick::Send(index);
     }
-    let mut best: Option<(f64, ServerIndex)> = None;
-    let mut shortest_wait_ms = f64::MAX;
-    let mut rank_cost_ms = 0.0;
-    for candidate in candidates.ranks.iter().flatten() {
+    let ranked = least_cost_server(context, request, &candidates, times);
+    let spill = candidates
+        .least_loaded
+        .filter(|_| candidates.load() < SPILL_SERVICE_LOAD_MAX || seeks_chance(context, request))
+        .filter(|candidate| !wastes_retry(context, request, candidate.entry))
+        .map(|candidate| candidate.index);
+    match (ranked.server.or(spill), context.standing) {
+        (Some(index), _) => Pick::Send(index),
+        (None, Some(standing)) if ranked.waits_shorter => {
+            Pick::Refuse(candidates.standing_refusal(standing, times))
+        }
+        (None, _) => {
+            let retry_ms = retry_ms(ranked.shortest_wait_ms);
+            Pick::Refuse(candidates.refusal(RefusalReason::Full, retry_ms))
+        }
+    }
+}
+
+/// Result of the comparison of the ranked servers.
+#[derive(Clone, Copy, Debug)]
+struct RankedChoice {
+    /// The server of lowest cost that can run the request in time.
+    server: Option<ServerIndex>,
+    shortest_wait_ms: f64,
+    /// Whether a server was left out that the request would wait for if it did not stand behind
+    /// others.
+    waits_shorter: bool,
+}
+
+/// Compares the first ranks of each place.
+fn least_cost_server(
+    context: &PickContext<'_>,
+    request: &PickRequest<'_>,
+    candidates: &Candidates<'_>,
+    times: AnswerTimes,
+) -> RankedChoice {
+    let load = candidates.load();
+    let wait_factor = context.standing.map_or(1.0, Standing::wait_factor);
+    let mut choice =
+        RankedChoice { server: None, shortest_wait_ms: f64::MAX, waits_shorter: false };
+    let mut least_cost_ms = f64::MAX;
+    for (rank, candidate) in candidates.ranks.iter().flatten().enumerate() {
         let warm = context.warm_keys.is_warm(context.now, candidate.index, request.key);
         let wait_here_ms = wait_ms(context.now, candidate, times);
-        shortest_wait_ms = shortest_wait_ms.min(wait_here_ms);
-        let first = rank_cost_ms == 0.0;
-        let usable = if first || warm {
-            wait_here_ms <= max_wait_ms(context, request, candidate.entry, times)
+        choice.shortest_wait_ms = choice.shortest_wait_ms.min(wait_here_ms);
+        let usable = if rank == 0 || warm {
+            let max_wait_ms = max_wait_ms(context, request, candidate.entry, times);
+            let waits_too_long = wait_here_ms > max_wait_ms * wait_factor;
+            choice.waits_shorter |= waits_too_long && wait_here_ms <= max_wait_ms;
+            !waits_too_long
         } else {
             (load < NOT_WARM_SERVICE_LOAD_MAX || seeks_chance(context, request))
                 && has_spare_slots(candidate)
@@ -304,29 +396,16 @@
         let usable = usable
             && !would_time_out(context, request.route, candidate.entry, times, warm, wait_here_ms)
             && !wastes_retry(context, request, candidate.entry);
-        let cost = cost_ms(context, candidate.entry, times, warm) + wait_here_ms
-            - placed_ms(context, candidate);
-        let cost = if warm { cost } else { cost + rank_cost_ms };
-        if usable && best.is_none_or(|(least, _)| cost < least) {
-            best = Some((cost, candidate.index));
+        let rank_cost_ms = if warm { 0.0 } else { rank as f64 * NOT_WARM_RANK_COST_MS };
+        let cost_here_ms = cost_ms(context, candidate.entry, times, warm) + wait_here_ms
+            - placed_ms(context, candidate)
+            + rank_cost_ms;
+        if usable && cost_here_ms < least_cost_ms {
+            least_cost_ms = cost_here_ms;
+            choice.server = Some(candidate.index);
         }
-        rank_cost_ms += NOT_WARM_RANK_COST_MS;
-    }
-    let spill = candidates
-        .least_loaded
-        .filter(|_| load < SPILL_SERVICE_LOAD_MAX || seeks_chance(context, request))
-        .filter(|candidate| !wastes_retry(context, request, candidate.entry))
-        .map(|candidate| candidate.index);
-    match best.map(|(_, index)| index).or(spill) {
-        Some(index) => Pick::Send(index),
-        None => Pick::Refuse(Refusal {
-            servers: candidates.count,
-            free_servers: candidates.free,
-            load_percent: (load * 100.0) as u32,
-            spared: candidates.spared,
-            ..Refusal::new(RefusalReason::Full, retry_ms(shortest_wait_ms))
-        }),
     }
+    choice
 }
 
 /// Servers of the key's first place that are warm for the key and can run the request in time, the
