Placement: keys of a service are divided over domains where its bytes outweigh cold keys

Change: a service is divided only if the bytes that stay in the domain are worth more than the further first requests (domain_split.rs; domain_kb_cost_ms). Heartbeats to other domains carry warm keys again, one of three rounds at most, 550 ms at most.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -333,6 +333,8 @@
     if !parts.status.is_success() || edge.event_log.sampled() {
         log_event(edge, request, attempts, "answered", (Code::Ok, parts.status), took);
     }
+    let transferred = (request.body.len() + bytes.len()) as u64;
+    edge.steer.borrow_mut().record_transfer(&request.service, transferred);
     headers::strip(&mut parts.headers);
     Response::from_parts(parts, body::full(bytes))
 }
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -95,8 +95,8 @@
         )
     };
     send_to(socket, &Message::Heartbeat(heartbeat.clone()), &targets.near).await;
-    heartbeat.warm_keys.clear();
     send_to(socket, &Message::Heartbeat(heartbeat.clone()), &targets.domains).await;
+    heartbeat.warm_keys.clear();
     heartbeat.liveness.clear();
     send_to(socket, &Message::Heartbeat(heartbeat), &targets.far).await;
     hosts
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -224,6 +224,10 @@
             is_cost(placement.domain_cost_ms),
             value("policies.placement.domain_cost_ms", "is below 0")
         );
+        ensure!(
+            is_cost(placement.domain_kb_cost_ms),
+            value("policies.placement.domain_kb_cost_ms", "is below 0")
+        );
         ensure!(
             is_cost(placement.region_cost_ms)
                 && placement.region_cost_ms >= placement.domain_cost_ms,
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -9,13 +9,14 @@
 
 use crate::{
     cold_start,
-    demand_forecast::{self, DecayingCount},
+    demand::{self, DecayingCount},
     digest::RequestDigest,
+    domain_split::{self, SplitInput, TransferSize},
     hash,
     heartbeat::{Heartbeat, Message, Reachability, ServerLoad, TableStatus},
     key_copies,
-    members::Targets,
-    placement::{Place, PlacementInput},
+    members::{Member, Targets},
+    placement::{Place, PlacementInput, ServicePlacement},
     poison::{PoisonChange, PoisonEvidence, ServerCrash},
     quota::AddressedBroadcast,
     server_limit::RequestRate,
@@ -52,8 +53,7 @@
     /// some of them.
     pub fn targets(&mut self, now: Time, round: u64) -> Targets {
         let policy = &self.settings.policies.placement;
-        let own_domain =
-            (policy.domain_cost_ms > 0.0).then_some(self.settings.host.domain.as_str());
+        let own_domain = policy.has_domain_cost().then_some(self.settings.host.domain.as_str());
         self.members.targets(now, round, self.hash, own_domain)
     }
 
@@ -110,7 +110,7 @@
     /// This host's recent requests, by hash of the service.
     fn demand(&self, now: Time) -> Vec<(u32, u32)> {
         let counts = self.demand_counts.iter();
-        let count_of = |count: &DecayingCount| count.value(now).round() as u32;
+        let count_of = |count: &DecayingCount| count.value(now) as u32;
         counts.map(|(name, count)| (hash::of(name) as u32, count_of(count))).collect()
     }
 
@@ -360,7 +360,8 @@
         self.placements.retain(|service, _| services.contains(service));
         let mut changes = Vec::new();
         for service in services {
-            let places = self.places(now, &service);
+            let by_domain = self.splits_domains(now, &service);
+            let places = self.places(now, &service, by_domain);
             let own = &self.settings.host;
             let copy_domains = key_copies::domains_with_room(
                 now,
@@ -370,12 +371,13 @@
                 &self.settings.policies.placement,
                 &own.region,
             );
-            let own_place = self.place_name(&own.domain, &own.region);
+            let own_place = place_name(&own.domain, &own.region, by_domain);
             let input = PlacementInput {
                 places,
                 own_place,
                 own_load_max: self.settings.policies.placement.own_load_max,
                 work_ms: self.servers.known_answer_times(&service).map(|times| times.warm_ms),
+                by_domain,
                 settled: now.since(self.started) >= DEMAND_LEARNED_TIME,
             };
             let mut placement = self.placements.remove(&service).unwrap_or_default();
@@ -389,21 +391,47 @@
         changes
     }
 
-    /// The place of a failure domain: the domain itself, or its region if sending to another domain
-    /// costs nothing.
-    fn place_name<'a>(&self, domain: &'a str, region: &'a str) -> &'a str {
-        if self.settings.policies.placement.domain_cost_ms > 0.0 { domain } else { region }
+    /// Whether a service's keys are divided over failure domains from now on.
+    fn splits_domains(&self, now: Time, service: &str) -> bool {
+        let policy = &self.settings.policies.placement;
+        let is_now = self.placements.get(service).is_some_and(ServicePlacement::is_by_domain);
+        let mean_kb = self.transfer_sizes.get(service).and_then(TransferSize::mean_kb);
+        let (Some(mean_kb), true) = (mean_kb, policy.has_domain_cost()) else { return is_now };
+        let region = &self.settings.host.region;
+        let domains = self.settings.domains.values().filter(|other| *other == region).count();
+        let of_region = |member: &&Member| member.host.region == *region;
+        let counts = self.members.all().filter(of_region);
+        let service_hash = hash::of(service) as u32;
+        let counts = counts.flat_map(|member| &member.demand);
+        let near: f64 = counts
+            .filter(|(service, _)| *service == service_hash)
+            .map(|(_, count)| f64::from(*count))
+            .sum();
+        let own = self.demand_counts.get(service).map_or(0.0, |count| count.value(now));
+        let input = SplitInput {
+            mean_kb,
+            domains,
+            keys: domain_split::keys_of_region(
+                now,
+                (&self.servers, service),
+                &self.warm_keys,
+                region,
+            ),
+            rate_per_s: demand::rate_per_s(near + own),
+            times: self.servers.answer_times(service),
+        };
+        domain_split::is_split(policy, input, is_now)
     }
 
     /// Demand and usable slots of each place for a service.
-    fn places(&mut self, now: Time, service: &str) -> Vec<Place> {
+    fn places(&mut self, now: Time, service: &str, by_domain: bool) -> Vec<Place> {
         let mut places = BTreeMap::<String, Place>::new();
         let own = self.settings.host.clone();
         let mut domains = self.settings.domains.clone();
         domains.insert(own.domain.clone(), own.region.clone());
         for (domain, region) in &domains {
             let index = self.servers.domain_index(domain);
-            let place = places.entry(self.place_name(domain, region).to_owned());
+            let place = places.entry(place_name(domain, region, by_domain).to_owned());
             let place = place.or_default();
             place.region = region.clone();
             place.domains.push(index);
@@ -422,25 +450,26 @@
             let usable = !entry.is_leaving() && !self.evacuated.contains(domain);
             if usable
                 && (answers || !is_believed)
-                && let Some(place) = places.get_mut(self.place_name(domain, &entry.region))
+                && let Some(place) = places.get_mut(place_name(domain, &entry.region, by_domain))
             {
                 place.slots += f64::from(entry.server.slots);
             }
         }
         let service_hash = hash::of(service) as u32;
-        for member in self.members.live(now) {
+        for member in self.members.all() {
             let reported = member.demand.iter().find(|(service, _)| *service == service_hash);
             let host = &member.host;
             if let Some((_, count)) = reported
-                && let Some(place) = places.get_mut(self.place_name(&host.domain, &host.region))
+                && let Some(place) =
+                    places.get_mut(place_name(&host.domain, &host.region, by_domain))
             {
-                place.demand_per_s += demand_forecast::rate_per_s(f64::from(*count));
+                place.demand_per_s += demand::rate_per_s(f64::from(*count));
             }
         }
         if let Some(count) = self.demand_counts.get(service)
-            && let Some(place) = places.get_mut(self.place_name(&own.domain, &own.region))
+            && let Some(place) = places.get_mut(place_name(&own.domain, &own.region, by_domain))
         {
-            place.demand_per_s += demand_forecast::rate_per_s(count.value(now));
+            place.demand_per_s += demand::rate_per_s(count.value(now));
         }
         places.into_iter().map(|(name, place)| Place { name, ..place }).collect()
     }
@@ -482,8 +511,6 @@
         let lost = self.members.expire(now);
         self.recount_loads();
         self.update_host_counts(now);
-        let demand = self.demand(now);
-        self.average_demand.update(now, &demand);
         self.elect_cold_senders(now);
         self.elect_limit_senders(now);
         let placements = self.update_placements(now);
@@ -515,6 +542,12 @@
     }
 }
 
+/// The place of a failure domain: the domain itself, or its region if keys are not divided over
+/// domains.
+fn place_name<'a>(domain: &'a str, region: &'a str, by_domain: bool) -> &'a str {
+    if by_domain { domain } else { region }
+}
+
 /// Reachability of a server to report: silent, or answering if other hosts consider it silent.
 fn reachability(now: Time, entry: &ServerEntry, answer_times: AnswerTimes) -> Reachability {
     if entry.is_silent(now, answer_times) {
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -4,7 +4,7 @@
 //! heartbeats of the other hosts, requests and the current time; its outputs are server picks and
 //! messages to other hosts. [`view`] holds the contents of the store. [`servers`] and [`members`]
 //! hold the backend servers and the other hosts. [`pick`], [`cold_start`], [`budget`], [`quota`],
-//! [`placement`] (with [`demand_forecast`], [`key_order`] and [`key_copies`]), [`reader_rank`],
+//! [`placement`] (with [`domain_split`], [`key_order`] and [`key_copies`]), [`reader_rank`],
 //! [`store_schedule`] and [`rollout`] (with [`rollout_counts`],
 //! [`canary_analysis`] and [`rollout_steps`]) decide on top of them. [`Steer`] combines these parts
 //! for one host.
@@ -15,8 +15,9 @@
 pub mod canary_analysis;
 pub mod cold_start;
 pub mod contention;
-pub mod demand_forecast;
+pub mod demand;
 pub mod digest;
+pub mod domain_split;
 pub mod era;
 pub mod gossip;
 pub mod hash;
--- a/elmstream_steer/src/limit_senders.rs
+++ b/elmstream_steer/src/limit_senders.rs
@@ -100,8 +100,12 @@
     /// Hosts that may send to servers with a limit of one service and region.
     fn candidates(&self, now: Time, (service, region): &ServerGroup) -> Vec<SenderCandidate> {
         let service_hash = hash::of(service) as u32;
-        let requests_of = |member: &Member| member.average_demand.requests(service_hash);
-        let own_requests = self.average_demand.requests(service_hash);
+        let requests_of = |member: &Member| {
+            let demand = member.demand.iter().find(|(service, _)| *service == service_hash);
+            demand.map_or(0, |(_, requests)| *requests)
+        };
+        let own_requests =
+            self.demand_counts.get(service).map_or(0, |count| count.value(now) as u32);
         let max_requests =
             self.members.live(now).map(requests_of).max().unwrap_or(0).max(own_requests);
         let is_near = |other: &str| other == region;
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -13,10 +13,10 @@
 use rustc_hash::FxHashMap;
 
 use crate::{
-    demand_forecast::AverageDemand,
     hash,
     heartbeat::{Heartbeat, LivenessUpdate, ServerLoad},
     settings::Host,
+    warm_keys::HEARTBEATS_PER_UPDATE,
 };
 
 /// How long a host counts as live after its last heartbeat if each round reaches all hosts.
@@ -42,8 +42,12 @@
 const HEARTBEAT_INTERVAL_PER_HOST: u64 = 3 * MILLI;
 const HEARTBEAT_INTERVAL_MAX: u64 = 900 * MILLI;
 /// Longest interval between heartbeats to hosts of the region's other domains, if the settings give
-/// domains a cost. Two of them are within the time for which loads count, so that one may be lost.
-const DOMAIN_HEARTBEAT_INTERVAL_MAX: u64 = 600 * MILLI;
+/// domains a cost. Two of them and their delays are within the time for which a host counts as live
+/// and its loads count, so that one may be lost.
+const DOMAIN_HEARTBEAT_INTERVAL_MAX: u64 = 550 * MILLI;
+/// Largest number of rounds of which one goes to the other domains. An update about warm keys is in
+/// as many successive heartbeats.
+const ROUNDS_PER_DOMAIN_ROUND_MAX: u64 = HEARTBEATS_PER_UPDATE as u64;
 /// Largest number of other hosts in a small fleet.
 const SMALL_FLEET_HOSTS: u64 = 12;
 
@@ -69,7 +73,8 @@
 /// Number of rounds of which one goes to the region's other domains, where these cost more than the
 /// own one.
 fn rounds_per_domain_round(hosts: usize) -> u64 {
-    (DOMAIN_HEARTBEAT_INTERVAL_MAX / heartbeat_interval(hosts)).max(1)
+    (DOMAIN_HEARTBEAT_INTERVAL_MAX / heartbeat_interval(hosts))
+        .clamp(1, ROUNDS_PER_DOMAIN_ROUND_MAX)
 }
 
 /// Another host of the fleet.
@@ -108,8 +113,6 @@
     pub loads: Vec<ServerLoad>,
     /// The host's recent requests, by hash of the service.
     pub demand: Vec<(u32, u32)>,
-    /// Average of the host's recent requests over a longer time.
-    pub average_demand: AverageDemand,
     /// Number of hosts that it considers possibly running.
     pub fleet_size: u32,
 }
@@ -202,11 +205,6 @@
             newer.map(|known| (known.newest_number, known.last_seen, known.ready, known.leaving));
         let (newest_number, last_seen, ready, leaving) =
             newer.unwrap_or((heartbeat.number, now, heartbeat.ready, heartbeat.leaving));
-        let mut average_demand = match known {
-            Some(known) if !restarted => known.average_demand.clone(),
-            _ => AverageDemand::default(),
-        };
-        average_demand.update(now, &heartbeat.demand);
         let member = Member {
             host: heartbeat.host.clone(),
             hash: hash::of(&heartbeat.host.name),
@@ -224,7 +222,6 @@
             store_ms: heartbeat.store_ms,
             loads: heartbeat.loads.clone(),
             demand: heartbeat.demand.clone(),
-            average_demand,
             fleet_size: heartbeat.fleet_size,
         };
         if known.is_none() {
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -449,6 +449,7 @@
     let may_copy = copies > 1 && load < key_copies::WARMING_LOAD_MAX;
     let may_move = follows_domains(context) && load < NOT_WARM_SERVICE_LOAD_MAX;
     if request.returning
+        || !request.tried.is_empty()
         || !(may_copy || may_move)
         || !key_copies::is_drawn(context.now, request.key, request.priority)
     {
@@ -483,7 +484,7 @@
 
 /// Whether keys are moved as the division over failure domains says.
 fn follows_domains(context: &PickContext<'_>) -> bool {
-    context.policy.domain_cost_ms > 0.0
+    context.placement.is_some_and(ServicePlacement::is_by_domain)
 }
 
 /// Cost of sending to the key's first place, which the division over failure domains has weighed
--- a/elmstream_steer/src/placement.rs
+++ b/elmstream_steer/src/placement.rs
@@ -9,10 +9,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::{
-    demand_forecast::DemandForecast,
-    key_order::{FarRegion, KeyOrderTable, NearPlace},
-};
+use crate::key_order::{FarRegion, KeyOrderTable, NearPlace};
 
 /// A place has room for up to this multiple of the part of all requests that its slots are of all
 /// slots.
@@ -163,6 +160,8 @@
     /// Answer time of servers that are warm for the key, in milliseconds; `None` if it is not
     /// known.
     pub work_ms: Option<f64>,
+    /// Whether places are failure domains; regions otherwise.
+    pub by_domain: bool,
     /// Whether the host has run long enough to know all demand. Until then it follows what it
     /// learns at once.
     pub settled: bool,
@@ -171,7 +170,8 @@
 /// Division of one service's keys, as a host follows it.
 #[derive(Clone, Debug, Default)]
 pub struct ServicePlacement {
-    forecasts: BTreeMap<String, DemandForecast>,
+    /// Whether places are failure domains.
+    by_domain: bool,
     /// Slots of each place at the last update.
     slots: BTreeMap<String, f64>,
     work_ms: Option<f64>,
@@ -184,11 +184,25 @@
     copy_domains: Vec<u16>,
 }
 
+/// Adds the demand that each region is assumed to have in addition.
+fn add_prior_demand(places: &mut [Place]) {
+    let mut places_by_region = BTreeMap::<String, f64>::new();
+    for place in &*places {
+        *places_by_region.entry(place.region.clone()).or_default() += 1.0;
+    }
+    for place in places {
+        place.demand_per_s += PRIOR_PER_S / places_by_region[&place.region];
+    }
+}
+
 impl ServicePlacement {
     /// Takes in demand and slots. Called once a second.
     pub fn update(&mut self, input: PlacementInput<'_>) {
-        let PlacementInput { mut places, own_place, own_load_max, work_ms, settled } = input;
-        self.forecast(&mut places, settled);
+        let PlacementInput { mut places, own_place, own_load_max, work_ms, by_domain, settled } =
+            input;
+        add_prior_demand(&mut places);
+        let same_places = self.by_domain == by_domain;
+        self.by_domain = by_domain;
         let smooth = |before: f64, ms: f64| before + (ms - before) * WORK_WEIGHT;
         self.work_ms = work_ms.map(|ms| self.work_ms.map_or(ms, |before| smooth(before, ms)));
         let own_per_slot = self.work_ms.map_or(0.0, |ms| own_load_max * 1e3 / ms.max(1.0));
@@ -198,32 +212,15 @@
         if !settled || self.region_shares.is_empty() {
             self.region_shares = target;
         } else {
-            self.follow_slots(&places, own, own_per_slot, &target);
+            if same_places {
+                self.follow_slots(&places, own, own_per_slot, &target);
+            }
             step(&mut self.region_shares, &target);
         }
         self.slots = places.iter().map(|place| (place.name.clone(), place.slots)).collect();
         self.set_order(&places, own, &division);
     }
 
-    /// Replaces the demand of the places by the expected one.
-    fn forecast(&mut self, places: &mut [Place], settled: bool) {
-        let mut places_by_region = BTreeMap::<String, f64>::new();
-        for place in &*places {
-            *places_by_region.entry(place.region.clone()).or_default() += 1.0;
-        }
-        for place in places {
-            let rate = place.demand_per_s + PRIOR_PER_S / places_by_region[&place.region];
-            let start = DemandForecast::new(rate);
-            let forecast = self.forecasts.entry(place.name.clone()).or_insert(start);
-            if settled {
-                forecast.update(rate);
-            } else {
-                *forecast = start;
-            }
-            place.demand_per_s = forecast.rate();
-        }
-    }
-
     /// Moves at once what a sudden change of slots makes necessary.
     fn follow_slots(
         &mut self,
@@ -286,6 +283,11 @@
         self.order = order;
     }
 
+    /// Whether the keys are divided over failure domains.
+    pub fn is_by_domain(&self) -> bool {
+        self.by_domain
+    }
+
     /// Parts of the own callers' requests by where they run.
     pub fn shares(&self) -> OwnShares {
         self.shares
--- a/elmstream_steer/src/policies.rs
+++ b/elmstream_steer/src/policies.rs
@@ -24,8 +24,11 @@
 #[serde(default, deny_unknown_fields)]
 pub struct PlacementPolicy {
     /// Cost of sending a request to another failure domain of the region, in milliseconds of answer
-    /// time. With 0 the domains of a region are one place.
+    /// time. With 0, and no cost of its bytes, the domains of a region are one place.
     pub domain_cost_ms: f64,
+    /// Cost of each KB of a request's and its answer's body that passes to another failure domain of
+    /// the region, in milliseconds of answer time.
+    pub domain_kb_cost_ms: f64,
     /// Cost of sending a request to another region, in milliseconds of answer time.
     pub region_cost_ms: f64,
     /// Fraction of its slots up to which a place keeps the requests of its own callers, although
@@ -39,10 +42,18 @@
     pub keys_per_server: u32,
 }
 
+impl PlacementPolicy {
+    /// Whether sending to another failure domain of the region has a cost.
+    pub fn has_domain_cost(&self) -> bool {
+        self.domain_cost_ms > 0.0 || self.domain_kb_cost_ms > 0.0
+    }
+}
+
 impl Default for PlacementPolicy {
     fn default() -> PlacementPolicy {
         PlacementPolicy {
             domain_cost_ms: 0.0,
+            domain_kb_cost_ms: 0.0,
             region_cost_ms: 30.0,
             own_load_max: 0.0,
             copies: 1,
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -16,8 +16,9 @@
 use crate::{
     budget::Budgets,
     contention::{Contention, Standing, WorkspaceRates},
-    demand_forecast::{AverageDemand, DecayingCount},
+    demand::DecayingCount,
     digest::RequestDigest,
+    domain_split::TransferSize,
     era::Retention,
     hash,
     host_registry::Registry,
@@ -71,8 +72,8 @@
     pub(crate) servers: ServerTable,
     pub(crate) leaving_servers: LeavingServers,
     pub(crate) demand_counts: HashMap<String, DecayingCount>,
-    /// Average of the counts over a longer time.
-    pub(crate) average_demand: AverageDemand,
+    /// Bytes of requests and answers, by service.
+    pub(crate) transfer_sizes: HashMap<String, TransferSize>,
     /// Division of each service's keys.
     pub(crate) placements: HashMap<String, ServicePlacement>,
     pub(crate) placements_updated_at: Time,
@@ -261,7 +262,7 @@
             servers,
             leaving_servers: LeavingServers::default(),
             demand_counts: HashMap::new(),
-            average_demand: AverageDemand::default(),
+            transfer_sizes: HashMap::new(),
             placements: HashMap::new(),
             placements_updated_at: Time(0),
             copies_begun: Cell::new(0),
@@ -631,6 +632,17 @@
         self.warm_keys.is_warm(now, index, key)
     }
 
+    /// Records the bytes of the bodies of a request of a service and of its answer.
+    pub fn record_transfer(&mut self, service: &str, bytes: u64) {
+        if let Some(size) = self.transfer_sizes.get_mut(service) {
+            size.record(bytes);
+        } else {
+            let mut size = TransferSize::default();
+            size.record(bytes);
+            self.transfer_sizes.insert(service.to_owned(), size);
+        }
+    }
+
     /// Counts a request of a service, which deposits a fraction of a retry into the service's
     /// budget.
     pub fn deposit_retry(&mut self, now: Time, service: &str) {
--- a/elmstream_steer/src/warm_keys.rs
+++ b/elmstream_steer/src/warm_keys.rs
@@ -12,14 +12,15 @@
 
 use crate::servers::ServerIndex;
 
-/// Time for which a server counts as warm for a key.
-const WARM_TIMEOUT: u64 = 20 * SECOND;
+/// Time for which a server counts as warm for a key, in seconds.
+pub const TIMEOUT_S: f64 = 20.0;
+const WARM_TIMEOUT: u64 = TIMEOUT_S as u64 * SECOND;
 /// Age at which a warm key is reported to the other hosts again.
 const REPORT_INTERVAL: u64 = 8 * SECOND;
 /// Maximum number of warm keys per server.
 const KEYS_PER_SERVER_MAX: usize = 40;
 /// Number of heartbeats that carry an update, because heartbeats can be lost.
-const HEARTBEATS_PER_UPDATE: u8 = 3;
+pub const HEARTBEATS_PER_UPDATE: u8 = 3;
 /// Maximum number of updates in one heartbeat.
 const UPDATES_PER_HEARTBEAT_MAX: usize = 48;
 /// Maximum number of pending updates; beyond it the oldest ones are dropped.
--- a/elmstream_steer/tests/support/uneven.rs
+++ b/elmstream_steer/tests/support/uneven.rs
@@ -15,6 +15,8 @@
 
 use super::support::{self, SERVICE, address, at, configuration, id, ms, pick_request, server};
 
+/// Bytes of a request and its answer, enough for keys to be divided over domains.
+const TRANSFER_BYTES: u64 = 60_000;
 /// Failure domains, their regions and their number of servers.
 pub const DOMAINS: [(&str, &str, usize); 6] = [
     ("a1", "a", 2),
@@ -159,6 +161,7 @@
                     }
                     Event::Answer(index, outcome) => {
                         self.hosts[host].record_outcome(ms(self.at), index, outcome);
+                        self.hosts[host].record_transfer(SERVICE, TRANSFER_BYTES);
                     }
                 }
             }
