Copies of keys removed; delay to other domains counts where keys are divided

What moved keys to their new place stays (key_moves.rs).

Division by domain: what a host measures of the way to other domains (connect times) counts for each request beside its bytes. Run: tests of placement, domain_split, members.

--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -275,6 +275,9 @@
         if let Some(error) = edge.pool.take_timeout_error() {
             edge.event_log.write("silence_unbounded", json!({"error": error.to_string()}));
         }
+        for (server, micros) in edge.pool.take_connect_times() {
+            edge.steer.borrow_mut().record_connect(&server, micros);
+        }
         let changes = edge.steer.borrow_mut().tick(clock::now());
         edge.log_changes("time", &changes);
         refusal_report::update(&edge);
@@ -291,7 +294,6 @@
             metrics::gauge!("elmstream_place_share", "service" => service.to_owned())
                 .set(shares.own);
         }
-        metrics::counter!("elmstream_key_copies").absolute(steer.copies_begun());
         metrics::gauge!("elmstream_servers_limited").set(steer.limited_servers() as f64);
         for (service, level) in steer.fair_levels() {
             metrics::gauge!("elmstream_fair_level", "service" => service.to_owned())
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -237,7 +237,6 @@
             (0.0..=1.0).contains(&placement.own_load_max),
             value("policies.placement.own_load_max", "is not between 0 and 1")
         );
-        ensure!(placement.copies > 0, value("policies.placement.copies", "is 0"));
         ensure!(
             !speed.probe || speed.probe_timeout_ms > 0,
             value("policies.speed.probe_timeout_ms", "is 0")
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -14,7 +14,6 @@
     domain_split::{self, SplitInput, TransferSize},
     hash,
     heartbeat::{Heartbeat, Message, Reachability, ServerLoad, TableStatus},
-    key_copies,
     members::{Member, Targets},
     placement::{Place, PlacementInput, ServicePlacement},
     poison::{PoisonChange, PoisonEvidence, ServerCrash},
@@ -363,14 +362,6 @@
             let by_domain = self.splits_domains(now, &service);
             let places = self.places(now, &service, by_domain);
             let own = &self.settings.host;
-            let copy_domains = key_copies::domains_with_room(
-                now,
-                (&self.servers, &service),
-                &self.warm_keys,
-                &places,
-                &self.settings.policies.placement,
-                &own.region,
-            );
             let own_place = place_name(&own.domain, &own.region, by_domain);
             let input = PlacementInput {
                 places,
@@ -382,7 +373,6 @@
             };
             let mut placement = self.placements.remove(&service).unwrap_or_default();
             placement.update(input);
-            placement.set_copy_domains(copy_domains);
             if let Some(shares) = placement.news() {
                 changes.push(StateChange::Placement { service: service.clone(), shares });
             }
@@ -398,7 +388,9 @@
         let mean_kb = self.transfer_sizes.get(service).and_then(TransferSize::mean_kb);
         let (Some(mean_kb), true) = (mean_kb, policy.has_domain_cost()) else { return is_now };
         let region = &self.settings.host.region;
-        let domains = self.settings.domains.values().filter(|other| *other == region).count();
+        let of_own_region = self.settings.domains.iter().filter(|(_, other)| *other == region);
+        let own_domain = self.settings.host.domain.as_str();
+        let others = of_own_region.map(|(domain, _)| domain.as_str()).filter(|d| *d != own_domain);
         let of_region = |member: &&Member| member.host.region == *region;
         let counts = self.members.all().filter(of_region);
         let service_hash = hash::of(service) as u32;
@@ -410,7 +402,8 @@
         let own = self.demand_counts.get(service).map_or(0.0, |count| count.value(now));
         let input = SplitInput {
             mean_kb,
-            domains,
+            extra_ms: self.connect_times.extra_ms(own_domain, others.clone()),
+            domains: others.count() + 1,
             keys: domain_split::keys_of_region(
                 now,
                 (&self.servers, service),
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -4,7 +4,7 @@
 //! heartbeats of the other hosts, requests and the current time; its outputs are server picks and
 //! messages to other hosts. [`view`] holds the contents of the store. [`servers`] and [`members`]
 //! hold the backend servers and the other hosts. [`pick`], [`cold_start`], [`budget`], [`quota`],
-//! [`placement`] (with [`domain_split`], [`key_order`] and [`key_copies`]), [`reader_rank`],
+//! [`placement`] (with [`domain_split`], [`key_order`] and [`key_moves`]), [`reader_rank`],
 //! [`store_schedule`] and [`rollout`] (with [`rollout_counts`],
 //! [`canary_analysis`] and [`rollout_steps`]) decide on top of them. [`Steer`] combines these parts
 //! for one host.
@@ -24,7 +24,7 @@
 pub mod heartbeat;
 pub mod host_registry;
 pub mod key;
-pub mod key_copies;
+pub mod key_moves;
 pub mod key_order;
 pub mod leaving;
 mod limit_senders;
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -8,13 +8,11 @@
 //! Usable servers are compared by their cost: the expected answer time in milliseconds, plus
 //! penalties for failures, other places and servers that are not warm for the key.
 
-use std::cell::Cell;
-
 use elmstream::time::{MILLI, Time};
 
 use crate::{
     contention::Standing,
-    hash, key_copies,
+    hash, key_moves,
     key_order::DomainRank,
     model::{Repeatability, Route},
     placement::ServicePlacement,
@@ -44,7 +42,7 @@
 const MIN_WAIT_FRACTION: f64 = 0.1;
 /// Least number of ranked servers that are considered in the key's first place, and their number in
 /// each further place of the region and in each other region.
-const FIRST_PLACE_RANKS_MIN: usize = 2;
+const FIRST_PLACE_RANKS: usize = 2;
 const OTHER_PLACE_RANKS: usize = 1;
 /// Cost of each rank after the first, in milliseconds, for a server that is not warm for the key.
 const NOT_WARM_RANK_COST_MS: f64 = 60.0;
@@ -197,8 +195,6 @@
     pub placement: Option<&'a ServicePlacement>,
     /// Settings of the placement.
     pub policy: PlacementPolicy,
-    /// Counts the requests that are sent to keep a copy of their key.
-    pub copies_begun: &'a Cell<u64>,
     /// Which servers have which keys' data cached.
     pub warm_keys: &'a WarmKeys,
     /// Refusals of the service's servers with free slots; `None` if they are not considered.
@@ -224,8 +220,6 @@
 struct Candidates<'a> {
     /// The highest-ranked servers of each group of places, in rendezvous order.
     ranks: Vec<Vec<Candidate<'a>>>,
-    /// Number of ranks in the first group.
-    first_ranks: usize,
     /// The server with the lowest load among all candidates with spare slots, whatever its rank.
     least_loaded: Option<Candidate<'a>>,
     count: u32,
@@ -240,11 +234,10 @@
 }
 
 impl<'a> Candidates<'a> {
-    fn new(groups: usize, copies: u32) -> Candidates<'a> {
+    fn new(groups: usize) -> Candidates<'a> {
         let ranks = vec![Vec::new(); groups];
         Candidates {
             ranks,
-            first_ranks: FIRST_PLACE_RANKS_MIN.max(copies as usize),
             least_loaded: None,
             count: 0,
             free: 0,
@@ -270,7 +263,7 @@
         }
         let group = usize::from(candidate.domain_rank.group);
         let ranks = &mut self.ranks[group];
-        let max_ranks = if group == 0 { self.first_ranks } else { OTHER_PLACE_RANKS };
+        let max_ranks = if group == 0 { FIRST_PLACE_RANKS } else { OTHER_PLACE_RANKS };
         let position = ranks.partition_point(|other| precedes(other, &candidate));
         if position < max_ranks {
             ranks.truncate(max_ranks - 1);
@@ -336,7 +329,7 @@
             return Pick::Refuse(candidates.standing_refusal(standing, times));
         }
     }
-    if let Some(index) = server_to_warm(context, request, &candidates, times) {
+    if let Some(index) = server_to_move_to(context, request, &candidates, times) {
         return Pick::Send(index);
     }
     let ranked = least_cost_server(context, request, &candidates, times);
@@ -408,78 +401,32 @@
     choice
 }
 
-/// Servers of the key's first place that are warm for the key and can run the request in time, the
-/// one of least cost first; at most as many as copies of a key are kept, and none if there are
-/// fewer than two.
-pub fn warm_choices(context: &PickContext<'_>, request: &PickRequest<'_>) -> Vec<ServerIndex> {
-    let copies = context.policy.copies as usize;
-    if copies < 2 {
-        return Vec::new();
-    }
-    let times = context.servers.answer_times(request.service);
-    let candidates = gather_candidates(context, request, times);
-    let mut choices: Vec<(f64, ServerIndex)> = Vec::new();
-    for candidate in candidates.ranks.first().into_iter().flatten() {
-        let warm = context.warm_keys.is_warm(context.now, candidate.index, request.key);
-        let wait = wait_ms(context.now, candidate, times);
-        let usable = wait <= max_wait_ms(context, request, candidate.entry, times)
-            && !would_time_out(context, request.route, candidate.entry, times, warm, wait);
-        if warm && usable {
-            let cost = cost_ms(context, candidate.entry, times, warm) + wait;
-            choices.push((cost, candidate.index));
-        }
-    }
-    choices.sort_by(|one, other| one.0.total_cmp(&other.0));
-    choices.truncate(copies);
-    if choices.len() < 2 {
-        return Vec::new();
-    }
-    choices.into_iter().map(|(_, index)| index).collect()
-}
-
-/// The server of the key's first place that the request should make or keep warm for the key: the
-/// first one if the key was moved there, or else a copy.
-fn server_to_warm(
+/// The key's first server, if the request should move the key there: the division over failure
+/// domains gave the key another place, and its servers are not warm yet.
+fn server_to_move_to(
     context: &PickContext<'_>,
     request: &PickRequest<'_>,
     candidates: &Candidates<'_>,
     times: AnswerTimes,
 ) -> Option<ServerIndex> {
-    let (copies, load) = (context.policy.copies as usize, candidates.load());
-    let may_copy = copies > 1 && load < key_copies::WARMING_LOAD_MAX;
-    let may_move = follows_domains(context) && load < NOT_WARM_SERVICE_LOAD_MAX;
-    if request.returning
+    if !follows_domains(context)
+        || candidates.load() >= NOT_WARM_SERVICE_LOAD_MAX
+        || request.returning
         || !request.tried.is_empty()
-        || !(may_copy || may_move)
-        || !key_copies::is_drawn(context.now, request.key, request.priority)
+        || !key_moves::is_drawn(context.now, request.key, request.priority)
     {
         return None;
     }
-    let (now, key) = (context.now, request.key);
-    let is_warm = |c: &Candidate<'_>| context.warm_keys.is_warm(now, c.index, key);
+    let is_warm = |c: &Candidate<'_>| context.warm_keys.is_warm(context.now, c.index, request.key);
     if !candidates.ranks.iter().flatten().any(is_warm) {
         return None;
     }
-    let ranks = candidates.ranks.first()?;
-    let moved = ranks.first().filter(|first| may_move && !is_warm(first));
-    let keeps_copies = |c: &&Candidate<'_>| {
-        context.placement.is_some_and(|known| known.keeps_copies(c.entry.domain_index))
-    };
-    let copy = || {
-        let mut copies = ranks.iter().take(copies).filter(keeps_copies);
-        copies.find(|c| key_copies::needs_warming(now, context.warm_keys, c.index, key))
-    };
-    let picked = moved.or_else(|| if may_copy { copy() } else { None })?;
-    let wait = wait_ms(now, picked, times);
-    let work_ms = times.not_warm_ms * picked.entry.slowness(now).max(1.0);
-    let has_time =
-        wait + work_ms <= request.remaining_ms as f64 * key_copies::WARMING_TIME_FRACTION;
-    let times_out = would_time_out(context, request.route, picked.entry, times, false, wait);
-    let usable = has_spare_slots(picked) && has_time && !times_out;
-    if usable && moved.is_none() {
-        context.copies_begun.set(context.copies_begun.get() + 1);
-    }
-    usable.then_some(picked.index)
+    let first = candidates.ranks.first()?.first().filter(|first| !is_warm(first))?;
+    let wait = wait_ms(context.now, first, times);
+    let work_ms = times.not_warm_ms * first.entry.slowness(context.now).max(1.0);
+    let has_time = wait + work_ms <= request.remaining_ms as f64 * key_moves::TIME_FRACTION;
+    let times_out = would_time_out(context, request.route, first.entry, times, false, wait);
+    (has_spare_slots(first) && has_time && !times_out).then_some(first.index)
 }
 
 /// Whether keys are moved as the division over failure domains says.
@@ -513,7 +460,7 @@
 ) -> Candidates<'a> {
     let order = context.placement.map(|placement| placement.order().order(request.key));
     let order = order.unwrap_or_default();
-    let mut candidates = Candidates::new(order.groups(), context.policy.copies);
+    let mut candidates = Candidates::new(order.groups());
     let mut ejected: Vec<Candidate<'a>> = Vec::new();
     for (index, entry) in context.servers.of_service(request.service) {
         if !may_send(context, request, index, entry) || !cold_bound_allows(context, entry) {
--- a/elmstream_steer/src/placement.rs
+++ b/elmstream_steer/src/placement.rs
@@ -180,8 +180,6 @@
     shares: OwnShares,
     reported: Option<OwnShares>,
     order: KeyOrderTable,
-    /// Failure domains, by their index, of places that can keep copies of keys.
-    copy_domains: Vec<u16>,
 }
 
 /// Adds the demand that each region is assumed to have in addition.
@@ -304,16 +302,6 @@
         })
     }
 
-    /// Sets the failure domains, by their index, of places that can keep copies of keys.
-    pub fn set_copy_domains(&mut self, domains: Vec<u16>) {
-        self.copy_domains = domains;
-    }
-
-    /// Whether the place of a failure domain can keep copies of keys.
-    pub fn keeps_copies(&self, domain: u16) -> bool {
-        self.copy_domains.contains(&domain)
-    }
-
     /// Where the keys go.
     pub fn order(&self) -> &KeyOrderTable {
         &self.order
--- a/elmstream_steer/src/policies.rs
+++ b/elmstream_steer/src/policies.rs
@@ -34,12 +34,6 @@
     /// Fraction of its slots up to which a place keeps the requests of its own callers, although
     /// other places have more slots for each request, 0 to 1.
     pub own_load_max: f64,
-    /// Number of servers of a place that are kept warm for one key.
-    pub copies: u32,
-    /// Number of keys that a server keeps cached; further copies of keys are made only as long as
-    /// the service's servers are expected to keep all of them. With 0 it is not known, and no
-    /// further copies are made.
-    pub keys_per_server: u32,
 }
 
 impl PlacementPolicy {
@@ -56,8 +50,6 @@
             domain_kb_cost_ms: 0.0,
             region_cost_ms: 30.0,
             own_load_max: 0.0,
-            copies: 1,
-            keys_per_server: 0,
         }
     }
 }
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -4,7 +4,6 @@
 //! hosts.
 
 use std::{
-    cell::Cell,
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
@@ -18,7 +17,7 @@
     contention::{Contention, Standing, WorkspaceRates},
     demand::DecayingCount,
     digest::RequestDigest,
-    domain_split::TransferSize,
+    domain_split::{ConnectTimes, TransferSize},
     era::Retention,
     hash,
     host_registry::Registry,
@@ -74,11 +73,11 @@
     pub(crate) demand_counts: HashMap<String, DecayingCount>,
     /// Bytes of requests and answers, by service.
     pub(crate) transfer_sizes: HashMap<String, TransferSize>,
+    /// Connect times of servers, by failure domain.
+    pub(crate) connect_times: ConnectTimes,
     /// Division of each service's keys.
     pub(crate) placements: HashMap<String, ServicePlacement>,
     pub(crate) placements_updated_at: Time,
-    /// Number of requests that were sent to a server to keep a copy of their key there.
-    copies_begun: Cell<u64>,
     pub(crate) warm_keys: WarmKeys,
     pub(crate) members: Members,
     pub(crate) budgets: Budgets,
@@ -263,9 +262,9 @@
             leaving_servers: LeavingServers::default(),
             demand_counts: HashMap::new(),
             transfer_sizes: HashMap::new(),
+            connect_times: ConnectTimes::default(),
             placements: HashMap::new(),
             placements_updated_at: Time(0),
-            copies_begun: Cell::new(0),
             warm_keys: WarmKeys::default(),
             members,
             budgets: Budgets::new(start_hash),
@@ -508,18 +507,12 @@
             hosts_known: self.registry.is_known(),
             placement: self.placements.get(service),
             policy: self.settings.policies.placement,
-            copies_begun: &self.copies_begun,
             warm_keys: &self.warm_keys,
             refusals: self.refusal_outlook(now, service),
             standing: None,
         }
     }
 
-    /// Number of requests that were sent to a server to keep a copy of their key there.
-    pub fn copies_begun(&self) -> u64 {
-        self.copies_begun.get()
-    }
-
     /// Parts of the own callers' requests by where they run, by service.
     pub fn placement_shares(&self) -> impl Iterator<Item = (&str, OwnShares)> {
         self.placements.iter().map(|(service, placement)| (service.as_str(), placement.shares()))
@@ -579,7 +572,8 @@
             return Vec::new();
         }
         let arm = self.pick_rollout_arm(now, request);
-        let warm = pick::warm_choices(&self.pick_context(now, request.service, arm), request);
+        let _ = arm;
+        let warm = Vec::new();
         probe_choice::probe_targets(now, &self.servers, &warm)
     }
 
@@ -632,6 +626,14 @@
         self.warm_keys.is_warm(now, index, key)
     }
 
+    /// Records the time in microseconds that opening a connection to a server took.
+    pub fn record_connect(&mut self, server: &str, micros: u64) {
+        let entry = self.servers.find(server).and_then(|index| self.servers.get(index));
+        if let Some(entry) = entry {
+            self.connect_times.record(&entry.server.domain, micros as f64 / MILLI as f64);
+        }
+    }
+
     /// Records the bytes of the bodies of a request of a service and of its answer.
     pub fn record_transfer(&mut self, service: &str, bytes: u64) {
         if let Some(size) = self.transfer_sizes.get_mut(service) {
