--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -344,17 +344,13 @@
     let took = clock::now().since(request.received);
     metrics::counter!("elmstream_requests", "outcome" => "refused").increment(1);
     let code = result_code(refusal.reason, &Attempts::default());
-    if matches!(refusal.reason, RefusalReason::FairShare | RefusalReason::LessUrgent) {
-        let reason = format!("{:?}", refusal.reason);
-        metrics::counter!("elmstream_contention_refused", "reason" => reason).increment(1);
-    }
     let fields = json!({
         "id": request.id, "code": code.number(),
         "route": request.route.name, "service": request.service, "status": 503,
         "workspace": request.workspace_name(), "priority": request.priority(),
         "reason": format!("{:?}", refusal.reason), "retry_ms": refusal.retry_ms,
         "servers": refusal.servers, "free": refusal.free_servers, "load_percent": refusal.load_percent,
-        "spared": refusal.spared, "level": refusal.level,
+        "spared": refusal.spared,
         "took_ms": took / MILLI, "returning": request.returning,
         "version": edge.steer.borrow().configuration_version(),
         "stale_ms": edge.steer.borrow().staleness(clock::now()) / MILLI,
@@ -367,11 +363,7 @@
 fn result_code(reason: RefusalReason, attempts: &Attempts) -> Code {
     let last = attempts.outcomes.last().map(|(_, outcome, _)| *outcome);
     match reason {
-        RefusalReason::NoServer
-        | RefusalReason::Spared
-        | RefusalReason::Full
-        | RefusalReason::FairShare
-        | RefusalReason::LessUrgent => Code::NoCapacity,
+        RefusalReason::NoServer | RefusalReason::Spared | RefusalReason::Full => Code::NoCapacity,
         RefusalReason::Budget => Code::RetryBudget,
         RefusalReason::Tries if last == Some(Outcome::NoConnection) => Code::BackendConnect,
         RefusalReason::Tries => Code::BackendShed,
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -295,10 +295,6 @@
                 .set(shares.own);
         }
         metrics::gauge!("elmstream_servers_limited").set(steer.limited_servers() as f64);
-        for (service, level) in steer.fair_levels() {
-            metrics::gauge!("elmstream_fair_level", "service" => service.to_owned())
-                .set(level.unwrap_or(f64::INFINITY));
-        }
         metrics::gauge!("elmstream_workspaces_held_back").set(held_back as f64);
         metrics::gauge!("elmstream_workspaces_unanswered").set(unanswered as f64);
         edge.pool.sweep(|id| steer.servers().find(id).is_some());
--- a/elmstream_edge/tests/policies.rs
+++ b/elmstream_edge/tests/policies.rs
@@ -24,7 +24,7 @@
     let policies = parse(None).expect("policies are optional");
     assert_eq!(policies, Policies::default());
     assert_eq!(policies.placement.domain_cost_ms, 0.0);
-    assert!(!policies.speed.probe && !policies.contention.enabled && !policies.retries.by_worth);
+    assert!(!policies.speed.probe && !policies.retries.by_worth);
 }
 
 #[test]
@@ -36,8 +36,6 @@
         (json!({"placement": {"domain_kb_cost_ms": -1}}), "placement.domain_kb_cost_ms"),
         (json!({"placement": {"copies": 2}}), "policies"),
         (json!({"speed": {"probe": true, "probe_timeout_ms": 0}}), "speed.probe_timeout_ms"),
-        (json!({"contention": {"short_load": 2}}), "contention.short_load"),
-        (json!({"contention": {"floor_share": -0.1}}), "contention.floor_share"),
         (json!({"retries": {"by_wealth": true}}), "policies"),
     ];
     for (policies, key) in cases {
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod budget;
 pub mod canary_analysis;
 pub mod cold_start;
-pub mod contention;
 pub mod demand;
 pub mod digest;
 pub mod domain_split;
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -11,7 +11,6 @@
 use elmstream::time::{MILLI, Time};
 
 use crate::{
-    contention::Standing,
     hash, key_moves,
     key_order::DomainRank,
     model::{Repeatability, Route},
@@ -127,23 +126,12 @@
     /// Number of otherwise usable servers that this host must not send to now because of a back-off
     /// or a server limit.
     pub spared: u32,
-    /// Requests a second above which a workspace has more than its share of the service, if that is
-    /// why the request is refused.
-    pub level: Option<f64>,
 }
 
 impl Refusal {
     /// Creates a refusal in which all counts of servers are 0.
     pub fn new(reason: RefusalReason, retry_ms: u64) -> Refusal {
-        Refusal {
-            reason,
-            retry_ms,
-            servers: 0,
-            free_servers: 0,
-            load_percent: 0,
-            spared: 0,
-            level: None,
-        }
+        Refusal { reason, retry_ms, servers: 0, free_servers: 0, load_percent: 0, spared: 0 }
     }
 }
 
@@ -159,10 +147,6 @@
     Spared,
     /// The request would wait too long at every server that may get it.
     Full,
-    /// The service is short of slots, and the workspace asks for more than its fair share.
-    FairShare,
-    /// The service is short of slots, and others of its requests are more urgent.
-    LessUrgent,
     /// Earlier attempts gave no final answer, and the retry budget allows no further one.
     Budget,
     /// Earlier attempts gave no final answer, and no further one may follow: the route's number of
@@ -199,8 +183,6 @@
     pub warm_keys: &'a WarmKeys,
     /// Refusals of the service's servers with free slots; `None` if they are not considered.
     pub refusals: Option<RefusalOutlook>,
-    /// How the request stands among the others of its service; `None` if all stand alike.
-    pub standing: Option<&'a Standing>,
 }
 
 /// A server that may take the request.
@@ -226,7 +208,6 @@
     free: u32,
     slots: u32,
     occupied_slots: u32,
-    in_flight: u32,
     /// Servers left out because of a back-off or a server limit, and the earliest known time at
     /// which this host may send to one of them.
     spared: u32,
@@ -243,7 +224,6 @@
             free: 0,
             slots: 0,
             occupied_slots: 0,
-            in_flight: 0,
             spared: 0,
             spared_until: None,
         }
@@ -255,7 +235,6 @@
         self.free += u32::from(candidate.occupied < slots);
         self.slots += slots;
         self.occupied_slots += candidate.occupied.min(slots);
-        self.in_flight += candidate.occupied;
         if has_spare_slots(&candidate)
             && self.least_loaded.is_none_or(|best| has_lower_load(&candidate, &best))
         {
@@ -291,21 +270,6 @@
         }
     }
 
-    /// Requests in flight for each slot of all candidates; above 1 if requests wait.
-    fn in_flight_per_slot(&self) -> f64 {
-        f64::from(self.in_flight) / f64::from(self.slots.max(1))
-    }
-
-    /// The refusal of a request that stands behind others.
-    fn standing_refusal(&self, standing: &Standing, times: AnswerTimes) -> Refusal {
-        let reason = match standing.level() {
-            Some(_) => RefusalReason::FairShare,
-            None => RefusalReason::LessUrgent,
-        };
-        let refusal = self.refusal(reason, standing.retry_ms(times.mean_ms));
-        Refusal { level: standing.level(), ..refusal }
-    }
-
     /// Occupied fraction of the slots of all candidates, 0 to 1.
     fn load(&self) -> f64 {
         f64::from(self.occupied_slots) / f64::from(self.slots.max(1))
@@ -323,12 +287,6 @@
     if candidates.count == 0 {
         return Pick::Refuse(no_candidate_refusal(context.now, &candidates));
     }
-    if let Some(standing) = context.standing {
-        standing.set_load(candidates.in_flight_per_slot());
-        if standing.is_refused() {
-            return Pick::Refuse(candidates.standing_refusal(standing, times));
-        }
-    }
     if let Some(index) = server_to_move_to(context, request, &candidates, times) {
         return Pick::Send(index);
     }
@@ -338,12 +296,9 @@
         .filter(|_| candidates.load() < SPILL_SERVICE_LOAD_MAX || seeks_chance(context, request))
         .filter(|candidate| !wastes_retry(context, request, candidate.entry))
         .map(|candidate| candidate.index);
-    match (ranked.server.or(spill), context.standing) {
-        (Some(index), _) => Pick::Send(index),
-        (None, Some(standing)) if ranked.waits_shorter => {
-            Pick::Refuse(candidates.standing_refusal(standing, times))
-        }
-        (None, _) => {
+    match ranked.server.or(spill) {
+        Some(index) => Pick::Send(index),
+        None => {
             let retry_ms = retry_ms(ranked.shortest_wait_ms);
             Pick::Refuse(candidates.refusal(RefusalReason::Full, retry_ms))
         }
@@ -356,9 +311,6 @@
     /// The server of lowest cost that can run the request in time.
     server: Option<ServerIndex>,
     shortest_wait_ms: f64,
-    /// Whether a server was left out that the request would wait for if it did not stand behind
-    /// others.
-    waits_shorter: bool,
 }
 
 /// Compares the first ranks of each place.
@@ -369,19 +321,14 @@
     times: AnswerTimes,
 ) -> RankedChoice {
     let load = candidates.load();
-    let wait_factor = context.standing.map_or(1.0, Standing::wait_factor);
-    let mut choice =
-        RankedChoice { server: None, shortest_wait_ms: f64::MAX, waits_shorter: false };
+    let mut choice = RankedChoice { server: None, shortest_wait_ms: f64::MAX };
     let mut least_cost_ms = f64::MAX;
     for (rank, candidate) in candidates.ranks.iter().flatten().enumerate() {
         let warm = context.warm_keys.is_warm(context.now, candidate.index, request.key);
         let wait_here_ms = wait_ms(context.now, candidate, times);
         choice.shortest_wait_ms = choice.shortest_wait_ms.min(wait_here_ms);
         let usable = if rank == 0 || warm {
-            let max_wait_ms = max_wait_ms(context, request, candidate.entry, times);
-            let waits_too_long = wait_here_ms > max_wait_ms * wait_factor;
-            choice.waits_shorter |= waits_too_long && wait_here_ms <= max_wait_ms;
-            !waits_too_long
+            wait_here_ms <= max_wait_ms(context, request, candidate.entry, times)
         } else {
             (load < NOT_WARM_SERVICE_LOAD_MAX || seeks_chance(context, request))
                 && has_spare_slots(candidate)
--- a/elmstream_steer/src/policies.rs
+++ b/elmstream_steer/src/policies.rs
@@ -13,8 +13,6 @@
     pub placement: PlacementPolicy,
     /// How fast servers work at the moment.
     pub speed: SpeedPolicy,
-    /// Who is served when a service is short of slots.
-    pub contention: ContentionPolicy,
     /// Which requests may be sent to a second server.
     pub retries: RetryPolicy,
 }
@@ -73,24 +71,6 @@
     }
 }
 
-/// Order in which requests are served when a service is short of slots.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct ContentionPolicy {
-    /// Whether workspaces get fair shares and urgent routes go first.
-    pub enabled: bool,
-    /// Occupied fraction of a service's slots above which it counts as short of slots.
-    pub short_load: f64,
-    /// Fraction of the least urgent route's requests that are served however short the slots are.
-    pub floor_share: f64,
-}
-
-impl Default for ContentionPolicy {
-    fn default() -> ContentionPolicy {
-        ContentionPolicy { enabled: false, short_load: 0.85, floor_share: 0.1 }
-    }
-}
-
 /// Use of the retry budget.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
--- a/elmstream_steer/src/quota.rs
+++ b/elmstream_steer/src/quota.rs
@@ -35,8 +35,6 @@
 /// Time for which the fractions of a reply are used. A host that receives requests reports every
 /// 100 ms.
 const GRANT_TIMEOUT: u64 = SECOND;
-/// Time over which the rates of replies are averaged, in microseconds.
-const RATE_DECAY_US: f64 = 1.5 * SECOND as f64;
 /// Time between two broadcasts about workspaces over their limit.
 const BROADCAST_INTERVAL: u64 = 300 * MILLI;
 /// Time for which a broadcast fraction is used. A lost broadcast is made up for by the following
@@ -138,8 +136,6 @@
     unanswered_reports: u8,
     /// Grants received in replies, at most one for each tally.
     grants: Vec<Grant>,
-    /// Requests a second that all hosts received, as a tally last replied, and when.
-    fleet_rate: Option<(f64, Time)>,
     last_request: Time,
 }
 
@@ -221,22 +217,6 @@
         QuotaDecision::Over { retry_ms: retry as u64 }
     }
 
-    /// Counts a request of a workspace without a limit, so that its rate is known.
-    pub fn count_unlimited(&mut self, now: Time, entry: &WorkspaceEntry) {
-        let usage = self.usage.entry(entry.id).or_default();
-        usage.last_request = now;
-        usage.requested = usage.requested.wrapping_add(1);
-    }
-
-    /// Requests of a workspace a second that its limit lets through at all hosts; `None` if no
-    /// tally has replied lately.
-    pub fn fleet_rate(&self, now: Time, id: u64) -> Option<f64> {
-        let usage = self.usage.get(&id)?;
-        let (rate, at) = usage.fleet_rate?;
-        let fraction = usage.lowest_grant(now).map_or(1.0, |grant| grant.fraction);
-        (now.since(at) < GRANT_TIMEOUT).then_some(rate * fraction)
-    }
-
     /// Counts a further attempt of an admitted request.
     pub fn record_retry(&mut self, context: &QuotaContext<'_>, entry: &WorkspaceEntry) {
         if let Some(usage) = self.usage.get_mut(&entry.id) {
@@ -302,16 +282,11 @@
         table: &WorkspaceTable,
         report: &UsageReport,
     ) -> UsageReply {
-        let (mut fractions, mut rates) = (Vec::new(), Vec::new());
+        let mut fractions = Vec::new();
         for usage in &report.usages {
             let Some(entry) = table.get(usage.workspace) else { continue };
             let tally = self.tallies.entry(usage.workspace).or_default();
             tally.on_report(context.now, tally::window_us(context.bounds), report, *usage);
-            rates.push(tally.mean_rate(context.now));
-            if entry.workspace.rate_per_s <= 0.0 {
-                fractions.push(AdmitFraction::new(usage.workspace, 1.0));
-                continue;
-            }
             let was_over = tally.broadcast_fraction(context.now).is_some();
             let uptime = context.now.since(self.started);
             let fraction = tally.fraction(
@@ -325,15 +300,14 @@
             fractions.push(AdmitFraction::new(usage.workspace, fraction));
         }
         let address_hash = context.address_hashes.first().copied().unwrap_or_default();
-        UsageReply { address_hash, fractions, rates }
+        UsageReply { address_hash, fractions }
     }
 
     /// Stores the admit fractions of a reply to a report.
     pub fn on_reply(&mut self, now: Time, reply: &UsageReply) {
-        for (fraction, rate) in reply.fractions.iter().zip(&reply.rates) {
+        for fraction in &reply.fractions {
             if let Some(usage) = self.usage.get_mut(&fraction.workspace) {
                 let source = reply.address_hash as u32;
-                usage.on_fleet_rate(now, f64::from(*rate));
                 usage.on_grant(Grant {
                     source,
                     fraction: fraction.value(),
@@ -504,14 +478,6 @@
         (self.reported != self.requested).then_some(self.unanswered_reports)
     }
 
-    /// Averages the rates of replies; a stale average is replaced.
-    fn on_fleet_rate(&mut self, now: Time, rate: f64) {
-        let known = self.fleet_rate.filter(|(_, at)| now.since(*at) < GRANT_TIMEOUT);
-        let (old, at) = known.unwrap_or((rate, now));
-        let weight = 1.0 - (-(now.since(at) as f64) / RATE_DECAY_US).exp();
-        self.fleet_rate = Some((old + (rate - old) * weight, now));
-    }
-
     fn on_grant(&mut self, grant: Grant) {
         self.unanswered_since = None;
         self.unanswered_reports = 0;
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -14,7 +14,6 @@
 
 use crate::{
     budget::Budgets,
-    contention::{Contention, Standing, WorkspaceRates},
     demand::DecayingCount,
     digest::RequestDigest,
     domain_split::{ConnectTimes, TransferSize},
@@ -23,7 +22,7 @@
     host_registry::Registry,
     leaving::LeavingServers,
     lookup::{self, ReadyHost},
-    members::{Members, heartbeat_interval},
+    members::Members,
     model::{Limits, Route},
     pick::{self, Pick, PickContext, PickRequest},
     placement::{OwnShares, ServicePlacement},
@@ -82,7 +81,6 @@
     pub(crate) members: Members,
     pub(crate) budgets: Budgets,
     pub(crate) refusals: ServiceRefusals,
-    pub(crate) contention: Contention,
     pub(crate) poison: PoisonTracker,
     pub(crate) returning_callers: ReturningCallers,
     pub(crate) rollouts: Rollouts,
@@ -269,7 +267,6 @@
             members,
             budgets: Budgets::new(start_hash),
             refusals: ServiceRefusals::default(),
-            contention: Contention::new(start_hash),
             poison: PoisonTracker::default(),
             returning_callers: ReturningCallers::default(),
             rollouts: Rollouts::new(start_hash),
@@ -399,9 +396,6 @@
 
     /// Decides whether a workspace's limit admits a request, and counts the request if it does.
     pub fn admit(&mut self, now: Time, workspace: &WorkspaceEntry) -> QuotaDecision {
-        if self.settings.policies.contention.enabled && workspace.workspace.rate_per_s <= 0.0 {
-            self.quotas.count_unlimited(now, workspace);
-        }
         self.with_quotas(now, |quotas, context, _| quotas.admit(context, workspace))
     }
 
@@ -449,24 +443,11 @@
     /// unless all traffic has shifted.
     pub fn pick_server(&mut self, now: Time, request: &PickRequest<'_>) -> Pick {
         let arm = self.pick_rollout_arm(now, request);
-        // Before the first heartbeats have come, the load of the other hosts is not known.
-        let knows_load = now.since(self.started) >= 2 * heartbeat_interval(self.live_hosts);
-        let usage = WorkspaceRates {
-            quotas: &self.quotas,
-            workspaces: &self.workspaces,
-            live_hosts: self.live_hosts,
-        };
-        let policy = self.settings.policies.contention;
-        let standing = self.contention.count(now, policy, request, &usage).filter(|_| knows_load);
-        let mut picked = self.pick_from_arm(now, request, arm, standing.as_ref());
+        let mut picked = self.pick_from_arm(now, request, arm);
         let falls_back = matches!(arm, RolloutArm::Canary | RolloutArm::Target)
             && !self.traffic_shifted(request.service);
         if matches!(picked, Pick::Refuse(_)) && falls_back {
-            picked = self.pick_from_arm(now, request, RolloutArm::Old, standing.as_ref());
-        }
-        if let Some(standing) = &standing {
-            let sent = matches!(picked, Pick::Send(_));
-            self.contention.record(request.service, standing, sent);
+            picked = self.pick_from_arm(now, request, RolloutArm::Old);
         }
         if let Pick::Send(index) = picked
             && let Some(entry) = self.servers.get_mut(index)
@@ -477,15 +458,8 @@
         picked
     }
 
-    fn pick_from_arm(
-        &self,
-        now: Time,
-        request: &PickRequest<'_>,
-        arm: RolloutArm,
-        standing: Option<&Standing>,
-    ) -> Pick {
-        let context = PickContext { standing, ..self.pick_context(now, request.service, arm) };
-        pick::pick_server(&context, request)
+    fn pick_from_arm(&self, now: Time, request: &PickRequest<'_>, arm: RolloutArm) -> Pick {
+        pick::pick_server(&self.pick_context(now, request.service, arm), request)
     }
 
     /// State that the selection of a service's server depends on.
@@ -509,7 +483,6 @@
             policy: self.settings.policies.placement,
             warm_keys: &self.warm_keys,
             refusals: self.refusal_outlook(now, service),
-            standing: None,
         }
     }
 
@@ -518,11 +491,6 @@
         self.placements.iter().map(|(service, placement)| (service.as_str(), placement.shares()))
     }
 
-    /// Fair levels of the services that are short of slots, for metrics.
-    pub fn fair_levels(&self) -> impl Iterator<Item = (&str, Option<f64>)> {
-        self.contention.levels()
-    }
-
     /// Records the outcome of a request that was sent to a server.
     pub fn record_outcome(&mut self, now: Time, index: ServerIndex, outcome: Outcome) {
         let outcome = self.refusal_outcome(now, index, outcome);
--- a/elmstream_steer/src/tally.rs
+++ b/elmstream_steer/src/tally.rs
@@ -128,8 +128,6 @@
     pub address_hash: u64,
     /// Admit fractions of the workspaces in the report.
     pub fractions: Vec<AdmitFraction>,
-    /// Requests a second that all hosts received, in the order of `fractions`.
-    pub rates: Vec<u32>,
 }
 
 /// Number of hosts in the fleet, as one host sees it.
@@ -350,14 +348,7 @@
         (self.broadcast_fraction < 1.0).then_some((self.broadcast_fraction, at))
     }
 
-    /// Requests a second that all hosts received, averaged over `RATE_WINDOW`.
-    pub fn mean_rate(&mut self, now: Time) -> u32 {
-        self.advance(now);
-        let requests: u64 = self.requested_by_step.iter().map(|count| u64::from(*count)).sum();
-        (requests * 1_000 * MILLI / RATE_WINDOW) as u32
-    }
-
-    /// Requests per second; a jump shows at once.
+    /// Requests per second.
     fn rate(&self) -> f64 {
         let recent = |steps: u64| {
             let ago =
