--- a/elmstream_steer/src/refusal_rate.rs
+++ b/elmstream_steer/src/refusal_rate.rs
@@ -244,11 +244,19 @@
     /// have free slots told from those by full ones.
     pub fn refusal_outcome(&self, now: Time, index: ServerIndex, outcome: Outcome) -> Outcome {
         let used = self.settings.policies.retries.by_worth;
+        // A server that leaves, rests or names a limit refuses for that reason.
+        let is_explained = || {
+            self.servers.get(index).is_some_and(|entry| {
+                entry.is_leaving()
+                    || entry.is_backing_off(now)
+                    || entry.server_limit.limit().is_some()
+            })
+        };
         let is_free =
             || self.servers.get(index).is_some_and(|entry| entry.has_slot_beside_one(now));
         match outcome {
-            Outcome::RefusedWithFreeSlots if !used => Outcome::Full,
-            Outcome::Full if used && is_free() => Outcome::RefusedWithFreeSlots,
+            Outcome::RefusedWithFreeSlots if !used || is_explained() => Outcome::Full,
+            Outcome::Full if used && !is_explained() && is_free() => Outcome::RefusedWithFreeSlots,
             other => other,
         }
     }
