Remove the probe before the choice; bound and bind the factor of answer times

Change: the questions on the health path go, with all that only they used: server_probe.rs, probe_choice.rs, Service::health_path, headers.server_id, policies.speed.probe and probe_timeout_ms, Pool::ask, the times of a service's last report, elmstream_probes, their tests and pages. Reported speeds stay. The factor by which an answer time is divided is kept between 0.25 and 4. A response that broke off is SpeedSource::BrokenAnswer: its speed counts, and it leaves no factor to the next outcome. With a complete response nothing is awaited between its hints and its outcome.

Tests: those of the removed part went with it: elmstream_edge/tests/server_probe.rs (7 tests), and in elmstream_steer/tests/server_speed.rs probes_of_idle_servers_avoid_late_answers, servers_are_asked_only_where_the_answer_can_matter and servers_that_may_not_get_the_request_are_not_asked. Two tests there that recorded reports as those of probes record them as those of answers, with the same assertions. In policies.rs `probe_timeout_ms: 0` became the unknown key `probe`, and "probe is off" became "report_decay_ms is 0". The assertion on health_path in platform/tests/rows.rs went with the field. New: effect_of_a_wrong_figure_on_answer_times_is_bounded and answers_use_no_figure_of_other_answers.

Each new test failed with its change undone: without the bound (1.6 ms for 160), with the factor set by broken answers, and with the factor not cleared.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -127,21 +127,6 @@
         exchange
     }
 
-    /// Like [`Pool::exchange`] for a question whose answer is not needed: if it is dropped or
-    /// fails, this says nothing about other connections to the server. A connection whose response
-    /// was not read completely is closed.
-    pub async fn ask(
-        &self,
-        id: &str,
-        address: SocketAddr,
-        request: impl Fn() -> Option<Request<LocalBody>>,
-    ) -> Exchange {
-        match self.take(id, address).await {
-            Some(connection) => self.exchange_over(connection, id, address, &request).await,
-            None => Exchange::NoConnection,
-        }
-    }
-
     async fn exchange_over(
         &self,
         mut connection: Connection,
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -16,8 +16,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    backend::Pool, buffer_bound::BufferBound, event_log::EventLog, rollout,
-    server_probe::ProbesInFlight, settings::Settings,
+    backend::Pool, buffer_bound::BufferBound, event_log::EventLog, rollout, settings::Settings,
 };
 
 /// If more servers than this change at once, they are logged in one line.
@@ -34,8 +33,6 @@
     pub steer: RefCell<Steer>,
     /// Idle connections to backend servers.
     pub pool: Pool,
-    /// Servers that are being asked how fast they work.
-    pub(crate) probes: ProbesInFlight,
     /// Bytes held for requests and answers.
     pub buffers: BufferBound,
     /// The event log on standard output.
@@ -68,7 +65,6 @@
             settings,
             steer: RefCell::new(steer),
             pool: Pool::new(buffers.clone()),
-            probes: ProbesInFlight::default(),
             buffers,
             event_log,
             reread_refused: Cell::new(false),
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -10,6 +10,7 @@
     model::Repeatability,
     pick::RefusalReason,
     retry_worth::RetryWorth,
+    server_speed::SpeedSource,
     servers::{Outcome, ServerIndex},
 };
 use elmstreamd::{clock, waits};
@@ -23,7 +24,6 @@
     headers,
     poison::{self, SuspectedServer},
     server_hints::Hints,
-    server_probe,
 };
 
 /// Time that must remain until the deadline for a request to be sent.
@@ -85,7 +85,6 @@
     let mut attempts = Attempts::default();
     let mut possibly_run = false;
     let mut failed_response = None;
-    server_probe::run(edge, request, &pick_request(request, &[])).await;
     while attempts.servers.len() < request.route.attempts.max(1) as usize
         && request.remaining() > REMAINING_MIN
     {
@@ -218,7 +217,8 @@
         Some(Exchange::NoTime) => (Outcome::NotSent, Attempt::NotRun),
         Some(Exchange::Broken(head)) => {
             if let Some(head) = head.filter(|head| echoes_id(edge, request, head)) {
-                Hints::read(&edge.settings.headers, &head).apply(edge, index);
+                let hints = Hints::read(&edge.settings.headers, &head);
+                hints.apply(edge, index, SpeedSource::BrokenAnswer);
             }
             let server = SuspectedServer { id: id.clone(), address, start };
             match poison::confirm_crash(edge, request, server, generations).await {
@@ -231,7 +231,7 @@
             let (outcome, result) = classify(edge, request, &id, parts, body);
             // A response of another server says nothing about this one.
             if !matches!(outcome, Some(Outcome::Unknown | Outcome::WrongServer)) {
-                hints.apply(edge, index);
+                hints.apply(edge, index, SpeedSource::Answer);
             }
             let outcome = match outcome {
                 Some(Outcome::Full) if hints.has_free_slots() => Outcome::RefusedWithFreeSlots,
--- a/elmstream_edge/src/headers.rs
+++ b/elmstream_edge/src/headers.rs
@@ -25,9 +25,6 @@
     /// Id of the backend server that the request is sent to.
     #[serde(deserialize_with = "parse_name")]
     pub server: HeaderName,
-    /// Id of the backend server, in its answers on its health path.
-    #[serde(deserialize_with = "parse_name")]
-    pub server_id: HeaderName,
     /// Present in a response of a backend server that did not run the request.
     #[serde(deserialize_with = "parse_name")]
     pub not_run: HeaderName,
@@ -63,7 +60,6 @@
             affinity: HeaderName::from_static("elmstream-affinity"),
             deadline: HeaderName::from_static("elmstream-deadline"),
             server: HeaderName::from_static("elmstream-server"),
-            server_id: HeaderName::from_static("elmstream-server-id"),
             not_run: HeaderName::from_static("elmstream-not-run"),
             load: HeaderName::from_static("elmstream-load"),
             server_limit: HeaderName::from_static("elmstream-server-limit"),
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -1,8 +1,7 @@
 //! An entry host, which is a reverse proxy, that can send a request to any backend server.
 //!
 //! [`Edge`] holds the decisions of `elmstream_steer` and connects them to callers (`callers`,
-//! `access`, `forward`), backend servers (`backend`, `server_hints`,
-//! `server_probe`), the other hosts
+//! `access`, `forward`), backend servers (`backend`, `server_hints`), the other hosts
 //! (`peers`, `table_fetch`) and the store (`store_reader`, `rollout`, through a
 //! [`StoreSource`] that an adapter implements).
 
@@ -29,7 +28,6 @@
 pub mod request_digest;
 mod rollout;
 mod server_hints;
-mod server_probe;
 pub mod settings;
 mod shutdown;
 pub mod store_reader;
--- a/elmstream_edge/src/server_hints.rs
+++ b/elmstream_edge/src/server_hints.rs
@@ -43,7 +43,7 @@
 impl Hints {
     /// Reads the hints from the head of a response.
     pub fn read(names: &HeaderNames, parts: &response::Parts) -> Hints {
-        let load = read_load(names, parts);
+        let load = headers::text(&parts.headers, &names.load).and_then(ReportedLoad::parse);
         let limit = match parts.headers.get(&names.server_limit) {
             None => LimitHint::None,
             Some(value) => {
@@ -60,13 +60,14 @@
         self.load.is_some_and(|load| load.slots.is_some_and(|slots| load.requests < slots))
     }
 
-    /// Applies the hints; the response must be known to be this server's.
-    pub fn apply(self, edge: &Edge, index: ServerIndex) {
+    /// Applies the hints; the response must be known to be this server's. With
+    /// [`SpeedSource::Answer`] its outcome must be recorded before anything else of the server.
+    pub fn apply(self, edge: &Edge, index: ServerIndex, source: SpeedSource) {
         let now = clock::now();
+        let mut steer = edge.steer.borrow_mut();
         if let Some(load) = self.load {
-            apply_load(edge, index, load, SpeedSource::Answer);
+            apply_load(&mut steer, index, load, source);
         }
-        let mut steer = edge.steer.borrow_mut();
         if self.leaving && steer.on_server_leaving(now, index) {
             log_hint(edge, &steer, index, "server_leaving", json!({"from": "itself"}));
         }
@@ -97,21 +98,14 @@
     }
 }
 
-/// Reads the load and the speed of the server from the head of a response.
-pub fn read_load(names: &HeaderNames, parts: &response::Parts) -> Option<ReportedLoad> {
-    headers::text(&parts.headers, &names.load).and_then(ReportedLoad::parse)
-}
-
-/// Takes in the load and the speed of a server; the response must be known to be this server's.
-pub fn apply_load(edge: &Edge, index: ServerIndex, load: ReportedLoad, source: SpeedSource) {
+/// Takes in the load and the speed of a server.
+fn apply_load(steer: &mut Steer, index: ServerIndex, load: ReportedLoad, source: SpeedSource) {
     let now = clock::now();
-    let mut steer = edge.steer.borrow_mut();
     steer.record_server_load(now, index, load.requests);
     match load.speed {
         ReportedSpeed::None => {}
         ReportedSpeed::Percent(percent) => {
-            let from = if source == SpeedSource::Probe { "probe" } else { "answer" };
-            metrics::counter!("elmstream_speed_reports", "from" => from).increment(1);
+            metrics::counter!("elmstream_speed_reports", "from" => "answer").increment(1);
             steer.record_server_speed(now, index, percent, source);
         }
         ReportedSpeed::Unreadable => {
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -218,7 +218,7 @@
 
     fn check_policies(&self) -> Result<(), SettingsError> {
         let value = |key, problem| ValueSnafu { key, problem };
-        let Policies { placement, speed, contention, .. } = &self.policies;
+        let Policies { placement, contention, .. } = &self.policies;
         let is_cost = |cost: f64| cost.is_finite() && cost >= 0.0;
         ensure!(
             is_cost(placement.domain_cost_ms),
@@ -238,10 +238,6 @@
             value("policies.placement.own_load_max", "is not between 0 and 1")
         );
         ensure!(placement.copies > 0, value("policies.placement.copies", "is 0"));
-        ensure!(
-            !speed.probe || speed.probe_timeout_ms > 0,
-            value("policies.speed.probe_timeout_ms", "is 0")
-        );
         ensure!(
             (0.0..=1.0).contains(&contention.short_load),
             value("policies.contention.short_load", "is not between 0 and 1")
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -36,7 +36,6 @@
 pub mod poison;
 mod poison_record;
 pub mod policies;
-pub mod probe_choice;
 pub mod quota;
 pub mod reader_rank;
 pub mod refusal_rate;
--- a/elmstream_steer/src/policies.rs
+++ b/elmstream_steer/src/policies.rs
@@ -63,22 +63,12 @@
 }
 
 /// Use of what servers report about how fast they work.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct SpeedPolicy {
     /// Time in which the weight of a reported speed decays to 1/e, in milliseconds. With 0 reports
     /// are not used.
     pub report_decay_ms: u64,
-    /// Whether a host asks servers that report their speed just before it chooses among them.
-    pub probe: bool,
-    /// Time within which the answer to such a question must arrive to be used, in milliseconds.
-    pub probe_timeout_ms: u64,
-}
-
-impl Default for SpeedPolicy {
-    fn default() -> SpeedPolicy {
-        SpeedPolicy { report_decay_ms: 0, probe: false, probe_timeout_ms: 30 }
-    }
 }
 
 /// Order in which requests are served when a service is short of slots.
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -51,6 +51,10 @@
 const REPORTED_LOAD_TIMEOUT: u64 = 150 * MILLI;
 /// Maximum ratio of an answer time to the mean. It bounds the effect of a single answer.
 const ANSWER_RATIO_MAX: f64 = 8.0;
+/// Bounds of the factor by which an answer time is divided. They bound the effect of a figure that a
+/// server reports wrongly.
+const ANSWER_FACTOR_MIN: f64 = 0.25;
+const ANSWER_FACTOR_MAX: f64 = 4.0;
 /// Added to the time that a server is cold, for the propagation delay of its entry.
 const COLD_MARGIN: u64 = 300 * MILLI;
 
@@ -123,7 +127,8 @@
     /// Time in which the weight of such a report decays to 1/e, in microseconds; 0 if reports are
     /// not used.
     pub report_decay: u64,
-    /// Factor that the server reported with the response whose outcome is recorded next.
+    /// Factor that the server reported with the response whose outcome is recorded next; `None` for
+    /// any other response.
     answer_factor: Option<f64>,
     /// When the failure rate and the slowness were last updated.
     observed_at: Time,
@@ -440,7 +445,9 @@
             self.answer_factor = Some(server_speed::factor_of(percent));
         }
         match source {
-            SpeedSource::Answer | SpeedSource::Probe => self.speed.on_own_report(now, percent),
+            SpeedSource::Answer | SpeedSource::BrokenAnswer => {
+                self.speed.on_own_report(now, percent)
+            }
             SpeedSource::Host => self.speed.on_report(now, percent, age),
         }
     }
@@ -464,13 +471,14 @@
     /// Records the outcome of a request that was sent.
     pub fn record_outcome(&mut self, now: Time, outcome: Outcome, times: &mut AnswerTimes) {
         self.own_in_flight = self.own_in_flight.saturating_sub(1);
-        let answer_factor = self.answer_factor.take().unwrap_or(1.0);
+        let reported = self.answer_factor.take().unwrap_or(1.0);
         match outcome {
             Outcome::Answered { micros, was_warm } => {
                 self.record_answer(now);
                 self.update_failure_rate(now, false);
                 // What the server reported with the answer is not counted here again.
-                let usual_ms = micros as f64 / MILLI as f64 / answer_factor;
+                let factor = reported.clamp(ANSWER_FACTOR_MIN, ANSWER_FACTOR_MAX);
+                let usual_ms = micros as f64 / MILLI as f64 / factor;
                 let ratio = times.record(usual_ms, was_warm);
                 self.slowness += (ratio - self.slowness) * ANSWER_TIME_WEIGHT;
             }
--- a/elmstream_steer/src/server_speed.rs
+++ b/elmstream_steer/src/server_speed.rs
@@ -23,10 +23,10 @@
 /// Who read a report from the server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SpeedSource {
-    /// This host, with the response to a request.
+    /// This host, with a complete response, whose outcome is recorded next.
     Answer,
-    /// This host, with the answer to a probe.
-    Probe,
+    /// This host, with a response that broke off.
+    BrokenAnswer,
     /// Another host.
     Host,
 }
@@ -91,11 +91,6 @@
         1.0 + (factor_of(newest.percent) - 1.0) * weight
     }
 
-    /// Age in microseconds of the newest report that this host read itself.
-    pub fn own_age(&self, now: Time) -> Option<u64> {
-        self.newest_own.map(|own| now.since(own.read_at))
-    }
-
     /// The newest report that this host read itself, if it is younger than `max_age` microseconds:
     /// the percent and the age in units of 10 ms, which is rounded up so that a report never
     /// becomes younger on its way.
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -22,8 +22,6 @@
     answer_times: HashMap<String, AnswerTimes>,
     /// Index of each failure domain that was ever asked for.
     domain_indexes: HashMap<String, u16>,
-    /// When a server of the service last reported how fast it works, by service.
-    speeds_reported: HashMap<String, Time>,
     /// Time in which the weight of reported speeds decays to 1/e, in microseconds; 0 if they are not
     /// used.
     report_decay: u64,
@@ -112,23 +110,8 @@
         (percent, age): (u16, u64),
         source: SpeedSource,
     ) -> bool {
-        let Some(entry) = self.entries.get_mut(&index.0) else { return false };
-        let is_used = entry.record_speed(now, percent, age, source);
-        if is_used {
-            let read_at = Time(now.0.saturating_sub(age));
-            match self.speeds_reported.get_mut(&entry.server.service) {
-                Some(last) => *last = read_at.max(*last),
-                None => {
-                    self.speeds_reported.insert(entry.server.service.clone(), read_at);
-                }
-            }
-        }
-        is_used
-    }
-
-    /// When a server of the service last reported how fast it works; `None` if none did.
-    pub fn last_speed_report(&self, service: &str) -> Option<Time> {
-        self.speeds_reported.get(service).copied()
+        let entry = self.entries.get_mut(&index.0);
+        entry.is_some_and(|entry| entry.record_speed(now, percent, age, source))
     }
 
     /// Sets the time in which the weight of reported speeds decays to 1/e, in microseconds.
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -30,7 +30,6 @@
     placement::{OwnShares, ServicePlacement},
     poison::{PoisonChange, PoisonTracker},
     policies::Policies,
-    probe_choice,
     quota::{self, QuotaDecision, Quotas},
     reader_rank::UNMEASURED_READ_MS,
     refusal_rate::ServiceRefusals,
@@ -571,24 +570,6 @@
         self.servers.record_speed(now, index, (percent, 0), source);
     }
 
-    /// Servers to ask how fast they work before the server of a first attempt is picked, at most
-    /// two.
-    pub fn probe_targets(&mut self, now: Time, request: &PickRequest<'_>) -> Vec<ServerIndex> {
-        let policy = self.settings.policies.speed;
-        if self.leaving || !probe_choice::may_probe(now, &policy, &self.servers, request) {
-            return Vec::new();
-        }
-        let arm = self.pick_rollout_arm(now, request);
-        let warm = pick::warm_choices(&self.pick_context(now, request.service, arm), request);
-        probe_choice::probe_targets(now, &self.servers, &warm)
-    }
-
-    /// Path on which the servers of a service answer probes; `None` if it is not known.
-    pub fn health_path(&self, service: &str) -> Option<&str> {
-        let services = &self.view.configuration()?.services;
-        services.iter().find(|known| known.name == service)?.health_path.as_deref()
-    }
-
     /// Records that a server announced in an answer that it is leaving. Returns whether this is
     /// new.
     pub fn on_server_leaving(&mut self, now: Time, index: ServerIndex) -> bool {
