--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -218,7 +218,7 @@
 
     fn check_policies(&self) -> Result<(), SettingsError> {
         let value = |key, problem| ValueSnafu { key, problem };
-        let Policies { placement, speed, .. } = &self.policies;
+        let Policies { placement, .. } = &self.policies;
         let is_cost = |cost: f64| cost.is_finite() && cost >= 0.0;
         ensure!(
             is_cost(placement.domain_cost_ms),
@@ -237,10 +237,6 @@
             (0.0..=1.0).contains(&placement.own_load_max),
             value("policies.placement.own_load_max", "is not between 0 and 1")
         );
-        ensure!(
-            !speed.probe || speed.probe_timeout_ms > 0,
-            value("policies.speed.probe_timeout_ms", "is 0")
-        );
         Ok(())
     }
 }
