--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -78,9 +78,6 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: RefCell<HashMap<String, Vec<Connection>>>,
-    /// Ids of servers to which connections were opened, and how long that took in microseconds,
-    /// since they were last taken.
-    connect_times: RefCell<Vec<(String, u64)>>,
     /// Counts the bytes of responses.
     buffers: BufferBound,
     /// Why a connection's unacknowledged-data timeout could not be set, until it is taken.
@@ -189,15 +186,7 @@
     async fn take(&self, id: &str, address: SocketAddr) -> Option<Connection> {
         loop {
             let idle = self.idle.borrow_mut().get_mut(id).and_then(Vec::pop);
-            let Some(mut connection) = idle else {
-                let started = clock::now();
-                let connection = self.connect(address).await.ok();
-                if connection.is_some() {
-                    let micros = clock::now().since(started);
-                    self.connect_times.borrow_mut().push((id.to_owned(), micros));
-                }
-                return connection;
-            };
+            let Some(mut connection) = idle else { return self.connect(address).await.ok() };
             let usable = clock::now() < connection.idle_until && !connection.sender.is_closed();
             if usable && connection.sender.is_ready() && connection.sender.ready().await.is_ok() {
                 return Some(connection);
@@ -251,12 +240,6 @@
         error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
-    /// Takes the ids of servers to which connections were opened, and how long that took in
-    /// microseconds.
-    pub fn take_connect_times(&self) -> Vec<(String, u64)> {
-        self.connect_times.take()
-    }
-
     /// Why the unacknowledged-data timeout cannot be set; `Some` only once.
     pub fn take_timeout_error(&self) -> Option<io::Error> {
         self.timeout_error.take()
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -275,9 +275,6 @@
         if let Some(error) = edge.pool.take_timeout_error() {
             edge.event_log.write("silence_unbounded", json!({"error": error.to_string()}));
         }
-        for (server, micros) in edge.pool.take_connect_times() {
-            edge.steer.borrow_mut().record_connect(&server, micros);
-        }
         let changes = edge.steer.borrow_mut().tick(clock::now());
         edge.log_changes("time", &changes);
         refusal_report::update(&edge);
--- a/elmstream_steer/src/domain_split.rs
+++ b/elmstream_steer/src/domain_split.rs
@@ -4,7 +4,7 @@
 //! another one. But a key with callers in several domains is then served in each of them, and its
 //! first request there takes longer. Both sides are compared as time for each request.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::HashSet;
 
 use elmstream::time::Time;
 
@@ -18,16 +18,9 @@
 const BYTES_WEIGHT: f64 = 0.02;
 /// Multiple of the cost by which the saving must exceed it before keys are divided, so that hosts
 /// with slightly different figures decide alike and do not change their minds.
-const SAVING_FACTOR: f64 = 1.25;
+const SAVING_FACTOR: f64 = 1.5;
 /// Number of requests from which on the average of their bytes is used.
 const REQUESTS_MIN: u32 = 8;
-/// Weight of a connect time that is above the usual one. Most of these waited for a lost packet or
-/// a busy server, so the usual one follows the low ones.
-const LONGER_CONNECT_WEIGHT: f64 = 0.01;
-/// Number of connections from which on the usual connect time of a domain is used.
-const CONNECTIONS_MIN: u32 = 4;
-/// Round trips of a request: one for the request, and one more for each second connection.
-const ROUND_TRIPS: f64 = 1.5;
 
 /// Bytes of the bodies of a service's requests and answers at one host.
 #[derive(Clone, Copy, Debug, Default)]
@@ -50,44 +43,11 @@
     }
 }
 
-/// Usual time of opening a connection to the servers of each failure domain, as one host sees it.
-#[derive(Clone, Debug, Default)]
-pub struct ConnectTimes {
-    /// Milliseconds, and the number of connections.
-    by_domain: BTreeMap<String, (f64, u32)>,
-}
-
-impl ConnectTimes {
-    /// Takes in the time of opening a connection, in milliseconds.
-    pub fn record(&mut self, domain: &str, ms: f64) {
-        let Some((usual_ms, count)) = self.by_domain.get_mut(domain) else {
-            self.by_domain.insert(domain.to_owned(), (ms, 1));
-            return;
-        };
-        *count = count.saturating_add(1);
-        let weight = if ms < *usual_ms { 1.0 } else { LONGER_CONNECT_WEIGHT };
-        *usual_ms += (ms - *usual_ms) * weight;
-    }
-
-    /// By how much opening a connection to the nearest of the other domains takes longer than to
-    /// the own one, in milliseconds; 0 until it is known.
-    pub fn extra_ms<'a>(&self, own: &str, others: impl Iterator<Item = &'a str>) -> f64 {
-        let usual_ms = |domain: &str| {
-            let known = self.by_domain.get(domain);
-            known.filter(|(_, count)| *count >= CONNECTIONS_MIN).map(|(ms, _)| *ms)
-        };
-        let nearest = others.filter_map(usual_ms).min_by(f64::total_cmp);
-        nearest.zip(usual_ms(own)).map_or(0.0, |(other, own)| (other - own).max(0.0))
-    }
-}
-
 /// What the decision about one service goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct SplitInput {
     /// Mean bytes of a request and its answer, in KB.
     pub mean_kb: f64,
-    /// By how much a round trip to another domain of the region takes longer, in milliseconds.
-    pub extra_ms: f64,
     /// Failure domains of the region.
     pub domains: usize,
     /// Keys of the region's callers that were used recently.
@@ -100,13 +60,12 @@
 
 /// Whether keys are divided over domains, given whether they are now.
 pub fn is_split(policy: &PlacementPolicy, input: SplitInput, is_now: bool) -> bool {
-    let SplitInput { mean_kb, extra_ms, domains, keys, rate_per_s, times } = input;
+    let SplitInput { mean_kb, domains, keys, rate_per_s, times } = input;
     if domains < 2 || rate_per_s <= 0.0 {
         return false;
     }
     let passing = 1.0 - 1.0 / domains as f64;
-    let bytes_ms = mean_kb * policy.domain_kb_cost_ms;
-    let saving_ms = passing * (policy.domain_cost_ms + bytes_ms + extra_ms * ROUND_TRIPS);
+    let saving_ms = passing * (policy.domain_cost_ms + mean_kb * policy.domain_kb_cost_ms);
     let first_requests_per_s = (domains - 1) as f64 * keys as f64 / warm_keys::TIMEOUT_S;
     let first_request_ms = (times.not_warm_ms - times.warm_ms).max(0.0);
     let cost_ms = first_request_ms * first_requests_per_s / rate_per_s;
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -388,9 +388,7 @@
         let mean_kb = self.transfer_sizes.get(service).and_then(TransferSize::mean_kb);
         let (Some(mean_kb), true) = (mean_kb, policy.has_domain_cost()) else { return is_now };
         let region = &self.settings.host.region;
-        let of_own_region = self.settings.domains.iter().filter(|(_, other)| *other == region);
-        let own_domain = self.settings.host.domain.as_str();
-        let others = of_own_region.map(|(domain, _)| domain.as_str()).filter(|d| *d != own_domain);
+        let domains = self.settings.domains.values().filter(|other| *other == region).count();
         let of_region = |member: &&Member| member.host.region == *region;
         let counts = self.members.all().filter(of_region);
         let service_hash = hash::of(service) as u32;
@@ -402,8 +400,7 @@
         let own = self.demand_counts.get(service).map_or(0.0, |count| count.value(now));
         let input = SplitInput {
             mean_kb,
-            extra_ms: self.connect_times.extra_ms(own_domain, others.clone()),
-            domains: others.count() + 1,
+            domains,
             keys: domain_split::keys_of_region(
                 now,
                 (&self.servers, service),
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -16,7 +16,7 @@
     budget::Budgets,
     demand::DecayingCount,
     digest::RequestDigest,
-    domain_split::{ConnectTimes, TransferSize},
+    domain_split::TransferSize,
     era::Retention,
     hash,
     host_registry::Registry,
@@ -71,8 +71,6 @@
     pub(crate) demand_counts: HashMap<String, DecayingCount>,
     /// Bytes of requests and answers, by service.
     pub(crate) transfer_sizes: HashMap<String, TransferSize>,
-    /// Connect times of servers, by failure domain.
-    pub(crate) connect_times: ConnectTimes,
     /// Division of each service's keys.
     pub(crate) placements: HashMap<String, ServicePlacement>,
     pub(crate) placements_updated_at: Time,
@@ -259,7 +257,6 @@
             leaving_servers: LeavingServers::default(),
             demand_counts: HashMap::new(),
             transfer_sizes: HashMap::new(),
-            connect_times: ConnectTimes::default(),
             placements: HashMap::new(),
             placements_updated_at: Time(0),
             warm_keys: WarmKeys::default(),
@@ -574,14 +571,6 @@
         self.warm_keys.is_warm(now, index, key)
     }
 
-    /// Records the time in microseconds that opening a connection to a server took.
-    pub fn record_connect(&mut self, server: &str, micros: u64) {
-        let entry = self.servers.find(server).and_then(|index| self.servers.get(index));
-        if let Some(entry) = entry {
-            self.connect_times.record(&entry.server.domain, micros as f64 / MILLI as f64);
-        }
-    }
-
     /// Records the bytes of the bodies of a request of a service and of its answer.
     pub fn record_transfer(&mut self, service: &str, bytes: u64) {
         if let Some(size) = self.transfer_sizes.get_mut(service) {
