--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -1,9 +1,10 @@
 //! Selects the backend server of a request, or refuses the request.
 //!
 //! Requests with one key go to one server: [`crate::placement`] orders the places for the key, and
-//! rendezvous hashing ranks the servers of a place. That server then has the key's data cached. A request goes to another server only if it would wait too long there, and preferably to
-//! one that is warm for the key. The wait is computed from the requests that all hosts together
-//! have in flight. A request that would wait too long everywhere is refused at once.
+//! rendezvous hashing ranks the servers of a place. That server then has the key's data cached. A
+//! request goes to another server only if it would wait too long there, and preferably to one that
+//! is warm for the key. The wait is computed from the requests that all hosts together have in
+//! flight. A request that would wait too long everywhere is refused at once.
 //!
 //! Usable servers are compared by their cost: the expected answer time in milliseconds, plus
 //! penalties for failures, other places and servers that are not warm for the key.
@@ -39,8 +40,8 @@
 const RETURNING_OBJECTIVE_FACTOR: f64 = 2.0;
 /// Lower bound of the longest accepted wait, as a fraction of the route's objective.
 const MIN_WAIT_FRACTION: f64 = 0.1;
-/// Least number of ranked servers that are considered in the key's first place, and their number in
-/// each further place of the region and in each other region.
+/// Number of ranked servers that are considered in the key's first place, and in each further place
+/// of the region and in each other region.
 const FIRST_PLACE_RANKS: usize = 2;
 const OTHER_PLACE_RANKS: usize = 1;
 /// Cost of each rank after the first, in milliseconds, for a server that is not warm for the key.
