--- a/elmstream_steer/tests/placement.rs
+++ b/elmstream_steer/tests/placement.rs
@@ -216,6 +216,21 @@
     assert!(away[2] >= 0.99, "a region without slots keeps requests: {away:?}");
 }
 
+#[test]
+fn slots_that_come_back_move_requests_in_steps() {
+    let even = places(&[(20, 100); 6]);
+    let mut lost = even.clone();
+    lost[..2].iter_mut().for_each(|place| place.slots = 0.0);
+    let lost_for = std::iter::repeat_n(lost, 3);
+    let updates: Vec<Vec<Place>> =
+        std::iter::repeat_n(even.clone(), 3).chain(lost_for).chain(vec![even; 30]).collect();
+    let away = away_after(&updates);
+    let returns = away[5..].windows(3).map(|window| window[0] - window[2]);
+    // The users allow 0.15 in 2 s.
+    assert!(returns.fold(0.0, f64::max) <= 0.15, "{away:?}");
+    assert!(away[35] <= 0.01, "{away:?}");
+}
+
 quickcheck! {
     fn division_sums_to_the_demand_within_all_rooms(drawn: Vec<(u8, u8)>, own: u8) -> bool {
         let (places, own) = (places(&drawn), f64::from(own) / 64.0);
