Hosts whose paths are reset no longer report servers as crashed

Callers of regions far from the trouble saw their requests change the region: the hosts there stop using a server for 2 s when any host reports its crash. A crash was taken as proven by a connection that breaks under a request and a refused one after it. A crash now also takes another server of the failure domain that this host reaches: one that answered since, or that accepts a connection, which is kept for the next request. A crash of all servers of a domain at once is no longer seen as the request's doing either.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -240,6 +240,17 @@
         error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
+    /// Opens a connection to a server and keeps it for the next request. Returns whether the server
+    /// accepted it.
+    pub async fn open_idle(&self, id: &str, address: SocketAddr) -> bool {
+        let connection = self.connect(address).await;
+        let is_open = connection.is_ok();
+        if let Ok(connection) = connection {
+            self.put_back(id, connection);
+        }
+        is_open
+    }
+
     /// Why the unacknowledged-data timeout cannot be set; `Some` only once.
     pub fn take_timeout_error(&self) -> Option<io::Error> {
         self.timeout_error.take()
--- a/elmstream_edge/src/poison.rs
+++ b/elmstream_edge/src/poison.rs
@@ -27,6 +27,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after a failed call to the store.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
+/// Number of servers that are tried to find out whether a host's path to a failure domain is cut.
+const PATH_CHECKS_MAX: usize = 2;
 /// For this long after a restore of the store, in microseconds, a host that starts to
 /// maintain the lists checks this one: the previous maintainer may have stopped before it
 /// did.
@@ -105,7 +107,8 @@
 /// Whether a server crashed under a request; `crash_generations` are those that were known
 /// when the request was sent.
 ///
-/// A crash is recorded even if the caller leaves meanwhile.
+/// A crash is recorded even if the caller leaves meanwhile. A refused connection alone does not
+/// prove it, as the path from this host may be cut: another server beside it has to be reachable.
 pub(crate) async fn confirm_crash(
     edge: &Rc<Edge>,
     request: &CallerRequest,
@@ -114,9 +117,15 @@
 ) -> bool {
     let (result_sender, result_receiver) = oneshot::channel();
     let (edge, digests) = (edge.clone(), *request.digests(edge));
+    let broken_at = clock::now();
     compio::runtime::spawn(async move {
         let is_known = edge.steer.borrow().poison().knows_crash(server.start);
-        let crashed = is_known || edge.pool.refuses_connections(server.address).await;
+        let refused = !is_known && edge.pool.refuses_connections(server.address).await;
+        let crashed = is_known || (refused && reaches_others(&edge, &server, broken_at).await);
+        if refused && !crashed {
+            metrics::counter!("elmstream_crashes_unconfirmed").increment(1);
+            edge.event_log.state_change("server_unreachable", json!({"server": server.id}));
+        }
         if crashed {
             record_crash(&edge, &server, &digests, crash_generations);
         }
@@ -128,6 +137,52 @@
     result_receiver.await.unwrap_or(false)
 }
 
+/// Whether this host reaches another server of the same failure domain, or any other server if the
+/// domain has no other. A server that answered after `broken_at` is reachable; else connections are
+/// opened to find out.
+async fn reaches_others(edge: &Edge, server: &SuspectedServer, broken_at: Time) -> bool {
+    let others = others_beside(edge, server);
+    if others.is_empty() || others.iter().any(|other| other.last_answered > Some(broken_at)) {
+        return true;
+    }
+    for other in others.iter().take(PATH_CHECKS_MAX) {
+        if edge.pool.open_idle(&other.id, other.address).await {
+            return true;
+        }
+    }
+    false
+}
+
+/// A server by which the path to another one is checked.
+struct PathCheck {
+    id: String,
+    address: SocketAddr,
+    last_answered: Option<Time>,
+}
+
+/// Other servers of a server's failure domain, or all others if there are none, those first that
+/// answered last.
+fn others_beside(edge: &Edge, server: &SuspectedServer) -> Vec<PathCheck> {
+    let steer = edge.steer.borrow();
+    let find = |id: &str| steer.servers().find(id).and_then(|index| steer.servers().get(index));
+    let domain = find(&server.id).map(|entry| entry.server.domain.as_str());
+    let others = steer.servers().all().map(|(_, entry)| entry).filter(|entry| {
+        entry.id != server.id
+            && !entry.is_leaving()
+            && !steer.poison().knows_crash(entry.start_hash())
+    });
+    let (beside, elsewhere): (Vec<_>, Vec<_>) =
+        others.partition(|entry| Some(entry.server.domain.as_str()) == domain);
+    let mut found = if beside.is_empty() { elsewhere } else { beside };
+    found.sort_unstable_by_key(|entry| std::cmp::Reverse(entry.last_answered));
+    let found = found.into_iter().map(|entry| PathCheck {
+        id: entry.id.clone(),
+        address: entry.server.address,
+        last_answered: entry.last_answered,
+    });
+    found.collect()
+}
+
 fn record_crash(
     edge: &Edge,
     server: &SuspectedServer,
