A connection that fails before any response is no answer

A host whose connections are cut told the others that silent servers answer it: a connection that breaks, by a reset or the time-out for unacknowledged data, was recorded like an answer (time of the last answer, no more failed connections, nothing unanswered). The same record decides whether a server ended, and whether the host itself reaches anything. Such an outcome is now NoResponse (`no_response` in log lines, `broken` before), raises the failure rate as before and nothing else. A response that began and is not usable stays an answer. Test: with the outcome that was recorded before, the server is used again after 870 ms; now it isn't.

--- a/elmctl/src/explain.rs
+++ b/elmctl/src/explain.rs
@@ -201,6 +201,10 @@
         ("unknown", Some("server_ended")) => {
             "the server crashed while it ran the request; it may have run"
         }
+        ("unknown", Some("no_response")) => {
+            "the connection failed before any response; the path to the server may be cut, and it \
+             may have run"
+        }
         ("unknown", Some("broken")) => {
             "the connection broke, or the answer was truncated or belonged to another request; it \
              may have run"
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -216,6 +216,7 @@
         Some(Exchange::NoConnection) => (Outcome::NoConnection, Attempt::NotRun),
         Some(Exchange::NoTime) => (Outcome::NotSent, Attempt::NotRun),
         Some(Exchange::Broken(head)) => {
+            let broken = if head.is_some() { Outcome::Unknown } else { Outcome::NoResponse };
             if let Some(head) = head.filter(|head| echoes_id(edge, request, head)) {
                 let hints = Hints::read(&edge.settings.headers, &head);
                 hints.apply(edge, index, SpeedSource::BrokenAnswer);
@@ -223,7 +224,7 @@
             let server = SuspectedServer { id: id.clone(), address, start };
             match poison::confirm_crash(edge, request, server, generations).await {
                 true => (Outcome::ServerCrashed, Attempt::Unknown),
-                false => (Outcome::Unknown, Attempt::Unknown),
+                false => (broken, Attempt::Unknown),
             }
         }
         Some(Exchange::Whole(parts, body)) => {
--- a/elmstream_steer/src/rollout_counts.rs
+++ b/elmstream_steer/src/rollout_counts.rs
@@ -178,7 +178,11 @@
     pub fn count(&mut self, answer: &ObservedAnswer, slow: bool) -> bool {
         let bad = match answer.outcome {
             Outcome::Answered { .. } => slow && !answer.cold,
-            Outcome::Failed | Outcome::Unknown | Outcome::ServerCrashed | Outcome::Silent => true,
+            Outcome::Failed
+            | Outcome::Unknown
+            | Outcome::NoResponse
+            | Outcome::ServerCrashed
+            | Outcome::Silent => true,
             Outcome::Full
             | Outcome::RefusedWithFreeSlots
             | Outcome::WrongServer
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -162,8 +162,10 @@
     NoConnection,
     /// The request's time ended before there was a connection; nothing was sent.
     NotSent,
-    /// The request was sent, and its result is unknown.
+    /// The request was sent and its result is unknown, as the response is not usable.
     Unknown,
+    /// The request was sent, and the connection failed before any response.
+    NoResponse,
     /// The server crashed after the request was sent.
     ServerCrashed,
     /// No answer arrived in time.
@@ -192,6 +194,7 @@
             Outcome::NoConnection => "no_connection",
             Outcome::NotSent => "not_sent",
             Outcome::Unknown => "broken",
+            Outcome::NoResponse => "no_response",
             Outcome::ServerCrashed => "server_ended",
             Outcome::Silent => "silent",
             Outcome::CallerGone => "left",
@@ -486,6 +489,8 @@
                 self.record_answer(now);
                 self.update_failure_rate(now, true);
             }
+            // The path may be cut, so this does not show that the server runs.
+            Outcome::NoResponse => self.update_failure_rate(now, true),
             Outcome::Full => {
                 self.record_answer(now);
                 self.refused_until = now + FULL_PAUSE;
--- a/elmstream_steer/tests/silence.rs
+++ b/elmstream_steer/tests/silence.rs
@@ -169,3 +169,19 @@
     exchange_heartbeats(ms(820), &mut fleet, |_, _| true);
     assert!(is_sent_to(&mut fleet[6], 830, keys[0], "mute"));
 }
+
+#[test]
+fn connection_that_fails_without_a_response_is_no_answer() {
+    let mut fleet = fleet();
+    let key = key_of(&mut fleet[0], 5, "mute");
+    let cut = pick_for(&mut fleet[5], 600, key).expect("no host avoids the server yet");
+    for host in &mut fleet[..3] {
+        send_unanswered(host, 10, key);
+    }
+    exchange_heartbeats(ms(820), &mut fleet, |_, _| true);
+    fleet[5].record_outcome(ms(840), cut, Outcome::NoResponse);
+    exchange_heartbeats(ms(870), &mut fleet, |_, _| true);
+    for host in &mut fleet {
+        assert!(!is_sent_to(host, 930, key, "mute"));
+    }
+}
