Silence is judged by how long answers take, warm and not warm

A server counted as silent after three times the service's mean answer time and at most 1.5 s, and after 0.6 s before the first answers; answers of servers that are not warm for the key take 1.6 s there. Its slots were left out of the division, and three such hosts made all others eject it too. A server that works for a key that it is not warm for is now silent after twice the mean of such answers, for others after three times the mean of warm ones if that is longer than before, 10 s at most and before the first answer. The means start with the first answer, with a margin for few. What the choice of a server goes by is unchanged.

--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod server_speed;
 pub mod servers;
 pub mod settings;
+pub mod silence;
 pub mod sliding_window;
 pub mod startup;
 pub mod steer;
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -9,6 +9,7 @@
     rollout::RolloutRole,
     server_limit::ServerLimit,
     server_speed::{self, ServerSpeed, SpeedSource},
+    silence::{SILENCE_TIMEOUT_MIN, SilenceTimes},
 };
 
 /// Weight of a new answer in the moving averages of answer times.
@@ -19,11 +20,6 @@
 const INITIAL_ANSWER_MS: f64 = 150.0;
 /// Factor on the assumed answer time of a server that is not warm for the key.
 const INITIAL_NOT_WARM_FACTOR: f64 = 3.0;
-/// A server is silent after this multiple of the service's mean answer time without an answer.
-const SILENCE_MEAN_FACTOR: f64 = 3.0;
-/// Bounds of the time after which a server is silent.
-const SILENCE_TIMEOUT_MIN: u64 = 600 * MILLI;
-const SILENCE_TIMEOUT_MAX: u64 = 1_500 * MILLI;
 /// Time for which an unanswered request ejects a server after nothing is in flight there any more.
 /// It doubles with each further unanswered request, until an answer arrives.
 const UNANSWERED_PENALTY_FIRST: u64 = SECOND;
@@ -92,6 +88,8 @@
     pub last_cold_send: Option<Time>,
     /// Since when the requests in flight have been waiting without any answer.
     waiting_since: Option<Time>,
+    /// Number of this host's requests in flight for keys that the server is not warm for, at most.
+    not_warm_in_flight: u32,
     /// Requests that were given up without an answer, since the last answer.
     unanswered: u32,
     /// When the last of them was given up.
@@ -211,6 +209,8 @@
     pub warm_ms: f64,
     /// Mean answer time of servers that were not, in milliseconds.
     pub not_warm_ms: f64,
+    /// Answer times that decide when a server is silent.
+    pub silence: SilenceTimes,
 }
 
 impl Default for AnswerTimes {
@@ -219,6 +219,7 @@
             mean_ms: INITIAL_ANSWER_MS,
             warm_ms: INITIAL_ANSWER_MS,
             not_warm_ms: INITIAL_ANSWER_MS * INITIAL_NOT_WARM_FACTOR,
+            silence: SilenceTimes::default(),
         }
     }
 }
@@ -227,6 +228,7 @@
     /// Adds an answer time. Returns its ratio to the mean of its kind, warm or not warm.
     fn record(&mut self, millis: f64, was_warm: bool) -> f64 {
         self.mean_ms += (millis - self.mean_ms) * ANSWER_TIME_WEIGHT;
+        self.silence.record(millis, was_warm);
         let kind = if was_warm { &mut self.warm_ms } else { &mut self.not_warm_ms };
         let ratio = (millis / *kind).min(ANSWER_RATIO_MAX);
         *kind += (millis - *kind) * ANSWER_TIME_WEIGHT;
@@ -253,6 +255,7 @@
             cold_sender: false,
             last_cold_send: None,
             waiting_since: None,
+            not_warm_in_flight: 0,
             unanswered: 0,
             last_unanswered_at: Time(0),
             last_answered: None,
@@ -341,8 +344,7 @@
 
     /// Whether this host is waiting for an answer for too long, or recently gave up on one.
     pub fn is_silent(&self, now: Time, times: AnswerTimes) -> bool {
-        let timeout = (times.mean_ms * SILENCE_MEAN_FACTOR) as u64 * MILLI;
-        let timeout = timeout.clamp(SILENCE_TIMEOUT_MIN, SILENCE_TIMEOUT_MAX);
+        let timeout = times.silence.timeout(times.mean_ms, self.not_warm_in_flight > 0);
         self.waiting_since.is_some_and(|since| now.since(since) > timeout)
             || self.has_recent_unanswered(now)
     }
@@ -422,9 +424,10 @@
         }
     }
 
-    /// Records that this host sent a request to the server.
-    pub fn record_sent(&mut self, now: Time) {
+    /// Records that this host sent a request to the server, which is warm for its key or not.
+    pub fn record_sent(&mut self, now: Time, is_warm: bool) {
         self.own_in_flight += 1;
+        self.not_warm_in_flight += u32::from(!is_warm);
         self.last_sent_at = now;
         self.waiting_since.get_or_insert(now);
         if self.is_cold(now) {
@@ -474,6 +477,9 @@
     /// Records the outcome of a request that was sent.
     pub fn record_outcome(&mut self, now: Time, outcome: Outcome, times: &mut AnswerTimes) {
         self.own_in_flight = self.own_in_flight.saturating_sub(1);
+        let ended_not_warm = u32::from(outcome.was_warm() == Some(false));
+        self.not_warm_in_flight =
+            self.not_warm_in_flight.saturating_sub(ended_not_warm).min(self.own_in_flight);
         let reported = self.answer_factor.take().unwrap_or(1.0);
         match outcome {
             Outcome::Answered { micros, was_warm } => {
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -448,7 +448,7 @@
         if let Pick::Send(index) = picked
             && let Some(entry) = self.servers.get_mut(index)
         {
-            entry.record_sent(now);
+            entry.record_sent(now, self.warm_keys.is_warm(now, index, request.key));
             self.record_canary_request(request.service, &request.route.name, index);
         }
         picked
