Requests return in steps to slots that are back

A sudden change of a place's slots moved requests between regions at once, in both directions. Only a loss makes that necessary; when the slots came back within a second or so (a host's judgement of silence that was wrong, or a cut that healed), the same requests moved a second time. The loss still moves at once; what comes back returns by at most 0.05 a second, like demand. Test slots_that_come_back_move_requests_in_steps: before, all of a region's requests returned in one update; now in steps of 0.05.

--- a/elmstream_steer/src/placement.rs
+++ b/elmstream_steer/src/placement.rs
@@ -19,9 +19,9 @@
 const PRIOR_PER_S: f64 = 17.0;
 /// Largest part of a place's requests that changes its region in one update, a second.
 const REGION_STEP_MAX: f64 = 0.05;
-/// Change of a place's slots in one update, as a part of them, above which requests change their
-/// region at once as far as the slots make it necessary.
-const SLOT_JUMP: f64 = 0.15;
+/// Loss of a place's slots in one update, as a part of them, above which requests change their
+/// region at once as far as the loss makes it necessary.
+const SLOT_LOSS: f64 = 0.15;
 /// Weight of a new answer time in the one that slots are converted with.
 const WORK_WEIGHT: f64 = 0.2;
 /// Change of a share that is worth reporting.
@@ -219,7 +219,8 @@
         self.set_order(&places, own, &division);
     }
 
-    /// Moves at once what a sudden change of slots makes necessary.
+    /// Moves at once what a sudden loss of slots makes necessary. Requests return in steps to slots
+    /// that are back.
     fn follow_slots(
         &mut self,
         places: &[Place],
@@ -228,14 +229,15 @@
         target: &BTreeMap<String, f64>,
     ) {
         let before = |place: &Place| self.slots.get(&place.name).copied().unwrap_or(0.0);
-        let has_jumped = |place: &Place| {
-            (place.slots - before(place)).abs() > SLOT_JUMP * place.slots.max(before(place))
-        };
-        if !places.iter().any(has_jumped) {
+        let lost = |place: &Place| before(place) - place.slots;
+        if !places.iter().any(|place| lost(place) > SLOT_LOSS * before(place)) {
             return;
         }
-        let with_old_slots: Vec<Place> =
-            places.iter().map(|place| Place { slots: before(place), ..place.clone() }).collect();
+        let with_old_slots = |place: &Place| {
+            let slots = place.slots.max(before(place));
+            Place { slots, ..place.clone() }
+        };
+        let with_old_slots: Vec<Place> = places.iter().map(with_old_slots).collect();
         let old_target = Division::new(&with_old_slots, own_per_slot).region_shares(own);
         for (region, share) in target {
             let moved = share - old_target.get(region).copied().unwrap_or(0.0);
