A host that gets no answers is no witness of silent servers

Requests of regions with good links left their servers while hosts elsewhere were cut: three reports of silence eject a server at every host, unless some host got an answer of it in the last 300 ms, which in a large fleet is seldom so. A cut host finds all its servers silent, and was disbelieved only once these were more than half of those it sent to. A host now reports a server as silent only if another server of the service answered it since, or if it waits for no other. Three servers that fail with no answer between them count as cut paths of the host itself: then its observations do not move its own placement, which replaces the rule that ignored silence when most servers were silent (all slots were lost or given back in one update); and the first answer makes it forget failures that fell into that time, so that it does not report them afterwards. Line service_path and metric elmstream_service_cut show it.

--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -158,6 +158,12 @@
                     let fields = json!({"server": id, "slow": is_slow, "factor": factor});
                     self.event_log.state_change("server_speed", fields);
                 }
+                StateChange::ServicePath { service, is_cut } => {
+                    metrics::gauge!("elmstream_service_cut", "service" => service.clone())
+                        .set(f64::from(u8::from(*is_cut)));
+                    let fields = json!({"service": service, "cut": is_cut});
+                    self.event_log.state_change("service_path", fields);
+                }
                 StateChange::HostLost(host) => {
                     self.event_log.state_change("host_lost", json!({"host": host}));
                 }
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -21,6 +21,7 @@
     server_limit::RequestRate,
     server_speed::{self, SpeedSource},
     servers::{AnswerTimes, ServerEntry},
+    service_path::ServicePath,
     steer::{PendingNews, ServerState, StateChange, Steer},
     table_sync::SyncRequest,
     tally::{FractionBroadcast, UsageReply, UsageReport},
@@ -116,14 +117,16 @@
     /// What this host reports of servers in its next heartbeat.
     fn next_loads(&self, now: Time) -> Vec<ServerLoad> {
         let max_age = self.settings.policies.speed.report_decay_ms * MILLI;
+        let awaited = self.servers.awaited_by_service();
         let mut speeds_left = SPEEDS_PER_HEARTBEAT_MAX;
         let loads = self.servers.all().filter_map(|(_, entry)| {
             let times = self.servers.answer_times(&entry.server.service);
+            let is_witness = self.servers.is_witness(entry, &awaited);
             let (speed_percent, speed_age) = entry.speed.passed_on(now, max_age).unwrap_or((0, 0));
             let load = ServerLoad {
                 server: entry.hash as u32,
                 in_flight: entry.own_in_flight.min(u16::MAX as u32) as u16,
-                reachability: reachability(now, entry, times),
+                reachability: reachability(now, entry, times, is_witness),
                 speed_percent,
                 speed_age,
             };
@@ -427,19 +430,17 @@
             place.domains.push(index);
         }
         let times = self.servers.answer_times(service);
-        let servers: Vec<(&ServerEntry, bool)> = self
-            .servers
-            .of_service(service)
-            .map(|(_, entry)| (entry, !entry.is_ejected(now, times, self.live_hosts)))
-            .collect();
-        // If most servers do not answer, the fault is more likely on this host's side.
-        let answering = servers.iter().filter(|(_, answers)| *answers).count();
-        let is_believed = answering * 2 >= servers.len();
-        for (entry, answers) in servers {
+        // What a host with cut paths observes says nothing about the servers.
+        let is_cut = self.servers.path(service).is_some_and(ServicePath::is_cut);
+        let is_ejected = |entry: &ServerEntry| match is_cut {
+            true => entry.is_reported_silent(now, self.live_hosts),
+            false => entry.is_ejected(now, times, self.live_hosts),
+        };
+        for (_, entry) in self.servers.of_service(service) {
             let domain = &entry.server.domain;
             let usable = !entry.is_leaving() && !self.evacuated.contains(domain);
             if usable
-                && (answers || !is_believed)
+                && !is_ejected(entry)
                 && let Some(place) = places.get_mut(place_name(domain, &entry.region, by_domain))
             {
                 place.slots += f64::from(entry.server.slots);
@@ -522,6 +523,10 @@
         changes.extend(silence_changes.map(|(id, silent)| {
             StateChange::Server(id, if silent { ServerState::Silent } else { ServerState::Answers })
         }));
+        let path_changes = self.servers.path_changes().into_iter();
+        changes.extend(
+            path_changes.map(|(service, is_cut)| StateChange::ServicePath { service, is_cut }),
+        );
         let speed_changes = self.servers.speed_changes(now).into_iter();
         changes.extend(speed_changes.map(|(id, is_slow, factor)| StateChange::ServerSpeed {
             id,
@@ -539,9 +544,15 @@
 }
 
 /// Reachability of a server to report: silent, or answering if other hosts consider it silent.
-fn reachability(now: Time, entry: &ServerEntry, answer_times: AnswerTimes) -> Reachability {
+/// Silence is not reported while this host's own paths may be the cause.
+fn reachability(
+    now: Time,
+    entry: &ServerEntry,
+    answer_times: AnswerTimes,
+    is_witness: bool,
+) -> Reachability {
     if entry.is_silent(now, answer_times) {
-        return Reachability::Silent;
+        return if is_witness { Reachability::Silent } else { Reachability::Unreported };
     }
     match entry.silent_elsewhere > 0 && entry.answered_recently(now) {
         true => Reachability::Answering,
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod server_limit;
 pub mod server_speed;
 pub mod servers;
+pub mod service_path;
 pub mod settings;
 pub mod silence;
 pub mod sliding_window;
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -98,8 +98,8 @@
     pub last_answered: Option<Time>,
     /// When the last request was sent; limits the rate of probes.
     last_sent_at: Time,
-    /// Whether the server was silent or unreachable at the last call of `silence_change`.
-    was_silent: bool,
+    /// Since when the server is silent or unreachable, as of the last call of `silence_change`.
+    silent_since: Option<Time>,
     /// Number of successive failed connections, and when the next one may be tried.
     connection_failures: u32,
     reconnect_at: Time,
@@ -260,7 +260,7 @@
             last_unanswered_at: Time(0),
             last_answered: None,
             last_sent_at: Time(0),
-            was_silent: false,
+            silent_since: None,
             connection_failures: 0,
             reconnect_at: Time(0),
             refused_until: Time(0),
@@ -349,6 +349,11 @@
             || self.has_recent_unanswered(now)
     }
 
+    /// Since when the server is silent or unreachable; `None` if it is not.
+    pub fn silent_since(&self) -> Option<Time> {
+        self.silent_since
+    }
+
     /// Whether requests that were given up still count against the server.
     fn has_recent_unanswered(&self, now: Time) -> bool {
         let doublings = self.unanswered.saturating_sub(1).min(4);
@@ -394,6 +399,11 @@
         if self.is_silent(now, times) {
             return self.answers_elsewhere == 0 || self.unanswered >= CUT_PATH_UNANSWERED;
         }
+        self.is_reported_silent(now, live_hosts)
+    }
+
+    /// Whether enough other hosts report the server as silent for it to be ejected here.
+    pub fn is_reported_silent(&self, now: Time, live_hosts: usize) -> bool {
         let needed = (live_hosts as u32).div_ceil(SILENT_HOSTS_DIVISOR).min(SILENT_HOSTS_MAX);
         self.silent_elsewhere >= needed
             && self.answers_elsewhere == 0
@@ -525,6 +535,17 @@
         }
     }
 
+    /// Forgets failures that were due to this host's network path. Requests in flight wait from now
+    /// on.
+    pub fn forget_failures(&mut self, now: Time) {
+        self.unanswered = 0;
+        self.connection_failures = 0;
+        self.reconnect_at = now;
+        self.failure_rate = 0.0;
+        self.observed_at = now;
+        self.waiting_since = (self.own_in_flight > 0).then_some(now);
+    }
+
     /// Records a request that was given up. Returns whether it counts as unanswered: nothing was
     /// answered while it waited long enough.
     fn record_unanswered(&mut self, now: Time) -> bool {
@@ -541,8 +562,10 @@
     /// call.
     pub fn silence_change(&mut self, now: Time, times: AnswerTimes) -> Option<bool> {
         let silent = self.is_silent(now, times) || self.connection_failures > 1;
-        let changed = silent != self.was_silent;
-        self.was_silent = silent;
+        let changed = silent != self.silent_since.is_some();
+        if changed {
+            self.silent_since = silent.then_some(now);
+        }
         changed.then_some(silent)
     }
 
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 pub use crate::server::{AnswerTimes, Outcome, ServerEntry};
-use crate::{model::Server, server_speed::SpeedSource};
+use crate::{model::Server, server_speed::SpeedSource, service_path::ServicePath};
 
 /// Index of a server in the table. It is never reused.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -20,6 +20,8 @@
     by_hash: FxHashMap<u32, ServerIndex>,
     by_service: HashMap<String, Vec<ServerIndex>>,
     answer_times: HashMap<String, AnswerTimes>,
+    /// Whether this host reaches the servers of each service.
+    paths: HashMap<String, ServicePath>,
     /// Index of each failure domain that was ever asked for.
     domain_indexes: HashMap<String, u16>,
     /// Time in which the weight of reported speeds decays to 1/e, in microseconds; 0 if they are not
@@ -137,11 +139,48 @@
     pub fn silence_changes(&mut self, now: Time) -> Vec<(String, bool)> {
         let answer_times = &self.answer_times;
         let times_of = |service: &str| answer_times.get(service).copied().unwrap_or_default();
-        let entries = self.entries.values_mut();
-        let changed = entries.filter_map(|entry| {
-            let silent = entry.silence_change(now, times_of(&entry.server.service))?;
-            Some((entry.id.clone(), silent))
-        });
+        let mut changed = Vec::new();
+        for (index, entry) in &mut self.entries {
+            let times = times_of(&entry.server.service);
+            let Some(silent) = entry.silence_change(now, times) else { continue };
+            if silent && let Some(path) = self.paths.get_mut(&entry.server.service) {
+                path.on_failure(ServerIndex(*index));
+            }
+            changed.push((entry.id.clone(), silent));
+        }
+        changed
+    }
+
+    /// Whether this host reaches the servers of a service.
+    pub fn path(&self, service: &str) -> Option<&ServicePath> {
+        self.paths.get(service)
+    }
+
+    /// Whether this host may report a server as silent: another server of the service has
+    /// answered since, or this host waits for no other one. `awaited` is the number of servers that
+    /// it waits for, by service.
+    pub fn is_witness(&self, entry: &ServerEntry, awaited: &HashMap<&str, u32>) -> bool {
+        let service = entry.server.service.as_str();
+        let answered = |since| self.path(service).is_some_and(|path| path.answered_since(since));
+        let own = u32::from(entry.own_in_flight > 0);
+        let others = awaited.get(service).copied().unwrap_or(0) - own;
+        others == 0 || entry.silent_since().is_some_and(answered)
+    }
+
+    /// Number of servers of each service with requests of this host in flight.
+    pub fn awaited_by_service(&self) -> HashMap<&str, u32> {
+        let mut awaited = HashMap::new();
+        for entry in self.entries.values().filter(|entry| entry.own_in_flight > 0) {
+            *awaited.entry(entry.server.service.as_str()).or_default() += 1;
+        }
+        awaited
+    }
+
+    /// Services that became unreachable to this host (`true`) or are reachable again (`false`) since
+    /// the last call.
+    pub fn path_changes(&mut self) -> Vec<(String, bool)> {
+        let paths = self.paths.iter_mut();
+        let changed = paths.filter_map(|(service, path)| Some((service.clone(), path.change()?)));
         changed.collect()
     }
 
@@ -182,7 +221,25 @@
     /// Records the outcome of a request that was sent to a server.
     pub fn record_outcome(&mut self, now: Time, index: ServerIndex, outcome: Outcome) {
         let Some(entry) = self.entries.get_mut(&index.0) else { return };
-        let times = self.answer_times.entry(entry.server.service.clone()).or_default();
+        let service = entry.server.service.clone();
+        let times = self.answer_times.entry(service.clone()).or_default();
         entry.record_outcome(now, outcome, times);
+        let path = self.paths.entry(service).or_default();
+        match outcome {
+            Outcome::NoConnection | Outcome::NoResponse | Outcome::Silent => path.on_failure(index),
+            Outcome::NotSent | Outcome::CallerGone | Outcome::ServerCrashed => {}
+            Outcome::Answered { .. }
+            | Outcome::Failed
+            | Outcome::Full
+            | Outcome::RefusedWithFreeSlots
+            | Outcome::WrongServer
+            | Outcome::Unknown => {
+                for failed in path.on_answer(now) {
+                    if let Some(entry) = self.entries.get_mut(&failed.0) {
+                        entry.forget_failures(now);
+                    }
+                }
+            }
+        }
     }
 }
--- /dev/null
+++ b/elmstream_steer/src/service_path.rs
@@ -0,0 +1,56 @@
+//! Whether this host reaches the servers of a service.
+//!
+//! A server that does not answer may be at fault, or this host's own network paths. They are the
+//! likelier fault if several servers of a service fail one after another and none of them answers
+//! in between. What this host observes then says nothing about the servers.
+
+use std::collections::BTreeSet;
+
+use elmstream::time::Time;
+
+use crate::servers::ServerIndex;
+
+/// Number of servers that fail without any answer of the service in between from which this host's
+/// paths to the service count as cut.
+const CUT_SERVERS_MIN: usize = 3;
+
+/// Failures of the servers of one service since the last answer of any of them.
+#[derive(Clone, Debug, Default)]
+pub struct ServicePath {
+    failed: BTreeSet<ServerIndex>,
+    last_answer: Option<Time>,
+    was_cut: bool,
+}
+
+impl ServicePath {
+    /// Records that a server failed without an answer: no connection, no response, or silence.
+    pub fn on_failure(&mut self, server: ServerIndex) {
+        self.failed.insert(server);
+    }
+
+    /// Records an answer. Returns the servers that failed only because the paths were cut.
+    pub fn on_answer(&mut self, now: Time) -> BTreeSet<ServerIndex> {
+        self.last_answer = Some(now);
+        let was_cut = self.is_cut();
+        let failed = std::mem::take(&mut self.failed);
+        if was_cut { failed } else { BTreeSet::new() }
+    }
+
+    /// Whether an answer of the service arrived since a time.
+    pub fn answered_since(&self, since: Time) -> bool {
+        self.last_answer.is_some_and(|at| at >= since)
+    }
+
+    /// Whether this host's paths to the service count as cut.
+    pub fn is_cut(&self) -> bool {
+        self.failed.len() >= CUT_SERVERS_MIN
+    }
+
+    /// Whether the paths are cut; `None` if that has not changed since the last call.
+    pub fn change(&mut self) -> Option<bool> {
+        let is_cut = self.is_cut();
+        let changed = is_cut != self.was_cut;
+        self.was_cut = is_cut;
+        changed.then_some(is_cut)
+    }
+}
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -140,6 +140,13 @@
         /// Expected time of work as a factor of the usual time.
         factor: f64,
     },
+    /// This host's paths to the servers of a service count as cut, or no longer do.
+    ServicePath {
+        /// Name of the service.
+        service: String,
+        /// Whether they are cut.
+        is_cut: bool,
+    },
     /// A host, given by its name, is no longer live.
     HostLost(String),
     /// The store was restored from a backup.
