Crashes are checked by servers of the same service and domain

Cut paths to all servers were seen; to one service they weren't. The server that has to be reached is now one of the same service and failure domain, and one of either only if there is none.

--- a/elmstream_edge/src/poison.rs
+++ b/elmstream_edge/src/poison.rs
@@ -1,6 +1,6 @@
 //! Refuses requests under which servers crash, and maintains their list in the store.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration};
 
 use elmstream::{
     code::Code,
@@ -10,6 +10,7 @@
 use elmstream_steer::{
     digest::RequestDigest,
     poison::{PendingListing, PoisonChange, PoisonEvidence, ServerCrash, listing_expired},
+    servers::ServerEntry,
 };
 use elmstreamd::clock;
 use futures_channel::oneshot;
@@ -137,8 +138,8 @@
     result_receiver.await.unwrap_or(false)
 }
 
-/// Whether this host reaches another server of the same failure domain, or any other server if the
-/// domain has no other. A server that answered after `broken_at` is reachable; else connections are
+/// Whether this host reaches another server of the same service and failure domain, or, if there is
+/// none, another one of the domain or of the service. A server that answered after `broken_at` is reachable; else connections are
 /// opened to find out.
 async fn reaches_others(edge: &Edge, server: &SuspectedServer, broken_at: Time) -> bool {
     let others = others_beside(edge, server);
@@ -160,21 +161,24 @@
     last_answered: Option<Time>,
 }
 
-/// Other servers of a server's failure domain, or all others if there are none, those first that
-/// answered last.
+/// Other servers of a server's service and failure domain, or, if there are none, others of the
+/// domain or of the service; those first that answered last.
 fn others_beside(edge: &Edge, server: &SuspectedServer) -> Vec<PathCheck> {
     let steer = edge.steer.borrow();
     let find = |id: &str| steer.servers().find(id).and_then(|index| steer.servers().get(index));
-    let domain = find(&server.id).map(|entry| entry.server.domain.as_str());
+    let Some(ended) = find(&server.id) else { return Vec::new() };
+    let likeness = |entry: &ServerEntry| {
+        usize::from(entry.server.domain == ended.server.domain)
+            + usize::from(entry.server.service == ended.server.service)
+    };
     let others = steer.servers().all().map(|(_, entry)| entry).filter(|entry| {
-        entry.id != server.id
-            && !entry.is_leaving()
-            && !steer.poison().knows_crash(entry.start_hash())
+        let crashed = steer.poison().knows_crash(entry.start_hash());
+        entry.id != server.id && !entry.is_leaving() && !crashed
     });
-    let (beside, elsewhere): (Vec<_>, Vec<_>) =
-        others.partition(|entry| Some(entry.server.domain.as_str()) == domain);
-    let mut found = if beside.is_empty() { elsewhere } else { beside };
-    found.sort_unstable_by_key(|entry| std::cmp::Reverse(entry.last_answered));
+    let mut found: Vec<&ServerEntry> = others.collect();
+    let best = found.iter().map(|entry| likeness(entry)).max().unwrap_or(0);
+    found.retain(|entry| likeness(entry) == best);
+    found.sort_unstable_by_key(|entry| Reverse(entry.last_answered));
     let found = found.into_iter().map(|entry| PathCheck {
         id: entry.id.clone(),
         address: entry.server.address,
