Requests of hosts whose paths to the servers are cut are relayed

The host had no notion of its own paths: it tried one server after another and used up the retry budget for it, and a request that arrived had no other way to a server. A host knows its paths to a service as cut once three servers fail with no answer in between, says so in its heartbeats and has requests relayed by a host that does not: one hop, two hosts tried at most, in the own region first, drawn by the request's id. Demand, workspace and route are decided where the request arrived; server, attempts and second sends where it is relayed. Connections to servers are tried every 500 ms to find out when the paths are back. If nobody reaches the service, it is refused at once. A planned stop waits for what the host relays; requests that must not run twice go out once. Test callers_of_a_host_without_paths_to_servers_are_served_once: 0 of 40 before, 40 of 40 now, 40 runs, for requests that may be repeated and that may not. Its set-up changed: hosts took the rows, with the addresses, from the first host that they asked, so that all were cut; they now meet only once they have read their own store, and it fails on the old code as before (0 of 40).

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -19,6 +19,7 @@
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
 use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::{
@@ -44,6 +45,15 @@
     pub ended: Cell<bool>,
 }
 
+/// What the workspace of a request sets, as far as it decides on servers.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RelayedTerms {
+    /// Regions in which the requests may run; empty for any.
+    pub homes: Vec<String>,
+    /// Priority; `None` for the route's.
+    pub priority: Option<u32>,
+}
+
 /// A caller's request that may be forwarded.
 #[derive(Debug)]
 pub struct CallerRequest {
@@ -73,8 +83,11 @@
     pub deadline: Time,
     /// Whether its caller was most likely refused before.
     pub returning: bool,
-    /// The workspace that it counts against; `None` if its route needs no key.
+    /// The workspace that it counts against; `None` if its route needs no key or another host
+    /// relayed the request.
     pub workspace: Option<AdmittedRequest>,
+    /// What the workspace sets, if another host relayed the request.
+    pub relayed: Option<RelayedTerms>,
     /// How far the request has come.
     pub progress: Rc<RequestProgress>,
     /// The digests, once computed.
@@ -95,11 +108,22 @@
 
     /// Priority; 0 is the most urgent. The workspace's takes precedence over the route's.
     pub fn priority(&self) -> u32 {
-        let workspace_priority =
-            self.workspace.as_ref().and_then(|admitted| admitted.entry.workspace.priority);
+        let workspace_priority = match &self.relayed {
+            Some(terms) => terms.priority,
+            None => self.workspace.as_ref().and_then(|admitted| admitted.entry.workspace.priority),
+        };
         workspace_priority.unwrap_or(self.route.priority)
     }
 
+    /// Regions in which the workspace's requests may run; empty for any.
+    pub fn workspace_homes(&self) -> &[String] {
+        match (&self.relayed, &self.workspace) {
+            (Some(terms), _) => &terms.homes,
+            (None, Some(admitted)) => &admitted.entry.workspace.homes,
+            (None, None) => &[],
+        }
+    }
+
     /// Time until the deadline.
     pub fn remaining(&self) -> Duration {
         Duration::from_micros(self.deadline.since(clock::now()))
@@ -134,7 +158,7 @@
 }
 
 /// The response to a request that the host's stop aborts.
-fn aborted_by_stop(
+pub(crate) fn aborted_by_stop(
     edge: &Edge,
     id: Option<&HeaderValue>,
     received: Time,
@@ -270,6 +294,7 @@
         deadline,
         returning,
         workspace,
+        relayed: None,
         progress,
         digests: OnceCell::new(),
     }
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -33,6 +33,10 @@
     pub steer: RefCell<Steer>,
     /// Idle connections to backend servers.
     pub pool: Pool,
+    /// Idle connections to other hosts, for requests that these relay.
+    pub relay_pool: Pool,
+    /// Number of requests of other hosts that this host relays now.
+    pub(crate) relaying: Cell<usize>,
     /// Bytes held for requests and answers.
     pub buffers: BufferBound,
     /// The event log on standard output.
@@ -68,6 +72,8 @@
             settings,
             steer: RefCell::new(steer),
             pool: Pool::new(buffers.clone()),
+            relay_pool: Pool::new(buffers.clone()),
+            relaying: Cell::new(0),
             buffers,
             event_log,
             reread_refused: Cell::new(false),
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -23,6 +23,7 @@
     edge::Edge,
     headers,
     poison::{self, SuspectedServer},
+    relay,
     server_hints::Hints,
 };
 
@@ -81,7 +82,9 @@
 
 /// Forwards a request and returns the final response for the caller.
 pub async fn run(edge: &Rc<Edge>, request: &CallerRequest) -> Response<LocalBody> {
-    edge.steer.borrow_mut().deposit_retry(clock::now(), &request.service);
+    if request.relayed.is_none() {
+        edge.steer.borrow_mut().deposit_retry(clock::now(), &request.service);
+    }
     let mut attempts = Attempts::default();
     let mut possibly_run = false;
     let mut failed_response = None;
@@ -89,6 +92,9 @@
         && request.remaining() > REMAINING_MIN
     {
         let is_retry = !attempts.servers.is_empty();
+        if !possibly_run && let Some(response) = relay::send(edge, request).await {
+            return response;
+        }
         if let Some(refusal) = poison::refusal(edge, request) {
             if !possibly_run && failed_response.is_none() {
                 return poison::refuse(edge, request, &refusal);
@@ -134,14 +140,13 @@
 /// What the choice of a server goes by.
 fn pick_request<'a>(request: &'a CallerRequest, tried: &'a [ServerIndex]) -> PickRequest<'a> {
     let workspace = request.workspace.as_ref();
-    let homes = workspace.map(|admitted| admitted.entry.workspace.homes.as_slice());
     PickRequest {
         route: &request.route,
         service: &request.service,
         key: request.key,
         tried,
         returning: request.returning,
-        homes: homes.unwrap_or_default(),
+        homes: request.workspace_homes(),
         priority: request.priority(),
         workspace: workspace.map(|admitted| admitted.entry.id),
         remaining_ms: request.remaining().as_millis() as u64,
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 mod poison;
 mod refusal_report;
+mod relay;
 pub mod request_digest;
 mod rollout;
 mod server_hints;
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -6,9 +6,14 @@
 use std::{io, net::SocketAddr, rc::Rc};
 
 use compio::net::{TcpListener, UdpSocket};
-use elmstream_http::{Stop, StopNotice, Stopper, server};
+use elmstream_http::{
+    LocalBody, Stop, StopNotice, Stopper,
+    server::{self, Aborted},
+};
 use elmstream_steer::view::TABLES;
 use elmstreamd::{clock, telemetry};
+use http::{Request, Response};
+use hyper::body::Incoming;
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
 
@@ -16,7 +21,7 @@
     Edge, StoreSource, callers,
     concurrency_limit::ConcurrencyLimit,
     connections::{OpenConnections, caller_options},
-    host_registry, peers, poison, rollout, shutdown, store_reader,
+    host_registry, peers, poison, relay, rollout, shutdown, store_reader,
 };
 
 /// Why a host cannot start.
@@ -84,12 +89,16 @@
     let (_until_the_end, never) = Stopper::new();
     let served = edge.clone();
     let row_limit = ConcurrencyLimit::new(peers::MAX_CONCURRENT_ROWS);
-    let peer = move |_, request| peers::serve(served.clone(), row_limit.clone(), request);
+    let (abort_requests, aborting) = Stopper::new();
+    let abort_relayed = aborting.clone();
+    let peer = move |_, request| {
+        serve_peer(served.clone(), row_limit.clone(), abort_relayed.clone(), request)
+    };
     spawn(async move {
         let _ = server::serve(peers_listener, None, never, peer).await;
     });
+    spawn(relay::check_paths(edge.clone()));
     let served = edge.clone();
-    let (abort_requests, aborting) = Stopper::new();
     let caller = move |from: SocketAddr, request| {
         callers::serve(served.clone(), aborting.clone(), from.ip(), request)
     };
@@ -114,7 +123,8 @@
     notice.announce();
     shutdown::announce(&edge, &socket).await;
     shutdown::drain(&edge, stop_requested_at, stopper, abort_requests, async {
-        drop(serving.await)
+        drop(serving.await);
+        relay::until_idle(&edge).await;
     })
     .await;
     edge.event_log.write("stop_connections", open.log_fields());
@@ -123,6 +133,19 @@
     Ok(())
 }
 
+/// Serves a request of another host: one that it relays, or one for table rows.
+async fn serve_peer(
+    edge: Rc<Edge>,
+    row_limit: ConcurrencyLimit,
+    aborting: Stop,
+    request: Request<Incoming>,
+) -> Result<Response<LocalBody>, Aborted> {
+    match relay::is_relayed(&request) {
+        true => relay::serve(edge, aborting, request).await,
+        false => peers::serve(edge, row_limit, request).await,
+    }
+}
+
 /// Adds the configured seed hosts as peers; this host may be one of them.
 fn add_seeds(edge: &Edge) {
     let mut steer = edge.steer.borrow_mut();
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -295,5 +295,6 @@
         metrics::gauge!("elmstream_workspaces_held_back").set(held_back as f64);
         metrics::gauge!("elmstream_workspaces_unanswered").set(unanswered as f64);
         edge.pool.sweep(|id| steer.servers().find(id).is_some());
+        edge.relay_pool.sweep(|_| true);
     }
 }
--- a/elmstream_edge/tests/content_cost.rs
+++ b/elmstream_edge/tests/content_cost.rs
@@ -48,6 +48,7 @@
         deadline: Time(0),
         returning: false,
         workspace: None,
+        relayed: None,
         progress: Rc::default(),
         digests: OnceCell::new(),
     }
--- a/elmstream_edge/tests/cut_paths.rs
+++ b/elmstream_edge/tests/cut_paths.rs
@@ -6,6 +6,7 @@
 
 use compio::{net::TcpListener, runtime::JoinHandle};
 use elmstream_steer::{model::Repeatability, view::RowKey};
+use elmstreamd::clock;
 use support::{
     Received, Running, Store, backend, configuration, good, ip, run, send_request,
     serve_connection, server, start, until,
@@ -122,9 +123,14 @@
         let stores = [store_of(&closed, repeat), store_of(&open, repeat)];
         let mut running: Vec<Running> = Vec::new();
         for number in 0..hosts {
-            let seeds: Vec<SocketAddr> =
-                running.iter().map(|host| host.edge.settings.host.peers).collect();
-            running.push(start(ip(), &stores[usize::from(number >= cut)], &seeds));
+            let host = start(ip(), &stores[usize::from(number >= cut)], &[]);
+            // Each host takes the addresses from its own store before it meets the others.
+            assert!(until(TIMEOUT, || host.edge.serves()).await);
+            for other in &running {
+                let peers = other.edge.settings.host.peers;
+                host.edge.steer.borrow_mut().add_peer_address(clock::now(), peers);
+            }
+            running.push(host);
         }
         let met = || {
             running.iter().all(|host| {
--- a/elmstream_edge/tests/hosts.rs
+++ b/elmstream_edge/tests/hosts.rs
@@ -78,6 +78,7 @@
             last_read: Some(StoreRead { reader: 1, stamp_ms: 1 }),
             ..TableStatus::default()
         }; 3],
+        cut_services: Vec::new(),
         demand: Vec::new(),
         loads: Vec::new(),
         warm_keys: Vec::new(),
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -21,7 +21,6 @@
     server_limit::RequestRate,
     server_speed::{self, SpeedSource},
     servers::{AnswerTimes, ServerEntry},
-    service_path::ServicePath,
     steer::{PendingNews, ServerState, StateChange, Steer},
     table_sync::SyncRequest,
     tally::{FractionBroadcast, UsageReply, UsageReport},
@@ -96,6 +95,7 @@
             // once.
             store_ms: (self.store_schedule.is_served() && !self.leaving).then_some(self.store_ms),
             tables,
+            cut_services: self.cut_service_hashes(),
             loads,
             warm_keys: self.warm_keys.next_updates(),
             liveness: self.members.liveness_updates(now),
@@ -431,7 +431,7 @@
         }
         let times = self.servers.answer_times(service);
         // What a host with cut paths observes says nothing about the servers.
-        let is_cut = self.servers.path(service).is_some_and(ServicePath::is_cut);
+        let is_cut = self.servers.is_cut(service);
         let is_ejected = |entry: &ServerEntry| match is_cut {
             true => entry.is_reported_silent(now, self.live_hosts),
             false => entry.is_ejected(now, times, self.live_hosts),
@@ -527,6 +527,9 @@
         changes.extend(
             path_changes.map(|(service, is_cut)| StateChange::ServicePath { service, is_cut }),
         );
+        // Others must not relay requests to this host, or may do so again.
+        self.urgent |=
+            changes.iter().any(|change| matches!(change, StateChange::ServicePath { .. }));
         let speed_changes = self.servers.speed_changes(now).into_iter();
         changes.extend(speed_changes.map(|(id, is_slow, factor)| StateChange::ServerSpeed {
             id,
--- a/elmstream_steer/src/heartbeat.rs
+++ b/elmstream_steer/src/heartbeat.rs
@@ -104,6 +104,9 @@
     pub tables: [TableStatus; 3],
     /// Recent requests per service, with the hash of the service truncated to 32 bits.
     pub demand: Vec<(u32, u32)>,
+    /// Services whose servers the sender does not reach, by the hash of the service truncated to 32
+    /// bits.
+    pub cut_services: Vec<u32>,
     /// The sender's requests in flight per server. Servers without requests and with nothing to
     /// report are omitted; a speed that is about the usual one is nothing to report.
     pub loads: Vec<ServerLoad>,
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod quota;
 pub mod reader_rank;
 pub mod refusal_rate;
+mod relay;
 mod restore;
 pub mod retry_worth;
 pub mod returning_callers;
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -113,6 +113,8 @@
     pub loads: Vec<ServerLoad>,
     /// The host's recent requests, by hash of the service.
     pub demand: Vec<(u32, u32)>,
+    /// Services whose servers the host does not reach, by hash.
+    pub cut_services: Vec<u32>,
     /// Number of hosts that it considers possibly running.
     pub fleet_size: u32,
 }
@@ -222,6 +224,7 @@
             store_ms: heartbeat.store_ms,
             loads: heartbeat.loads.clone(),
             demand: heartbeat.demand.clone(),
+            cut_services: heartbeat.cut_services.clone(),
             fleet_size: heartbeat.fleet_size,
         };
         if known.is_none() {
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -176,11 +176,38 @@
         awaited
     }
 
+    /// Whether this host's paths to the servers of a service count as cut.
+    ///
+    /// If they are cut to one service, a failure without an answer is enough for another one.
+    pub fn is_cut(&self, service: &str) -> bool {
+        let Some(path) = self.path(service) else { return false };
+        path.is_cut() || (path.has_failed() && self.paths.values().any(ServicePath::is_cut))
+    }
+
+    /// Services that this host's paths to count as cut.
+    pub fn cut_services(&self) -> impl Iterator<Item = &str> {
+        self.paths.keys().map(String::as_str).filter(|service| self.is_cut(service))
+    }
+
+    /// Records that a server of a cut service accepted a connection.
+    pub fn record_path_back(&mut self, now: Time, service: &str) {
+        if let Some(path) = self.paths.get_mut(service) {
+            for failed in path.on_answer(now) {
+                if let Some(entry) = self.entries.get_mut(&failed.0) {
+                    entry.forget_failures(now);
+                }
+            }
+        }
+    }
+
     /// Services that became unreachable to this host (`true`) or are reachable again (`false`) since
     /// the last call.
     pub fn path_changes(&mut self) -> Vec<(String, bool)> {
-        let paths = self.paths.iter_mut();
-        let changed = paths.filter_map(|(service, path)| Some((service.clone(), path.change()?)));
+        let states: Vec<(String, bool)> =
+            self.paths.keys().map(|service| (service.clone(), self.is_cut(service))).collect();
+        let changed = states.into_iter().filter(|(service, is_cut)| {
+            self.paths.get_mut(service).is_some_and(|path| path.set_reported(*is_cut))
+        });
         changed.collect()
     }
 
@@ -224,7 +251,7 @@
         let service = entry.server.service.clone();
         let times = self.answer_times.entry(service.clone()).or_default();
         entry.record_outcome(now, outcome, times);
-        let path = self.paths.entry(service).or_default();
+        let path = self.paths.entry(service.clone()).or_default();
         match outcome {
             Outcome::NoConnection | Outcome::NoResponse | Outcome::Silent => path.on_failure(index),
             Outcome::NotSent | Outcome::CallerGone | Outcome::ServerCrashed => {}
@@ -234,11 +261,7 @@
             | Outcome::RefusedWithFreeSlots
             | Outcome::WrongServer
             | Outcome::Unknown => {
-                for failed in path.on_answer(now) {
-                    if let Some(entry) = self.entries.get_mut(&failed.0) {
-                        entry.forget_failures(now);
-                    }
-                }
+                self.record_path_back(now, &service);
             }
         }
     }
--- a/elmstream_steer/src/service_path.rs
+++ b/elmstream_steer/src/service_path.rs
@@ -19,7 +19,7 @@
 pub struct ServicePath {
     failed: BTreeSet<ServerIndex>,
     last_answer: Option<Time>,
-    was_cut: bool,
+    reported_cut: bool,
 }
 
 impl ServicePath {
@@ -46,11 +46,13 @@
         self.failed.len() >= CUT_SERVERS_MIN
     }
 
-    /// Whether the paths are cut; `None` if that has not changed since the last call.
-    pub fn change(&mut self) -> Option<bool> {
-        let is_cut = self.is_cut();
-        let changed = is_cut != self.was_cut;
-        self.was_cut = is_cut;
-        changed.then_some(is_cut)
+    /// Whether a server failed and none has answered since.
+    pub fn has_failed(&self) -> bool {
+        !self.failed.is_empty()
+    }
+
+    /// Sets whether the paths were reported as cut. Returns whether that is news.
+    pub fn set_reported(&mut self, is_cut: bool) -> bool {
+        std::mem::replace(&mut self.reported_cut, is_cut) != is_cut
     }
 }
