--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -240,14 +240,13 @@
         error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
     }
 
-    /// Opens a connection to a server and keeps it for the next request. Returns whether the server
-    /// accepted it.
-    pub async fn open_idle(&self, id: &str, address: SocketAddr) -> bool {
-        let connection = self.connect(address).await;
-        let is_open = connection.is_ok();
-        if let Ok(connection) = connection {
-            self.put_back(id, connection);
-        }
+    /// Opens a connection to a server and keeps it for the next request. Returns whether it was still
+    /// open after `settle_time`.
+    pub async fn open_idle(&self, id: &str, address: SocketAddr, settle_time: Duration) -> bool {
+        let Ok(connection) = self.connect(address).await else { return false };
+        compio::time::sleep(settle_time).await;
+        let is_open = !connection.sender.is_closed();
+        self.put_back(id, connection);
         is_open
     }
 
--- a/elmstream_edge/src/poison.rs
+++ b/elmstream_edge/src/poison.rs
@@ -30,6 +30,8 @@
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 /// Number of servers that are tried to find out whether a host's path to a failure domain is cut.
 const PATH_CHECKS_MAX: usize = 2;
+/// Time for which a connection to such a server has to stay open.
+const SETTLE_TIME: Duration = Duration::from_millis(20);
 /// For this long after a restore of the store, in microseconds, a host that starts to
 /// maintain the lists checks this one: the previous maintainer may have stopped before it
 /// did.
@@ -147,7 +149,7 @@
         return true;
     }
     for other in others.iter().take(PATH_CHECKS_MAX) {
-        if edge.pool.open_idle(&other.id, other.address).await {
+        if edge.pool.open_idle(&other.id, other.address, SETTLE_TIME).await {
             return true;
         }
     }
--- a/elmstream_edge/src/relay.rs
+++ b/elmstream_edge/src/relay.rs
@@ -33,6 +33,9 @@
 const NOT_RELAYED_RETRY_MS: u64 = 300;
 /// Interval of the check for whether this host's paths to servers are back.
 const PATH_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a connection has to stay open for the paths to be back. A path may accept
+/// connections and reset them at once.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
 /// Interval of the check for whether relayed requests are still in flight.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -347,7 +350,7 @@
                 .get(index)
                 .map(|entry| (entry.id.clone(), entry.server.address));
             let Some((id, address)) = target else { continue };
-            if edge.pool.open_idle(&id, address).await {
+            if edge.pool.open_idle(&id, address, SETTLE_TIME).await {
                 edge.steer.borrow_mut().record_path_back(clock::now(), index);
             }
         }
