Soak: hosts are cut from all backend servers alone

A gate between hosts and backend servers closes the connections of single hosts and their new ones at once; a connection's host is found by its port among the sockets of the host's process. Drawn at every third seed, half of the hosts at most, from a generator of its own. Test callers_of_hosts_cut_from_all_servers_are_served: of five hosts two are cut for 7 s, overlapping; from 3 s after the cut on their callers are to be served two thirds.

--- a/elmstream_soak/src/callers.rs
+++ b/elmstream_soak/src/callers.rs
@@ -21,6 +21,9 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time without a fault after which a host counts as undisturbed, in milliseconds.
 const RECOVERY_MS: u64 = 4_000;
+/// Time after which the callers of a host that is cut from all backend servers have to be served, in
+/// milliseconds.
+const CUT_LEARNED_MS: u64 = 3_000;
 /// Fraction of requests sent on a new connection although an idle one exists.
 const NEW_CONNECTION_FRACTION: f64 = 0.2;
 /// Number of affinity keys.
@@ -142,6 +145,15 @@
         if answer.code == Code::Harmful.number() {
             ledger.record_poison_refusal(id);
         }
+        if let Some(since) = world.cut_since_ms.borrow().get(&self.host)
+            && requested_ms >= since + CUT_LEARNED_MS
+        {
+            match answer.status {
+                200 => ledger.count("cut served"),
+                502..=504 => ledger.count("cut failed"),
+                _ => {}
+            }
+        }
         match answer.status {
             200 => {}
             401 => {
--- a/elmstream_soak/src/faults.rs
+++ b/elmstream_soak/src/faults.rs
@@ -50,6 +50,8 @@
     /// A server joins, the host is killed for the fault's duration, and the server's entry is
     /// removed just before the host starts again.
     RemoveServerAtStart(usize),
+    /// The host loses its paths to all backend servers for the fault's duration.
+    CutFromServers(usize),
     /// A new configuration is applied.
     Configure,
     /// The shop is rolled out; `true` for a bad version.
@@ -109,6 +111,7 @@
     series::server_signals(seed, total_ms, servers, &mut events);
     series::roll_outs(seed, total_ms, &mut events);
     series::removals(seed, total_ms, hosts, &mut events);
+    series::cuts(seed, total_ms, hosts, &mut events);
     events.retain(|event| event.at_ms + CALM_MARGIN_MS < total_ms);
     events.sort_by_key(|event| event.at_ms);
     events
--- a/elmstream_soak/src/injection.rs
+++ b/elmstream_soak/src/injection.rs
@@ -90,6 +90,7 @@
         Fault::RemoveServerAtStart(n) => {
             removals::remove_while_host_starts(world, hosts, n, duration, address).await
         }
+        Fault::CutFromServers(n) => cut_from_servers(world, hosts, n, duration).await,
         Fault::RollOut(bad) => versions::roll_out(world, hosts, bad, address).await,
         Fault::Configure => {
             let next = world.ledger.borrow().newest_version() + 1;
@@ -132,6 +133,17 @@
     world.outages.borrow_mut().end(outage_id, now);
 }
 
+/// Cuts the present start of a host from all backend servers for a while.
+async fn cut_from_servers(world: &World, hosts: &Hosts, n: usize, duration: Duration) {
+    let Some(process) = hosts.borrow()[n].process_id() else { return };
+    world.ledger.borrow_mut().count("cut from servers");
+    world.gate.cut(process);
+    world.cut_since_ms.borrow_mut().insert(n, world.now());
+    compio::time::sleep(duration).await;
+    world.cut_since_ms.borrow_mut().remove(&n);
+    world.gate.restore(process);
+}
+
 /// Sets how a backend server behaves, if it is still registered.
 fn set_server_mode(world: &World, n: usize, mode: ServerMode) {
     if let Some(current) = world.servers.borrow_mut().get_mut(&format!("shop-{n}")) {
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backend;
 pub mod callers;
 pub mod faults;
+pub mod gate;
 pub mod host;
 pub mod injection;
 pub mod ledger;
--- a/elmstream_soak/src/process.rs
+++ b/elmstream_soak/src/process.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Its process id, if it runs.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Its exit status, if it has ended without [`kill`](Process::kill).
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.as_mut().and_then(|child| child.try_wait().ok().flatten())
--- a/elmstream_soak/src/series.rs
+++ b/elmstream_soak/src/series.rs
@@ -19,6 +19,12 @@
 /// this draw from other draws.
 const REMOVALS_SEED_DIVISOR: u64 = 5;
 const REMOVALS_SEED: u64 = 0x676f_6e65;
+/// One in this many seeds cuts hosts from the servers, and the value that its generator starts with.
+const CUTS_SEED_DIVISOR: u64 = 3;
+const CUTS_SEED: u64 = 0x6375_7473;
+/// Time between two cuts, and how long they last, in milliseconds.
+const CUT_INTERVAL_MS: std::ops::Range<u64> = 4_000..9_000;
+const CUT_DURATION_MS: std::ops::Range<u64> = 1_000..6_000;
 /// Time between two of these removals, and time for which the host is down, in milliseconds.
 const REMOVAL_INTERVAL_MS: std::ops::Range<u64> = 6_000..9_000;
 const REMOVAL_DOWN_MS: std::ops::Range<u64> = 20..300;
@@ -151,6 +157,25 @@
     }
 }
 
+/// Cuts hosts from all backend servers, some at once, at every third seed. They are drawn from a
+/// generator of their own, so that a seed's other faults do not depend on them.
+pub fn cuts(seed: u64, total_ms: u64, hosts: usize, events: &mut Vec<Event>) {
+    if !seed.is_multiple_of(CUTS_SEED_DIVISOR) {
+        return;
+    }
+    let mut random = StdRng::seed_from_u64(seed ^ CUTS_SEED);
+    let mut at_ms = CALM_MARGIN_MS + random.random_range(0..CUT_INTERVAL_MS.start);
+    while at_ms + CALM_MARGIN_MS < total_ms {
+        let duration_ms = random.random_range(CUT_DURATION_MS);
+        let first = random.random_range(0..hosts);
+        for n in 0..random.random_range(1..=hosts.div_ceil(2)) {
+            let fault = Fault::CutFromServers((first + n) % hosts);
+            events.push(Event { at_ms, duration_ms, fault });
+        }
+        at_ms += random.random_range(CUT_INTERVAL_MS);
+    }
+}
+
 /// Rolls out a bad version at every second seed, in addition to the other faults and if
 /// there is time for it. It is drawn from a generator of its own, so that a seed's other
 /// faults do not depend on it.
--- a/elmstream_soak/src/soak.rs
+++ b/elmstream_soak/src/soak.rs
@@ -14,7 +14,7 @@
     backend,
     callers::{self, Hosts},
     faults::{self, Event},
-    injection, poison,
+    gate, injection, poison,
     process::{HostId, Process},
     store, watch,
     world::{MAX_HOSTS, PIN_SERVICES, SHOP, ServerMode, World},
@@ -139,7 +139,8 @@
         )));
     }
     let store = store::start(world).await?;
-    let address = backend::start(world).await?;
+    let servers = backend::start(world).await?;
+    let address = gate::start(world.gate.clone(), servers).await?;
     let servers = (0..SHOP_SERVERS).map(|n| (format!("shop-{n}"), SHOP.to_owned()));
     let pins = (0..PIN_SERVICES).map(|n| (format!("pin-{n}"), format!("pin-{n}")));
     for (id, service) in servers.chain(pins) {
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -20,8 +20,8 @@
 };
 
 use crate::{
-    ledger::Ledger, outages::Outages, poison, removals::Removals, server_signals::Arrivals,
-    versions, workspaces,
+    gate::Gate, ledger::Ledger, outages::Outages, poison, removals::Removals,
+    server_signals::Arrivals, versions, workspaces,
 };
 
 /// Number of services that show the version of a configuration. A host that lags behind by
@@ -123,6 +123,10 @@
     pub servers: RefCell<BTreeMap<String, ServerMode>>,
     /// When requests arrived at servers whose arrivals are checked.
     pub arrivals: Arrivals,
+    /// Since when each host that is cut from all backend servers is, by its index.
+    pub cut_since_ms: RefCell<BTreeMap<usize, u64>>,
+    /// Connections between hosts and backend servers.
+    pub gate: Rc<Gate>,
     /// Servers whose entries were removed without notice.
     pub removals: Removals,
     /// What callers and backend servers observed.
@@ -151,6 +155,8 @@
             refused_host: RefCell::default(),
             servers: RefCell::default(),
             arrivals: Arrivals::default(),
+            cut_since_ms: RefCell::default(),
+            gate: Rc::default(),
             removals: Removals::default(),
             ledger: RefCell::default(),
             stalls: RefCell::default(),
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -223,3 +223,18 @@
         assert!(report.violations().iter().any(|text| text.contains("version")), "{report}");
     }
 }
+
+/// Two of five hosts are cut from all backend servers, the second one while the first one is.
+#[test]
+fn callers_of_hosts_cut_from_all_servers_are_served() {
+    let options = Options { processes: 5, ..options(5, 16, None) };
+    let cut = |at_ms, host| Event { at_ms, duration_ms: 7_000, fault: Fault::CutFromServers(host) };
+    let runtime = Runtime::new().expect("a runtime");
+    let events = vec![cut(3_000, 0), cut(5_000, 3)];
+    let report = runtime.block_on(soak::run_events(&options, Duration::from_secs(16), events));
+    assert!(report.passed(), "{report}");
+    let count = |kind| report.counts().get(kind).copied().unwrap_or(0);
+    let (served, failed) = (count("cut served"), count("cut failed"));
+    // The users ask for two thirds of what the other hosts serve.
+    assert!(served >= 2 * failed && served > 100, "{served} served, {failed} failed: {report}");
+}
