--- a/elmstream_edge/src/poison.rs
+++ b/elmstream_edge/src/poison.rs
@@ -141,8 +141,8 @@
 }
 
 /// Whether this host reaches another server of the same service and failure domain, or, if there is
-/// none, another one of the domain or of the service. A server that answered after `broken_at` is reachable; else connections are
-/// opened to find out.
+/// none, another one of the domain or of the service. A server that answered after `broken_at` is
+/// reachable; else connections are opened to find out.
 async fn reaches_others(edge: &Edge, server: &SuspectedServer, broken_at: Time) -> bool {
     let others = others_beside(edge, server);
     if others.is_empty() || others.iter().any(|other| other.last_answered > Some(broken_at)) {
--- a/elmstream_edge/src/relay.rs
+++ b/elmstream_edge/src/relay.rs
@@ -4,11 +4,21 @@
 //! counted its demand; the relaying host picks the server and sends the request. A relayed request is
 //! not relayed again.
 
-use std::{cell::OnceCell, net::IpAddr, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::OnceCell,
+    net::{IpAddr, SocketAddr},
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 
+use bytes::Bytes;
 use elmstream::{code::Code, time::MILLI};
 use elmstream_http::{LocalBody, Stop, body, server::Aborted};
-use elmstream_steer::{hash, model::Repeatability, model::Route};
+use elmstream_steer::{
+    hash,
+    model::{Repeatability, Route},
+};
 use elmstreamd::{clock, waits};
 use futures_util::future::{Either, select};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, response};
@@ -82,9 +92,9 @@
 /// End of an attempt to have a request relayed.
 enum Relayed {
     /// The final response for the caller.
-    Answer(response::Parts, bytes::Bytes),
+    Answer(response::Parts, Bytes),
     /// The relaying host's refusal: no server ran the request.
-    Refused(response::Parts, bytes::Bytes),
+    Refused(response::Parts, Bytes),
     /// The relaying host could not do it; another one may.
     NotRun,
     /// A server may have run the request.
@@ -171,7 +181,7 @@
     request: &CallerRequest,
     relay: SocketAddr,
     parts: response::Parts,
-    bytes: bytes::Bytes,
+    bytes: Bytes,
 ) -> Relayed {
     let names = &edge.settings.headers;
     let echoed = headers::text(&parts.headers, &names.request_id);
@@ -191,7 +201,7 @@
 fn respond(
     request: &CallerRequest,
     mut parts: response::Parts,
-    bytes: bytes::Bytes,
+    bytes: Bytes,
 ) -> Response<LocalBody> {
     metrics::counter!("elmstream_requests", "outcome" => "relayed").increment(1);
     let took = clock::now().since(request.received);
--- a/elmstream_steer/tests/support/uneven.rs
+++ b/elmstream_steer/tests/support/uneven.rs
@@ -8,7 +8,7 @@
 use elmstream::time::MILLI;
 use elmstream_steer::{
     Bounds, Host, Pick, PickRequest, Settings, Steer, hash,
-    heartbeat::{Heartbeat, Reachability},
+    heartbeat::Heartbeat,
     model::{Repeatability, Route},
     policies::{PlacementPolicy, Policies},
     servers::{Outcome, ServerIndex},
@@ -133,8 +133,6 @@
     /// Fraction of heartbeats that the first host loses.
     pub loss: f64,
     pub cut: Option<Cut>,
-    /// Whether the other hosts receive the heartbeats of cut hosts as if these saw no server fail.
-    pub hides_reports: bool,
     /// Hosts that are not cut and servers that they ejected, by what they observed themselves and
     /// only by the reports of other hosts.
     pub ejected: BTreeSet<(usize, String)>,
@@ -192,7 +190,6 @@
             per_s: PER_S * scale.servers as f64 / scale.work as f64,
             loss: 0.0,
             cut: None,
-            hides_reports: false,
             ejected: BTreeSet::new(),
             ejected_by_reports: BTreeSet::new(),
             scale,
@@ -281,12 +278,7 @@
     fn exchange(&mut self) {
         let now = ms(self.at);
         for from in 0..self.hosts.len() {
-            let mut beat = self.hosts[from].next_heartbeat(now);
-            if self.hides_reports && self.cut.as_ref().is_some_and(|cut| cut.hosts.contains(&from))
-            {
-                let loads = beat.loads.iter_mut();
-                loads.for_each(|load| load.reachability = Reachability::Unreported);
-            }
+            let beat = self.hosts[from].next_heartbeat(now);
             for to in (0..self.hosts.len()).filter(|to| *to != from) {
                 if to != 0 || self.draw() >= self.loss {
                     let event = (to, Event::Heartbeat(Box::new(beat.clone())));
