--- a/elmstream_soak/src/callers.rs
+++ b/elmstream_soak/src/callers.rs
@@ -145,13 +145,13 @@
         if answer.code == Code::Harmful.number() {
             ledger.record_poison_refusal(id);
         }
-        if let Some(since) = world.cut_since_ms.borrow().get(&self.host)
-            && requested_ms >= since + CUT_LEARNED_MS
-        {
-            match answer.status {
-                200 => ledger.count("cut served"),
-                502..=504 => ledger.count("cut failed"),
-                _ => {}
+        // Requests that every host has to refuse are no sign of a cut.
+        if answer.code != Code::Harmful.number() {
+            let served = answer.status == 200;
+            match world.is_cut_for(self.host, requested_ms, CUT_LEARNED_MS) {
+                Some(true) => ledger.count(if served { "cut served" } else { "cut failed" }),
+                Some(false) => ledger.count(if served { "other served" } else { "other failed" }),
+                None => {}
             }
         }
         match answer.status {
--- a/elmstream_soak/src/gate.rs
+++ b/elmstream_soak/src/gate.rs
@@ -8,6 +8,7 @@
     collections::{HashMap, HashSet},
     fs, io,
     net::SocketAddr,
+    path::PathBuf,
     rc::Rc,
 };
 
@@ -45,8 +46,20 @@
         self.cut.borrow_mut().remove(&process);
     }
 
-    fn is_cut(&self, port: u16) -> bool {
-        self.cut.borrow().iter().any(|process| local_ports(*process).contains(&port))
+    /// Whether a connection belongs to a process that is cut. The kernel's tables are read on another
+    /// thread, as they may be long.
+    async fn is_cut(&self, port: u16) -> bool {
+        let processes: Vec<u32> = self.cut.borrow().iter().copied().collect();
+        if processes.is_empty() {
+            return false;
+        }
+        let find = move || {
+            let inode = inode_of(port);
+            inode.is_some_and(|inode| {
+                processes.iter().any(|process| inodes(*process).contains(&inode))
+            })
+        };
+        compio::runtime::spawn_blocking(find).await.unwrap_or(false)
     }
 }
 
@@ -62,11 +75,13 @@
     compio::runtime::spawn(async move {
         loop {
             let Ok((stream, from)) = listener.accept().await else { continue };
-            if gate.is_cut(from.port()) {
-                continue;
-            }
-            let passing = compio::runtime::spawn(pass(stream, servers));
-            gate.open.borrow_mut().insert(from.port(), passing);
+            let (owner, port) = (gate.clone(), from.port());
+            let passing = compio::runtime::spawn(async move {
+                if !owner.is_cut(port).await {
+                    pass(stream, servers).await;
+                }
+            });
+            gate.open.borrow_mut().insert(port, passing);
         }
     })
     .detach();
@@ -102,23 +117,37 @@
     }
 }
 
-/// Local TCP ports of a process; none if it has ended.
-fn local_ports(process: u32) -> HashSet<u16> {
+/// Inodes of a process's sockets; none if it has ended.
+fn inodes(process: u32) -> HashSet<String> {
     let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else { return HashSet::new() };
     let links = files.flatten().filter_map(|file| fs::read_link(file.path()).ok());
-    let inodes: HashSet<String> = links
-        .filter_map(|link| {
-            Some(link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned())
-        })
-        .collect();
-    let sockets = fs::read_to_string(format!("/proc/{process}/net/tcp")).unwrap_or_default();
-    sockets.lines().skip(1).filter_map(|line| port_of(line, &inodes)).collect()
+    let inode = |link: PathBuf| {
+        Some(link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned())
+    };
+    links.filter_map(inode).collect()
+}
+
+/// Local port and inode of each TCP socket.
+fn sockets() -> Vec<(u16, String)> {
+    let table = fs::read_to_string("/proc/self/net/tcp").unwrap_or_default();
+    let socket = |line: &str| {
+        let mut fields = line.split_ascii_whitespace();
+        let (_, port) = fields.nth(1)?.split_once(':')?;
+        let inode = fields.nth(7)?;
+        Some((u16::from_str_radix(port, 16).ok()?, inode.to_owned()))
+    };
+    table.lines().skip(1).filter_map(socket).collect()
+}
+
+/// Local TCP ports of a process; none if it has ended.
+fn local_ports(process: u32) -> HashSet<u16> {
+    let inodes = inodes(process);
+    let own = sockets().into_iter().filter(|(_, inode)| inodes.contains(inode));
+    own.map(|(port, _)| port).collect()
 }
 
-/// The local port of a line of the kernel's socket table, if its inode is among `inodes`.
-fn port_of(line: &str, inodes: &HashSet<String>) -> Option<u16> {
-    let fields: Vec<&str> = line.split_whitespace().collect();
-    let (local, inode) = (fields.get(1)?, fields.get(9)?);
-    let (_, port) = local.split_once(':')?;
-    inodes.contains(*inode).then(|| u16::from_str_radix(port, 16).ok())?
+/// Inode of the socket with a local port that belongs to a process.
+fn inode_of(port: u16) -> Option<String> {
+    let found = sockets().into_iter().find(|(local, inode)| *local == port && inode != "0");
+    found.map(|(_, inode)| inode)
 }
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -169,6 +169,17 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// Whether a host was cut from all servers for `millis` milliseconds or more at a time; `None` if no
+    /// host was, or this one for a shorter time.
+    pub fn is_cut_for(&self, host: usize, at_ms: u64, millis: u64) -> Option<bool> {
+        let cut_since = self.cut_since_ms.borrow();
+        let is_long = |since: &u64| at_ms >= since + millis;
+        match cut_since.get(&host) {
+            Some(since) => is_long(since).then_some(true),
+            None => cut_since.values().any(is_long).then_some(false),
+        }
+    }
+
     /// Current behaviour of the store.
     pub fn store_mode(&self) -> StoreMode {
         self.store_modes.borrow().last().map(|(_, mode)| *mode).unwrap_or_default()
