Connections give back their memory while idle, and are bounded

Hypotheses: (1) bodies and answers that are held, (2) what each connection costs whatever it does, (3) requests that pile up at busy servers. Resident memory of a host in a test process, 3,000 connections each, on: silent 59,378 B each, a partly sent head 18,770 more, an answer given 4,287 more, a body under way 1,579 more. So it is (2); nearly all is taken before a byte has come. It consisted of - the place of the request's future, which hyper allocates with each connection: futures passed by value through several async functions take their room in each of them; - 16 KiB of compio's buffers and 16 KiB of hyper's. Nothing bounded the number, only file descriptors did: 3,900 sockets.

Change: - PlainStream passes bytes between hyper and the socket without buffers of its own, and holds hyper up when a peer does not read. It replaces WindowedStream. - A plain HTTP/1.1 connection has hyper's part only from the first byte of a request until its response is sent. One too many: the connection that has been idle for longest is closed; none is idle, or too many requests are under way: the request is refused unread, with 503, 1122 and a time to come back. Requests passed on are never given up. - A head must be complete `limits.header_timeout_ms` and 2 s after its first byte; before, it had the time of an idle connection. - Lines `connections_full` and `connection_failed`, metrics.

What the hosts cannot serve is still refused or times out.

Tests: connection_memory (the first one is the probe above, 59,378 against the 8,192 that it allows), elmstream_http/tests/connections.rs; the test of unread bodies fails if their end is not looked at.

--- a/elmstream/src/code.rs
+++ b/elmstream/src/code.rs
@@ -81,6 +81,7 @@
     WorkspaceLimit = 1119, 429, "the workspace is over its limit";
     Harmful = 1120, 503, "backend servers have ended under this request, so it is sent to no other";
     BuffersFull = 1121, 503, "the entry host holds as many bytes of requests as it may";
+    ConnectionsFull = 1122, 503, "the entry host has as many requests under way as it may";
     DeadlinePassed = 1201, 504, "the deadline passed while the request was running";
     BackendFailed = 1202, 502, "the backend server failed after the request was sent";
     PeerLost = 1203, 502, "contact with the owning entry host was lost after the request was sent";
--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle};
 use elmstream::time::Time;
-use elmstream_http::{LocalBody, WindowedStream, body, client};
+use elmstream_http::{LocalBody, PlainStream, body, client};
 use elmstreamd::{clock, waits};
 use http::{HeaderMap, Request, header, response};
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -226,7 +226,7 @@
         {
             self.timeout_error.replace(Some(error));
         }
-        start_connection(stream, self.buffers.counts()).await
+        start_connection(stream).await
     }
 
     /// Whether connections to the address are refused, as after a crash of the process.
@@ -296,9 +296,9 @@
     Ok((stream, timeout_set))
 }
 
-/// Starts HTTP on a stream; `windowed` if it takes bytes only as fast as the server reads.
-async fn start_connection(stream: TcpStream, windowed: bool) -> io::Result<Connection> {
-    let handshake = handshake(WindowedStream::new_plain(stream, windowed)).await;
+/// Starts HTTP on a stream.
+async fn start_connection(stream: TcpStream) -> io::Result<Connection> {
+    let handshake = handshake(PlainStream::new(stream)?).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = compio::runtime::spawn(async move {
         // The future of the request returns the error.
--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -13,12 +13,11 @@
     code::Code,
     time::{MILLI, Time},
 };
-use elmstream_http::{LocalBody, Stop, body, server::Aborted};
+use elmstream_http::{LocalBody, RequestBody, Stop, body, server::Aborted};
 use elmstream_steer::{hash, model::Route, routes};
 use elmstreamd::clock;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -138,7 +137,7 @@
     edge: Rc<Edge>,
     stopping: Stop,
     caller: IpAddr,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let received = clock::now();
     let id = request.headers().get(&edge.settings.headers.request_id).cloned();
@@ -184,7 +183,7 @@
 /// Finds the route, reads the body and forwards the request.
 async fn answer(
     edge: &Rc<Edge>,
-    (caller, request): (IpAddr, Request<Incoming>),
+    (caller, request): (IpAddr, Request<RequestBody>),
     received: Time,
     progress: Rc<RequestProgress>,
 ) -> Result<Response<LocalBody>, Aborted> {
@@ -206,7 +205,7 @@
             timeout_ms(edge, &head.headers, &route).min(route.timeout_ms),
         ),
     };
-    let body = match counted_body::read_request(edge, body_of, incoming).await {
+    let body = match Box::pin(counted_body::read_request(edge, body_of, incoming)).await {
         Ok(body) => body,
         Err(answer) => return answer,
     };
--- a/elmstream_edge/src/counted_body.rs
+++ b/elmstream_edge/src/counted_body.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use elmstream::code::Code;
-use elmstream_http::{BoxError, LocalBody, server::Aborted};
+use elmstream_http::{BoxError, LocalBody, RequestBody, server::Aborted};
 use elmstream_steer::model::Route;
 use elmstreamd::{clock, waits};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use serde_json::json;
 
 use crate::{
@@ -114,7 +114,7 @@
 pub(crate) async fn read_request(
     edge: &Edge,
     request: BodyOf<'_>,
-    incoming: Incoming,
+    incoming: RequestBody,
 ) -> Result<Bytes, Result<Response<LocalBody>, Aborted>> {
     if incoming.is_end_stream() {
         return Ok(Bytes::new());
@@ -136,12 +136,12 @@
                     None => edge.buffers.admit_growing(STEP_BYTES).await,
                 }
             };
-            let Some(held) = waits::within_duration(usual, admitting).await else {
+            let Some(held) = waits::within_duration(usual, Box::pin(admitting)).await else {
                 return Err(Ok(refuse(edge, request, size, Code::BuffersFull)));
             };
             let growth_timeout = stated.is_none().then_some(usual);
             let reading = collect_counted(incoming, bytes_max as usize, held, growth_timeout);
-            waits::within(deadline, reading).await
+            waits::within(deadline, Box::pin(reading)).await
         }
     };
     match read {
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -7,6 +7,7 @@
     rc::Rc,
 };
 
+use elmstream_http::Connections;
 use elmstream_steer::{
     Steer, settings,
     steer::{ServerState, StateChange, StoreRestored},
@@ -16,7 +17,8 @@
 use serde_json::{Value, json};
 
 use crate::{
-    backend::Pool, buffer_bound::BufferBound, event_log::EventLog, rollout, settings::Settings,
+    backend::Pool, buffer_bound::BufferBound, connections, event_log::EventLog, rollout,
+    settings::Settings,
 };
 
 /// If more servers than this change at once, they are logged in one line.
@@ -39,6 +41,8 @@
     pub(crate) relaying: Cell<usize>,
     /// Bytes held for requests and answers.
     pub buffers: BufferBound,
+    /// Connections of callers.
+    pub connections: Rc<Connections>,
     /// The event log on standard output.
     pub event_log: EventLog,
     /// Set when the list of refused requests must be read from the store again.
@@ -68,6 +72,8 @@
             true => BufferBound::default(),
             false => BufferBound::new(settings.buffers.total_bytes),
         };
+        let connections =
+            Connections::new(settings.resources.connection_bounds(), connections::refusal());
         Rc::new(Edge {
             settings,
             steer: RefCell::new(steer),
@@ -75,6 +81,7 @@
             relay_pool: Pool::new(buffers.clone()),
             relaying: Cell::new(0),
             buffers,
+            connections: Rc::new(connections),
             event_log,
             reread_refused: Cell::new(false),
         })
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -92,7 +92,7 @@
         && request.remaining() > REMAINING_MIN
     {
         let is_retry = !attempts.servers.is_empty();
-        if !possibly_run && let Some(response) = relay::send(edge, request).await {
+        if !possibly_run && let Some(response) = Box::pin(relay::send(edge, request)).await {
             return response;
         }
         if let Some(refusal) = poison::refusal(edge, request) {
@@ -117,7 +117,9 @@
             }
             Err(refusal) => return refuse(edge, request, refusal),
         };
-        match attempt(edge, request, index, &mut attempts).await {
+        // Boxed, as are the futures below, because a future takes the room of all that it may wait
+        // for, several times over if it is passed on.
+        match Box::pin(attempt(edge, request, index, &mut attempts)).await {
             Attempt::Answer(parts, body) => return respond(edge, request, &attempts, parts, body),
             Attempt::Failed(parts, body) if request.route.repeat == Repeatability::Safe => {
                 failed_response = Some((parts, body));
@@ -214,7 +216,7 @@
         admitted.record_sent();
     }
     let exchange = edge.pool.exchange(&id, address, || backend_request(edge, request, index, &id));
-    let exchange = waits::within(request.deadline, exchange).await;
+    let exchange = waits::within(request.deadline, Box::pin(exchange)).await;
     let micros = clock::now().since(sent);
     let (outcome, result) = match exchange {
         None => (Outcome::Silent, Attempt::Unknown),
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -27,6 +27,7 @@
 mod refusal_report;
 mod relay;
 pub mod request_digest;
+pub mod resources;
 mod rollout;
 mod server_hints;
 pub mod settings;
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -7,13 +7,12 @@
 
 use compio::net::{TcpListener, UdpSocket};
 use elmstream_http::{
-    LocalBody, Stop, StopNotice, Stopper,
+    LocalBody, RequestBody, Stop, StopNotice, Stopper,
     server::{self, Aborted},
 };
 use elmstream_steer::view::TABLES;
 use elmstreamd::{clock, telemetry};
 use http::{Request, Response};
-use hyper::body::Incoming;
 use serde_json::json;
 use snafu::{ResultExt, Snafu};
 
@@ -138,7 +137,7 @@
     edge: Rc<Edge>,
     row_limit: ConcurrencyLimit,
     aborting: Stop,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     match relay::is_relayed(&request) {
         true => relay::serve(edge, aborting, request).await,
--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -7,7 +7,7 @@
 
 use compio::{buf::BufResult, net::UdpSocket};
 use elmstream::time::MILLI;
-use elmstream_http::{LocalBody, body, server::Aborted};
+use elmstream_http::{LocalBody, RequestBody, body, server::Aborted};
 use elmstream_steer::{
     Steer,
     heartbeat::{Heartbeat, Message, TableStatus},
@@ -19,13 +19,12 @@
 };
 use elmstreamd::clock;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::{
-    concurrency_limit::ConcurrencyLimit, edge::Edge, poison, refusal_report, server_hints,
-    table_fetch::TableFetcher,
+    concurrency_limit::ConcurrencyLimit, connections::ConnectionReport, edge::Edge, poison,
+    refusal_report, server_hints, table_fetch::TableFetcher,
 };
 
 /// HTTP path from which other hosts fetch table rows.
@@ -202,7 +201,7 @@
 pub async fn serve(
     edge: Rc<Edge>,
     row_limit: ConcurrencyLimit,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let query = request.uri().query().unwrap_or_default();
     let field = |name: &str| {
@@ -260,6 +259,7 @@
 /// Advances the decisions until the process ends.
 pub async fn tick(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     let mut suspension = clock::Suspension::default();
+    let mut connections = ConnectionReport::default();
     for count in 0u64.. {
         compio::time::sleep(TICK_INTERVAL).await;
         if let Some(suspended_us) = suspension.look() {
@@ -278,6 +278,7 @@
         let changes = edge.steer.borrow_mut().tick(clock::now());
         edge.log_changes("time", &changes);
         refusal_report::update(&edge);
+        connections.update(&edge, clock::now());
         let steer = edge.steer.borrow();
         let (held_back, unanswered) = steer.quota_counts(clock::now());
         metrics::gauge!("elmstream_store_era").set(steer.era() as f64);
--- a/elmstream_edge/src/relay.rs
+++ b/elmstream_edge/src/relay.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use elmstream::{code::Code, time::MILLI};
-use elmstream_http::{LocalBody, Stop, body, server::Aborted};
+use elmstream_http::{LocalBody, RequestBody, Stop, body, server::Aborted};
 use elmstream_steer::{
     hash,
     model::{Repeatability, Route},
@@ -22,7 +22,6 @@
 use elmstreamd::{clock, waits};
 use futures_util::future::{Either, select};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, response};
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -109,7 +108,8 @@
         return None;
     }
     for relay in relays {
-        let relayed = waits::within(request.deadline, exchange(edge, request, relay)).await;
+        let relayed =
+            waits::within(request.deadline, Box::pin(exchange(edge, request, relay))).await;
         match relayed.unwrap_or(Relayed::Unknown) {
             Relayed::Answer(parts, bytes) | Relayed::Refused(parts, bytes) => {
                 return Some(respond(request, parts, bytes));
@@ -239,7 +239,7 @@
 }
 
 /// Whether another host relays this request.
-pub(crate) fn is_relayed(request: &Request<Incoming>) -> bool {
+pub(crate) fn is_relayed(request: &Request<RequestBody>) -> bool {
     request.headers().contains_key(RELAY_HEADER)
 }
 
@@ -267,7 +267,7 @@
 pub(crate) async fn serve(
     edge: Rc<Edge>,
     stopping: Stop,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let Some(_relaying) = Relaying::start(&edge) else {
         return Ok(cannot_relay(callers::retry_later(Code::NoCapacity, NOT_RELAYED_RETRY_MS)));
@@ -291,7 +291,7 @@
 
 async fn answer(
     edge: &Rc<Edge>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     progress: Rc<RequestProgress>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let received = clock::now();
@@ -307,7 +307,7 @@
     let id = headers::text(&head.headers, &edge.settings.headers.request_id);
     let id = id.unwrap_or_default().to_owned();
     let body_of = BodyOf { id: &id, route: &route, remaining: Duration::from_millis(remaining_ms) };
-    let body = match counted_body::read_request(edge, body_of, incoming).await {
+    let body = match Box::pin(counted_body::read_request(edge, body_of, incoming)).await {
         Ok(body) => body,
         Err(answer) => return answer,
     };
--- /dev/null
+++ b/elmstream_edge/src/resources.rs
@@ -0,0 +1,50 @@
+//! Division of what the host's process may use: memory and file descriptors.
+
+use elmstream_http::ConnectionBounds;
+use serde::Deserialize;
+
+/// Memory and file descriptors that the process may use; 0 for no bound.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Resources {
+    /// Bytes of memory, those that wait unread in sockets included.
+    pub memory_bytes: u64,
+    /// File descriptors.
+    pub file_descriptors: u64,
+}
+
+/// Part of the memory that requests under way may take, without the bodies, which
+/// `buffers.total_bytes` bounds.
+const REQUESTS_MEMORY_SHARE: f64 = 0.4;
+/// Memory of a request under way: its connection, its state and the connection to a server, without
+/// bodies. The test `connection_memory` checks it.
+pub const REQUEST_BYTES: u64 = 64 << 10;
+/// Memory of an idle connection, checked by the same test.
+pub const IDLE_CONNECTION_BYTES: u64 = 8 << 10;
+/// File descriptors for files, listeners, other hosts and the store.
+const OTHER_DESCRIPTORS: u64 = 300;
+/// Part of the other descriptors that callers' connections may take. Each request under way also
+/// takes one to a server, and servers' connections are kept for a while.
+const CALLERS_DESCRIPTORS_SHARE: f64 = 0.5;
+/// Smallest bounds.
+const BUSY_MIN: usize = 16;
+const OPEN_MIN: usize = 64;
+
+impl Resources {
+    /// Bounds on callers' connections.
+    pub fn connection_bounds(&self) -> ConnectionBounds {
+        let requests_bytes = self.memory_bytes as f64 * REQUESTS_MEMORY_SHARE;
+        let by_memory = (requests_bytes / REQUEST_BYTES as f64) as usize;
+        let descriptors = self.file_descriptors.saturating_sub(OTHER_DESCRIPTORS);
+        let by_descriptors = (descriptors as f64 * CALLERS_DESCRIPTORS_SHARE) as usize;
+        let (open, by_memory) = (
+            if self.file_descriptors == 0 { 0 } else { by_descriptors.max(OPEN_MIN) },
+            if self.memory_bytes == 0 { 0 } else { by_memory.max(BUSY_MIN) },
+        );
+        let busy = match (by_memory, open) {
+            (0, bound) | (bound, 0) => bound,
+            (by_memory, open) => by_memory.min(open),
+        };
+        ConnectionBounds { open, busy }
+    }
+}
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu, ensure};
 
-use crate::headers::HeaderNames;
+use crate::{headers::HeaderNames, resources::Resources};
 
 /// All settings of a host.
 #[derive(Clone, Debug, Deserialize)]
@@ -37,6 +37,9 @@
     /// Bounds on the bytes that the host holds.
     #[serde(default)]
     pub buffers: Buffers,
+    /// Memory and file descriptors that the process may use.
+    #[serde(default)]
+    pub resources: Resources,
     /// How request digests are computed.
     #[serde(default)]
     pub content: Content,
@@ -83,6 +86,9 @@
 
 /// Smallest bound on held bytes.
 const TOTAL_BYTES_MIN: u64 = 1 << 20;
+/// Least memory and file descriptors with which a host can work.
+const MEMORY_BYTES_MIN: u64 = 32 << 20;
+const FILE_DESCRIPTORS_MIN: u64 = 512;
 /// Shortest time for which a caller may leave bytes unread, in milliseconds.
 const READER_TIMEOUT_MS_MIN: u64 = 500;
 
@@ -198,6 +204,7 @@
         ensure!(self.bounds.exposure_slack >= 0.0, value("bounds.exposure_slack", "is below 0"));
         ensure!(self.bounds.rollback_ms > 0, value("bounds.rollback_ms", "is 0"));
         self.check_buffers()?;
+        self.check_resources()?;
         self.check_policies()?;
         let scheme = &self.headers.key_scheme;
         let one_word = !scheme.is_empty() && scheme.chars().all(|c| c.is_ascii_graphic());
@@ -223,6 +230,20 @@
         Ok(())
     }
 
+    fn check_resources(&self) -> Result<(), SettingsError> {
+        let value = |key, problem| ValueSnafu { key, problem };
+        let Resources { memory_bytes, file_descriptors } = self.resources;
+        ensure!(
+            memory_bytes == 0 || memory_bytes >= MEMORY_BYTES_MIN,
+            value("resources.memory_bytes", "is below 32 MiB")
+        );
+        ensure!(
+            file_descriptors == 0 || file_descriptors >= FILE_DESCRIPTORS_MIN,
+            value("resources.file_descriptors", "is below 512")
+        );
+        Ok(())
+    }
+
     fn check_policies(&self) -> Result<(), SettingsError> {
         let value = |key, problem| ValueSnafu { key, problem };
         let Policies { placement, .. } = &self.policies;
--- a/elmstream_http/src/client.rs
+++ b/elmstream_http/src/client.rs
@@ -9,11 +9,10 @@
 };
 
 use compio::net::{TcpSocket, TcpStream};
-use cyper_core::HyperStream;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use socket2::SockRef;
 
-use crate::LocalBody;
+use crate::{LocalBody, PlainStream};
 
 /// Opens a connection; its task ends when the returned sender is dropped.
 ///
@@ -75,7 +74,7 @@
 
 async fn start(stream: TcpStream) -> io::Result<SendRequest<LocalBody>> {
     stream.set_nodelay(true)?;
-    let handshake = handshake(HyperStream::new_plain(stream)).await;
+    let handshake = handshake(PlainStream::new(stream)?).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     compio::runtime::spawn(async move {
         // The future of the request returns the error.
--- a/elmstream_http/src/lib.rs
+++ b/elmstream_http/src/lib.rs
@@ -4,14 +4,20 @@
 
 pub mod body;
 pub mod client;
+mod connection;
+pub mod connections;
 pub mod executor;
+mod plain_stream;
+mod refusal;
+pub mod request_body;
 pub mod server;
 pub mod stop;
 pub mod watched;
-mod windowed;
 
 pub use body::{BoxError, LocalBody};
+pub use connections::{ConnectionBounds, Connections};
 pub use executor::LocalExecutor;
+pub use plain_stream::PlainStream;
+pub use request_body::RequestBody;
 pub use stop::{Stop, StopNotice, Stopper};
 pub use watched::ConnectionState;
-pub use windowed::WindowedStream;
--- a/elmstream_http/src/watched.rs
+++ b/elmstream_http/src/watched.rs
@@ -3,22 +3,27 @@
 use std::{
     cell::Cell,
     io::{self, IoSlice},
-    mem::MaybeUninit,
+    mem::{self, MaybeUninit},
+    os::fd::AsFd,
     pin::Pin,
     rc::Rc,
+    sync::atomic::Ordering,
     task::{Context, Poll, ready},
     time::Duration,
 };
 
+use bytes::{Buf, Bytes};
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
+use futures_util::AsyncRead;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
 
-use crate::WindowedStream;
+use crate::{
+    plain_stream::{PlainStream, READ_BYTES_MAX},
+    request_body::UnreadBodies,
+};
 
-/// Bytes read at once; compio's own buffer has the same size.
-const READ_BYTES_MAX: usize = 8 << 10;
 /// First bytes of an HTTP/2 connection; no method of HTTP/1.1 begins with them.
 const HTTP2_PREFIX: &[u8] = b"PRI";
 /// Length of the HTTP/2 preface in bytes; after it a connection can be shut down by the
@@ -62,6 +67,9 @@
     partial_head: Cell<bool>,
     served: Cell<bool>,
     unread_timeout: Cell<bool>,
+    /// Whether bytes wait because the client has not read those before them.
+    unsent: Cell<bool>,
+    unread_bodies: UnreadBodies,
 }
 
 impl Traffic {
@@ -89,6 +97,19 @@
         }
     }
 
+    /// Whether all requests were read to their end and answered, and nothing of another one was
+    /// read.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.in_flight.get() == 0
+            && !self.partial_head.get()
+            && !self.unsent.get()
+            && self.unread_bodies.load(Ordering::Relaxed) == 0
+    }
+
+    pub(crate) fn unread_bodies(&self) -> &UnreadBodies {
+        &self.unread_bodies
+    }
+
     /// Whether the connection failed because the client did not read.
     pub(crate) fn left_unread(&self) -> bool {
         self.unread_timeout.get()
@@ -119,16 +140,40 @@
 }
 
 /// Whether bytes are waiting in the socket; does not block, as the socket is non-blocking.
-fn has_unread(socket: &TcpStream) -> bool {
+fn has_unread(socket: &impl AsFd) -> bool {
     let mut byte = [MaybeUninit::uninit()];
     // The stream's own read handles an end or an error.
     matches!(SockRef::from(socket).peek(&mut byte), Ok(1))
 }
 
+/// The transport of a connection.
+pub(crate) enum Transport {
+    Plain(PlainStream),
+    Tls(Box<HyperStream<TcpStream>>),
+}
+
+impl Transport {
+    fn poll_read(&mut self, cx: &mut Context<'_>, into: &mut [u8]) -> Poll<io::Result<usize>> {
+        match self {
+            Transport::Plain(stream) => stream.poll_read_bytes(cx, into),
+            Transport::Tls(stream) => AsyncRead::poll_read(Pin::new(stream), cx, into),
+        }
+    }
+
+    fn as_write(&mut self) -> Pin<&mut (dyn Write + Unpin)> {
+        match self {
+            Transport::Plain(stream) => Pin::new(stream),
+            Transport::Tls(stream) => Pin::new(&mut **stream),
+        }
+    }
+}
+
 /// A stream that reports what it reads to a [`Traffic`].
 pub(crate) struct WatchedStream {
-    stream: WindowedStream,
+    transport: Transport,
     traffic: Rc<Traffic>,
+    /// Bytes that were read before and are to be read again.
+    pending: Bytes,
     /// Time for which bytes may wait because the client does not read.
     unread_timeout: Option<Duration>,
     /// Runs while bytes wait.
@@ -137,12 +182,49 @@
 
 impl WatchedStream {
     pub(crate) fn new(
-        stream: HyperStream<TcpStream>,
+        transport: Transport,
         traffic: Rc<Traffic>,
         unread_timeout: Option<Duration>,
     ) -> WatchedStream {
-        let stream = WindowedStream::new(stream, unread_timeout.is_some());
-        WatchedStream { stream, traffic, unread_timeout, unread: None }
+        WatchedStream { transport, traffic, pending: Bytes::new(), unread_timeout, unread: None }
+    }
+
+    /// Makes the stream return these bytes before any others.
+    pub(crate) fn push_back(&mut self, bytes: Bytes) {
+        self.pending = match self.pending.is_empty() {
+            true => bytes,
+            false => [bytes, mem::take(&mut self.pending)].concat().into(),
+        };
+    }
+
+    /// Waits until there is something to read, or the end of the stream.
+    pub(crate) fn poll_readable(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match &self.transport {
+            Transport::Plain(stream) if self.pending.is_empty() => stream.poll_readable(cx),
+            _ => Poll::Ready(Ok(())),
+        }
+    }
+
+    /// Whether bytes are waiting to be read.
+    pub(crate) fn has_unread(&self) -> bool {
+        match &self.transport {
+            Transport::Plain(stream) => !self.pending.is_empty() || has_unread(stream),
+            Transport::Tls(_) => true,
+        }
+    }
+
+    /// Reads into plain bytes.
+    pub(crate) fn poll_read_bytes(
+        &mut self,
+        cx: &mut Context<'_>,
+        into: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.pending.is_empty() {
+            return self.transport.poll_read(cx, into);
+        }
+        let length = self.pending.len().min(into.len());
+        self.pending.copy_to_slice(&mut into[..length]);
+        Poll::Ready(Ok(length))
     }
 
     /// Passes the result of a write on, or an error if writes have waited for too long.
@@ -151,6 +233,7 @@
         cx: &mut Context<'_>,
         polled: Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
+        self.traffic.unsent.set(polled.is_pending());
         let Some(timeout) = self.unread_timeout.filter(|_| polled.is_pending()) else {
             self.unread = None;
             return polled;
@@ -170,10 +253,9 @@
     ) -> Poll<io::Result<()>> {
         let mut chunk = [0; READ_BYTES_MAX];
         let room = into.remaining().min(READ_BYTES_MAX);
-        let reading = self.stream.poll_read_bytes(cx, &mut chunk[..room]);
-        let bytes = &chunk[..ready!(reading)?];
-        self.traffic.read(bytes);
-        into.put_slice(bytes);
+        let length = ready!(self.poll_read_bytes(cx, &mut chunk[..room]))?;
+        self.traffic.read(&chunk[..length]);
+        into.put_slice(&chunk[..length]);
         Poll::Ready(Ok(()))
     }
 }
@@ -184,21 +266,21 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let polled = Write::poll_write(Pin::new(&mut self.stream), cx, bytes);
+        let polled = self.transport.as_write().poll_write(cx, bytes);
         self.limited(cx, polled)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let polled = Write::poll_flush(Pin::new(&mut self.stream), cx);
+        let polled = self.transport.as_write().poll_flush(cx);
         self.limited(cx, polled)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Write::poll_shutdown(Pin::new(&mut self.stream), cx)
+        self.transport.as_write().poll_shutdown(cx)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
@@ -206,7 +288,7 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let polled = Write::poll_write_vectored(Pin::new(&mut self.stream), cx, slices);
+        let polled = self.transport.as_write().poll_write_vectored(cx, slices);
         self.limited(cx, polled)
     }
 }
--- a/elmstream_soak/src/backend.rs
+++ b/elmstream_soak/src/backend.rs
@@ -2,9 +2,8 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use elmstream_http::{LocalBody, body, server::Aborted};
+use elmstream_http::{LocalBody, RequestBody, body, server::Aborted};
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 
 use crate::{
     listen, server_signals, versions, workspaces,
@@ -25,7 +24,7 @@
 async fn answer(
     world: Rc<World>,
     _opened: u64,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let header_value = |name: &str| {
         let value = request.headers().get(name).and_then(|value| value.to_str().ok());
@@ -91,7 +90,7 @@
 }
 
 /// Checks a request's headers: they must carry the right workspace name, and no key.
-fn check_headers(world: &World, request: &Request<Incoming>, id: &str) {
+fn check_headers(world: &World, request: &Request<RequestBody>, id: &str) {
     let mut ledger = world.ledger.borrow_mut();
     let names: Vec<&[u8]> = request
         .headers()
--- a/elmstream_soak/src/listen.rs
+++ b/elmstream_soak/src/listen.rs
@@ -3,9 +3,8 @@
 use std::{io, net::SocketAddr, rc::Rc, time::Instant};
 
 use compio::net::TcpListener;
-use elmstream_http::{LocalBody, Stopper, server, server::Aborted};
+use elmstream_http::{LocalBody, RequestBody, Stopper, server, server::Aborted};
 use http::{Request, Response};
-use hyper::body::Incoming;
 
 use crate::world::World;
 
@@ -14,7 +13,7 @@
 /// opened, in milliseconds since the start of the soak.
 pub async fn serve<H, F>(world: &Rc<World>, handler: H) -> io::Result<SocketAddr>
 where
-    H: Fn(Rc<World>, u64, Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Rc<World>, u64, Request<RequestBody>) -> F + Clone + 'static,
     F: Future<Output = Result<Response<LocalBody>, Aborted>> + 'static,
 {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
--- a/elmstream_soak/src/poison.rs
+++ b/elmstream_soak/src/poison.rs
@@ -3,10 +3,9 @@
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use compio::net::TcpListener;
-use elmstream_http::{LocalBody, Stopper, body, server, server::Aborted};
+use elmstream_http::{LocalBody, RequestBody, Stopper, body, server, server::Aborted};
 use elmstream_steer::view::RowKey;
 use http::{HeaderValue, Request, Response};
-use hyper::body::Incoming;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
@@ -86,7 +85,7 @@
     world: Rc<World>,
     crashed: Rc<Cell<bool>>,
     server: String,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let id = request.headers().get("elmstream-request").and_then(|id| id.to_str().ok());
     let id = id.unwrap_or_default().to_owned();
--- a/elmstream_soak/src/store.rs
+++ b/elmstream_soak/src/store.rs
@@ -2,12 +2,11 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
-use elmstream_http::{LocalBody, body, server::Aborted};
+use elmstream_http::{LocalBody, RequestBody, body, server::Aborted};
 use elmstream_steer::{
     RolloutWrite, digest::RequestDigest, poison::ServerCrash, version::StoreVersion, view::RowKey,
 };
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use serde::Serialize;
 
 use crate::{
@@ -31,7 +30,7 @@
 async fn answer(
     world: Rc<World>,
     opened_ms: u64,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let from = request.headers().get("from").and_then(|from| from.to_str().ok());
     let host_refused = from.is_some() && world.refused_host.borrow().as_deref() == from;
@@ -63,7 +62,7 @@
         || world.muted_until_ms.get().is_some_and(|since| opened_ms <= since)
 }
 
-async fn respond(world: &World, request: &Request<Incoming>) -> Response<LocalBody> {
+async fn respond(world: &World, request: &Request<RequestBody>) -> Response<LocalBody> {
     let query = request.uri().query().unwrap_or_default();
     let text = |name: &str| {
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
--- a/elmstream_standin/src/backend.rs
+++ b/elmstream_standin/src/backend.rs
@@ -16,14 +16,13 @@
 use bytes::Bytes;
 use compio::net::TcpListener;
 use elmstream_http::{
-    BoxError, LocalBody, Stop, body,
+    BoxError, LocalBody, RequestBody, Stop, body,
     server::{self, Aborted},
 };
 use futures_channel::oneshot;
 use futures_util::StreamExt;
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -173,7 +172,7 @@
 async fn handle(
     state: &Rc<State>,
     name: &str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     match request.uri().path() {
         "/_standin/behaviour" => Ok(set_behaviour(state, request).await),
@@ -184,7 +183,7 @@
     }
 }
 
-async fn set_behaviour(state: &Rc<State>, request: Request<Incoming>) -> Response<LocalBody> {
+async fn set_behaviour(state: &Rc<State>, request: Request<RequestBody>) -> Response<LocalBody> {
     match reply::read_json(request.into_body()).await {
         Some(behaviour) => {
             *state.behaviour.borrow_mut() = behaviour;
@@ -204,7 +203,7 @@
 async fn run(
     state: &Rc<State>,
     name: &str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let behaviour = state.behaviour.borrow().clone();
     let (parts, incoming) = request.into_parts();
@@ -279,7 +278,7 @@
 }
 
 /// Returns length and SHA-256 of a body; `None` if it was aborted.
-async fn digest_body(mut incoming: Incoming) -> Option<(u64, String)> {
+async fn digest_body(mut incoming: RequestBody) -> Option<(u64, String)> {
     let mut length = 0;
     let mut hash = Sha256::new();
     while let Some(frame) = incoming.frame().await {
--- a/elmstream_standin/src/platform.rs
+++ b/elmstream_standin/src/platform.rs
@@ -13,10 +13,9 @@
 
 use bytes::Bytes;
 use compio::net::TcpListener;
-use elmstream_http::{LocalBody, Stop, body, server, server::Aborted};
+use elmstream_http::{LocalBody, RequestBody, Stop, body, server, server::Aborted};
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
@@ -114,7 +113,7 @@
 async fn handle(
     state: &Rc<RefCell<State>>,
     started: Instant,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let (service, key) = split_path(request.uri());
     if service == "faults" {
@@ -188,7 +187,7 @@
 async fn set_faults(
     state: &Rc<RefCell<State>>,
     service: &str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<LocalBody> {
     let Some(faults) = reply::read_json(request.into_body()).await else {
         return reply::status(StatusCode::BAD_REQUEST);
@@ -205,7 +204,7 @@
 async fn rows(
     state: &Rc<RefCell<State>>,
     key: &str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<LocalBody> {
     if request.method() == Method::PUT {
         let Some(put) = reply::read_json::<PutRow>(request.into_body()).await else {
@@ -232,7 +231,7 @@
 async fn objects(
     state: &Rc<RefCell<State>>,
     key: &str,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<LocalBody> {
     if request.method() == Method::PUT {
         let Ok(collected) = request.into_body().collect().await else {
@@ -255,7 +254,7 @@
 async fn hosts(
     state: &Rc<RefCell<State>>,
     faults: &Faults,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<LocalBody> {
     if request.method() == Method::PUT {
         let Some(list) = reply::read_json::<HostList>(request.into_body()).await else {
--- a/elmstream_standin/src/reply.rs
+++ b/elmstream_standin/src/reply.rs
@@ -1,9 +1,8 @@
 //! Helpers to build responses and read request bodies.
 
-use elmstream_http::{LocalBody, body};
+use elmstream_http::{LocalBody, RequestBody, body};
 use http::{Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Returns a response with a JSON body.
@@ -23,7 +22,7 @@
 }
 
 /// Reads a JSON body; `None` if it is aborted or malformed.
-pub async fn read_json<T: DeserializeOwned>(body: Incoming) -> Option<T> {
+pub async fn read_json<T: DeserializeOwned>(body: RequestBody) -> Option<T> {
     let bytes = body.collect().await.ok()?.to_bytes();
     serde_json::from_slice(&bytes).ok()
 }
--- a/elmstreamd/src/callers.rs
+++ b/elmstreamd/src/callers.rs
@@ -11,14 +11,13 @@
     tickets::{Ticket, TicketDecision, TicketId},
     time::{MILLI, SECOND},
 };
-use elmstream_http::{LocalBody, body, server::Aborted};
+use elmstream_http::{LocalBody, RequestBody, body, server::Aborted};
 use elmstream_proto::{
     header,
     peer::{Open, RequestHead},
 };
 use http::{HeaderMap, Request, Response, header::HOST};
 use http_body::Body;
-use hyper::body::Incoming;
 use serde::Serialize;
 use serde_json::json;
 
@@ -60,7 +59,7 @@
 pub async fn handle(
     daemon: Rc<Daemon>,
     client: SocketAddr,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Aborted> {
     if request.uri().path() == LOOKUP_PATH {
         return Ok(lookup(&daemon, client, &request).unwrap_or_else(answer::refusal));
@@ -77,7 +76,7 @@
 fn lookup(
     daemon: &Daemon,
     client: SocketAddr,
-    request: &Request<Incoming>,
+    request: &Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Refusal> {
     let service = query_value(request, "service").ok_or(refusal_of(Code::BadRequest))?;
     let wanted = query_value(request, "tickets").map_or(Some(0), |n| n.parse().ok());
@@ -103,7 +102,7 @@
     }))
 }
 
-fn query_value<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+fn query_value<'a>(request: &'a Request<RequestBody>, name: &str) -> Option<&'a str> {
     let pairs = request.uri().query()?.split('&').filter_map(|pair| pair.split_once('='));
     pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
 }
@@ -112,7 +111,7 @@
 async fn serve(
     daemon: &Rc<Daemon>,
     client: SocketAddr,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Result<Response<LocalBody>, Refusal> {
     let _in_flight = daemon.count_request()?;
     let (parts, incoming) = request.into_parts();
@@ -147,7 +146,7 @@
     daemon: &Daemon,
     client: SocketAddr,
     parts: &http::request::Parts,
-    incoming: Incoming,
+    incoming: RequestBody,
 ) -> Result<Job, Refusal> {
     let node = daemon.node.borrow();
     let host = header_text(&parts.headers, HOST.as_str()).or(parts.uri.host());
