Servers lost in an outage of the store are kept until a fixed time after its return

What callers saw: 502 for orders that were sent to servers which had left.

Cause: two times were added up. Within `lapse_until` (2.5 s from the first rows) each removal began 2.2 s of its own.

Change: one time for all, 2.2 s after the first rows that end the outage; also when the store comes back from a copy.

--- a/elmstream_steer/src/era.rs
+++ b/elmstream_steer/src/era.rs
@@ -20,8 +20,8 @@
     view::{RemovedCounters, RowContent, RowKey},
 };
 
-/// How long a server stays in use after the store dropped it because of its own outage. A server
-/// that runs is listed again within about two seconds; after that it has to be considered gone.
+/// How long after the store's return servers stay in use that it no longer lists. A server that runs
+/// is listed again within about two seconds; after that it has to be considered gone.
 pub(crate) const LAPSE_TIMEOUT: u64 = 2_200 * MILLI;
 
 /// How long rows of an earlier era stay in force against the restored store, in microseconds from
--- a/elmstream_steer/src/restore.rs
+++ b/elmstream_steer/src/restore.rs
@@ -1,17 +1,14 @@
 //! Effects of a store that was restored from a backup.
 
-use elmstream::time::{MILLI, Time};
+use elmstream::time::Time;
 
 use crate::{
+    era::LAPSE_TIMEOUT,
     steer::{StateChange, Steer, StoreRestored},
     version::StoreVersion,
     view::{RowKey, Table},
 };
 
-/// How long after an outage servers that the store drops are kept for a grace period, as they may
-/// be listed again.
-pub(crate) const OUTAGE_GRACE: u64 = 2_500 * MILLI;
-
 impl Steer {
     /// The newest known era of the store.
     pub fn era(&self) -> u64 {
@@ -35,7 +32,7 @@
         changes: &[StateChange],
     ) -> StateChange {
         // Servers that are missing in the backup will register again.
-        self.lapse_until = now + OUTAGE_GRACE;
+        self.lapses_at = now + LAPSE_TIMEOUT;
         // Entries added since the backup was made are lost.
         self.registry.invalidate();
         self.urgent = true;
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -100,7 +100,9 @@
     /// Whether a change since the last heartbeat is to be sent without waiting for the next round.
     pub(crate) urgent: bool,
     pub(crate) leaving: bool,
-    pub(crate) lapse_until: Time,
+    /// Until when servers whose entries the store removes stay in use, as they may have lost them
+    /// in an outage of the store.
+    pub(crate) lapses_at: Time,
     /// Number of live hosts, including this one.
     pub(crate) live_hosts: usize,
     /// Number of live hosts in regions that are reachable, including this one.
@@ -285,7 +287,7 @@
             ready: false,
             urgent: false,
             leaving: false,
-            lapse_until: Time(0),
+            lapses_at: Time(0),
             live_hosts: 1,
             reachable_hosts: 1,
             near_live_hosts: 1,
--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -8,7 +8,6 @@
     heartbeat::StoreRead,
     model::Server,
     reader_rank::{self, RankedReader},
-    restore::OUTAGE_GRACE,
     routes::RouteTable,
     startup::StartupContext,
     steer::{PendingNews, ServerState, StateChange, Steer},
@@ -255,7 +254,7 @@
     ) -> Vec<StateChange> {
         let before = self.view.age(now, Table::Servers);
         if table == Table::Servers && before.is_some_and(|age| age > OUTAGE_AGE) {
-            self.lapse_until = now + OUTAGE_GRACE;
+            self.lapses_at = now + LAPSE_TIMEOUT;
         }
         let mut changes = Vec::new();
         for row in rows {
@@ -335,12 +334,12 @@
                 changes.push(StateChange::Server(id.clone(), ServerState::Unreadable));
             }
             (RowKey::Server(id), _) => {
-                if now < self.lapse_until
+                if now < self.lapses_at
                     && let Some(index) = self.servers.find(id)
                     && let Some(entry) = self.servers.get_mut(index)
                     && !entry.is_leaving()
                 {
-                    entry.lapses_at = Some(now + LAPSE_TIMEOUT);
+                    entry.lapses_at = Some(self.lapses_at);
                     changes.push(StateChange::Server(id.clone(), ServerState::Lapsed));
                 } else {
                     self.drop_server(id, changes);
