A host no longer takes its own standstill or a cut for an outage of the store

Cause: the age of the host's own servers table was taken for the time for which the store had been away. The table is as old after a standstill of the host, and after a cut from all other hosts. Logs could not show it: a standstill of the process had no line, and nothing said why a host took the store for having been away. Both have one now (`standstill`, `store_away`).

Ruled out: news that arrives late (the lines have the server as `lapsed` when its entry goes), and requests that waited in sockets (the late ones come 3.3 s and more after the waking).

Change: only time in which the host ran and heard others counts towards an outage (`observation.rs`). A host that saw 2.5 s of an outage still keeps the servers that it costs, whatever part of it the host missed.

Tests, elmstream_steer/tests/standstill.rs: on the three of removals after and during a standstill and after a cut fail ("its entry is gone, and the store was never away"); the one of an outage beside a standstill passes before and after. In view.rs the hosts of two tests did not tick for 6 s, which is a standstill; they tick now, and one of them looks once more before the bound. All 230 tests of elmstream_steer pass.

--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -7,6 +7,7 @@
     rc::Rc,
 };
 
+use elmstream::time::MILLI;
 use elmstream_http::Connections;
 use elmstream_steer::{
     Steer, settings,
@@ -181,6 +182,17 @@
                     self.event_log.state_change("host_lost", json!({"host": host}));
                 }
                 StateChange::StoreRestored(restored) => self.log_store_restored(from, restored),
+                StateChange::StoreAway { age_us, unobserved_us } => {
+                    metrics::counter!("elmstream_store_outages").increment(1);
+                    let fields = json!({
+                        "age_ms": age_us / MILLI, "unobserved_ms": unobserved_us / MILLI, "from": from,
+                    });
+                    self.event_log.write("store_away", fields);
+                }
+                StateChange::Standstill { for_us } => {
+                    metrics::counter!("elmstream_standstills").increment(1);
+                    self.event_log.write("standstill", json!({"for_ms": for_us / MILLI}));
+                }
                 StateChange::Rollout { service, target, stage } => {
                     let stage = stage.map(rollout::stage_text);
                     let fields = json!({
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -218,6 +218,7 @@
             return None;
         }
         let effect = self.members.on_heartbeat(now, heartbeat)?;
+        self.observation.hear(now);
         self.apply_loads(&effect.previous_loads, false);
         self.apply_loads(&heartbeat.loads, true);
         let speed_reports = self.merge_speeds(now, &heartbeat.loads);
@@ -499,6 +500,7 @@
     /// time and on the live hosts. Called about every 100 ms. Returns the changes of state to be
     /// logged.
     pub fn tick(&mut self, now: Time) -> Vec<StateChange> {
+        self.observation.step(now);
         let lost = self.members.expire(now);
         self.recount_loads();
         self.update_host_counts(now);
@@ -517,6 +519,8 @@
         for id in &lapsed {
             self.remove_server(id);
         }
+        let standstill = self.observation.take_standstill();
+        changes.extend(standstill.map(|for_us| StateChange::Standstill { for_us }));
         changes.extend(lost.into_iter().map(StateChange::HostLost));
         changes.extend(lapsed.into_iter().map(|id| StateChange::Server(id, ServerState::Gone)));
         let silence_changes = self.servers.silence_changes(now).into_iter();
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod lookup;
 pub mod members;
 pub mod model;
+mod observation;
 pub mod pick;
 pub mod placement;
 pub mod poison;
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -24,6 +24,7 @@
     lookup::{self, ReadyHost},
     members::Members,
     model::{Limits, Route},
+    observation::Observation,
     pick::{self, Pick, PickContext, PickRequest},
     placement::{OwnShares, ServicePlacement},
     poison::{PoisonChange, PoisonTracker},
@@ -103,6 +104,7 @@
     /// Until when servers whose entries the store removes stay in use, as they may have lost them
     /// in an outage of the store.
     pub(crate) lapses_at: Time,
+    pub(crate) observation: Observation,
     /// Number of live hosts, including this one.
     pub(crate) live_hosts: usize,
     /// Number of live hosts in regions that are reachable, including this one.
@@ -153,6 +155,18 @@
     HostLost(String),
     /// The store was restored from a backup.
     StoreRestored(StoreRestored),
+    /// The store answers again after no host could read it.
+    StoreAway {
+        /// Age of this host's servers table, in microseconds.
+        age_us: u64,
+        /// The part of it in which this host did not run or heard no other host.
+        unobserved_us: u64,
+    },
+    /// This host did not run for a while.
+    Standstill {
+        /// For how long, in microseconds.
+        for_us: u64,
+    },
     /// The parts of the own callers' requests that run in the host's place, in its region and
     /// elsewhere have changed much.
     Placement {
@@ -288,6 +302,7 @@
             urgent: false,
             leaving: false,
             lapses_at: Time(0),
+            observation: Observation::new(now),
             live_hosts: 1,
             reachable_hosts: 1,
             near_live_hosts: 1,
--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -17,7 +17,8 @@
     workspaces::WorkspaceTable,
 };
 
-/// Age of the servers table above which the store is considered to have been away.
+/// Age of the servers table above which the store is considered to have been away, without the time in
+/// which this host could not have learned of a read.
 const OUTAGE_AGE: u64 = 2_500 * MILLI;
 /// Fraction of the configuration bound during which a host can state with certainty that a route
 /// does not exist. In a working fleet, updates reach all hosts within half the bound, of which they
@@ -252,11 +253,14 @@
         table: Table,
         rows: Vec<Row>,
     ) -> Vec<StateChange> {
-        let before = self.view.age(now, Table::Servers);
-        if table == Table::Servers && before.is_some_and(|age| age > OUTAGE_AGE) {
+        self.observation.step(now);
+        let mut changes = Vec::new();
+        if table == Table::Servers
+            && let Some(outage) = self.ended_outage(now)
+        {
             self.lapses_at = now + LAPSE_TIMEOUT;
+            changes.push(outage);
         }
-        let mut changes = Vec::new();
         for row in rows {
             let key = row.key.clone();
             if self.view.merge(now, row) {
@@ -268,6 +272,16 @@
         changes
     }
 
+    /// The outage of the store that ends with rows that arrive now; `None` if there was none.
+    fn ended_outage(&self, now: Time) -> Option<StateChange> {
+        let confirmed_at = self.view.watermark(Table::Servers).confirmed_at?;
+        let age_us = now.since(confirmed_at);
+        let expects_others = !self.members.is_empty();
+        let unobserved_us = self.observation.unobserved_since(confirmed_at, now, expects_others);
+        (age_us.saturating_sub(unobserved_us) > OUTAGE_AGE)
+            .then_some(StateChange::StoreAway { age_us, unobserved_us })
+    }
+
     /// Updates the host's state after a row of the view changed.
     pub(crate) fn apply_row(&mut self, now: Time, key: &RowKey, changes: &mut Vec<StateChange>) {
         let content = self.view.get(key).cloned();
--- a/elmstream_steer/tests/standstill.rs
+++ b/elmstream_steer/tests/standstill.rs
@@ -1,16 +1,19 @@
-//! Guards against servers that are used for long after their entries were removed.
+//! Guards against hosts that take their own standstill, or a cut from all others, for an outage of the
+//! store, and against servers that are used for long after their entries were removed.
 //!
-//! The failure: after an outage of the store, a server whose entry went up to 2.5 s after the store's
-//! return stayed in use for 2.2 s from then on, although servers may end 2 s after their entry.
+//! The failure: a host was suspended for 3.5 s. Its servers table was then as old, from which it
+//! concluded that the store had been away. For 2.5 s more it kept each server whose entry was
+//! removed in use for another 2.2 s, although servers may end 2 s after that.
 
 mod support;
 
 use elmstream_steer::{
-    Steer,
+    Pick, Steer,
+    model::Repeatability,
     steer::StateChange,
     view::{RowKey, Table},
 };
-use support::{exchange_heartbeats, ms, ready, server, servers, tombstone};
+use support::{exchange_heartbeats, ms, ready, route, send, server, servers, tombstone};
 
 /// Interval between two steps of a running host, in milliseconds.
 const STEP: u64 = 100;
@@ -76,6 +79,45 @@
     }
 }
 
+#[test]
+fn server_removed_after_the_hosts_standstill_is_not_kept_as_after_an_outage() {
+    let mut fleet = Fleet::new();
+    fleet.run((0, 4_000), true, true);
+    fleet.run((4_000, 7_500), false, false);
+    fleet.add(7_500, "new");
+    // The first message after the standstill brings rows; the host has not ticked yet.
+    fleet.sync(7_520);
+    fleet.run((7_600, 8_800), true, true);
+    fleet.remove(8_800, LEAVING);
+    fleet.sync(8_850);
+    assert!(!fleet.is_used(LEAVING), "its entry is gone, and the store was never away");
+}
+
+#[test]
+fn server_removed_during_the_hosts_standstill_is_not_kept_as_after_an_outage() {
+    let mut fleet = Fleet::new();
+    fleet.run((0, 4_000), true, true);
+    fleet.run((4_000, 5_000), false, false);
+    fleet.remove(5_000, LEAVING);
+    fleet.run((5_100, 7_500), false, false);
+    fleet.sync(7_520);
+    assert!(!fleet.is_used(LEAVING), "its entry is gone, and the store was never away");
+}
+
+#[test]
+fn server_removed_after_a_cut_from_all_hosts_is_not_kept_as_after_an_outage() {
+    let mut fleet = Fleet::new();
+    fleet.run((0, 4_000), true, true);
+    fleet.run((4_000, 8_500), true, false);
+    fleet.add(8_500, "new");
+    // Rows that this host fetched before it hears others again.
+    fleet.sync(8_520);
+    fleet.run((8_600, 9_800), true, true);
+    fleet.remove(9_800, LEAVING);
+    fleet.sync(9_850);
+    assert!(!fleet.is_used(LEAVING), "its entry is gone, and the store was never away");
+}
+
 /// The store lists servers that run again within two seconds of its return; one that is still missing
 /// then is gone, whenever its entry went.
 #[test]
@@ -95,3 +137,42 @@
     assert!(!fleet.is_used(LEAVING), "it is not listed again");
     assert!(!fleet.is_used("s-a2-0"), "its entry went after the return, and is not listed again");
 }
+
+/// Trap: a host that stood still for a part of an outage has seen the rest of it.
+#[test]
+fn servers_lost_in_an_outage_stay_in_use_at_a_host_that_stood_still_for_a_part_of_it() {
+    let mut fleet = Fleet::new();
+    fleet.run((0, 3_000), true, true);
+    fleet.store_serves = false;
+    fleet.run((3_000, 5_000), true, true);
+    fleet.run((5_000, 6_500), false, false);
+    fleet.run((6_500, 9_000), true, true);
+    fleet.remove(9_000, LEAVING);
+    fleet.sync(9_050);
+    assert!(fleet.is_used(LEAVING), "the store was away for 6 s");
+    let route = route(Repeatability::Safe, &[]);
+    assert!(matches!(send(&mut fleet.hosts[0], ms(9_100), &route, 1), Pick::Send(_)));
+}
+
+/// What the log shows tells a standstill from an outage.
+#[test]
+fn standstill_and_outage_are_reported() {
+    let mut fleet = Fleet::new();
+    fleet.run((0, 4_000), true, true);
+    fleet.run((4_000, 7_500), false, false);
+    let changes = fleet.hosts[0].tick(ms(7_500));
+    let standstill = changes.iter().find_map(|change| match change {
+        StateChange::Standstill { for_us } => Some(*for_us),
+        _ => None,
+    });
+    assert_eq!(standstill, Some(3_600_000));
+    assert!(
+        !fleet.hosts[0].tick(ms(7_600)).iter().any(|c| matches!(c, StateChange::Standstill { .. }))
+    );
+    fleet.run((7_600, 9_000), true, true);
+    fleet.store_serves = false;
+    fleet.run((9_000, 13_000), true, true);
+    fleet.remove(13_000, LEAVING);
+    let changes = fleet.sync(13_050);
+    assert!(changes.iter().any(|c| matches!(c, StateChange::StoreAway { .. })), "{changes:?}");
+}
--- a/elmstream_steer/tests/view.rs
+++ b/elmstream_steer/tests/view.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use elmstream_steer::{
-    Pick,
+    Pick, Steer,
     model::Repeatability,
     view::{Row, RowKey, Table, View},
 };
@@ -84,10 +84,16 @@
     assert!(matches!(send(&mut steer, ms(7), &route, 1), Pick::Refuse(_)));
 }
 
+/// Lets a host run while nothing arrives. Without its ticks it would have stood still.
+fn tick_until(steer: &mut Steer, until_ms: u64) {
+    (0..until_ms).step_by(100).for_each(|at| drop(steer.tick(ms(at))));
+}
+
 #[test]
 fn server_dropped_by_an_outage_of_the_store_stays_in_use_until_relisted() {
     let mut steer = ready(0, ms(0), vec![server("one", "a1", 10)]);
     let route = route(Repeatability::Safe, &[]);
+    tick_until(&mut steer, 6_000);
     steer.on_full_read(ms(6_000), Table::Servers, at(30), Vec::new());
     assert!(matches!(send(&mut steer, ms(6_100), &route, 1), Pick::Send(_)));
     steer.on_changes(ms(7_900), Table::Servers, vec![server("one", "a1", 31)]);
@@ -98,7 +104,10 @@
 #[test]
 fn server_dropped_by_an_outage_of_the_store_is_removed_if_not_relisted() {
     let mut steer = ready(0, ms(0), vec![server("one", "a1", 10)]);
+    tick_until(&mut steer, 6_000);
     steer.on_full_read(ms(6_000), Table::Servers, at(30), Vec::new());
+    steer.tick(ms(8_100));
+    assert!(steer.servers().find("one").is_some());
     steer.tick(ms(8_300));
     assert!(steer.servers().find("one").is_none());
 }
