Soak: thousands of connections at once, hosts that stand still beside servers that leave

Every fourth seed opens 2,000 connections to a host at once beside 200 orders; the host must not end, holds 64 MiB at most, and what it refuses does not run. Every fourth seed lets hosts stand still for 3.5 s and removes a server's entry without a word soon after; a host that woke 3 s ago sends nothing later than 2 s after that. `--break memory` and `unsaid` show that the checks find it.

Bounds: requests under way take a quarter of the file descriptors at most, as each takes a connection to a server too; a full host looks for room every 2 ms in place of 50.

elmstream_http/tests/connections.rs: requests_sent_at_once_are_answered_in_order failed 10 of 37 times: its reader took two responses in one read and waited for a third.

--- a/elmstream_edge/src/resources.rs
+++ b/elmstream_edge/src/resources.rs
@@ -23,9 +23,11 @@
 pub const IDLE_CONNECTION_BYTES: u64 = 8 << 10;
 /// File descriptors for files, listeners, other hosts and the store.
 const OTHER_DESCRIPTORS: u64 = 300;
-/// Part of the other descriptors that callers' connections may take. Each request under way also
-/// takes one to a server, and servers' connections are kept for a while.
+/// Part of the other descriptors that callers' connections may take, and number of requests under way
+/// as a part of them. Each request also takes a connection to a server, and these are kept for a
+/// while.
 const CALLERS_DESCRIPTORS_SHARE: f64 = 0.5;
+const REQUESTS_DESCRIPTORS_SHARE: f64 = 0.25;
 /// Smallest bounds.
 const BUSY_MIN: usize = 16;
 const OPEN_MIN: usize = 64;
@@ -33,18 +35,16 @@
 impl Resources {
     /// Bounds on callers' connections.
     pub fn connection_bounds(&self) -> ConnectionBounds {
+        let descriptors = self.file_descriptors.saturating_sub(OTHER_DESCRIPTORS) as f64;
         let requests_bytes = self.memory_bytes as f64 * REQUESTS_MEMORY_SHARE;
-        let by_memory = (requests_bytes / REQUEST_BYTES as f64) as usize;
-        let descriptors = self.file_descriptors.saturating_sub(OTHER_DESCRIPTORS);
-        let by_descriptors = (descriptors as f64 * CALLERS_DESCRIPTORS_SHARE) as usize;
-        let (open, by_memory) = (
-            if self.file_descriptors == 0 { 0 } else { by_descriptors.max(OPEN_MIN) },
-            if self.memory_bytes == 0 { 0 } else { by_memory.max(BUSY_MIN) },
-        );
-        let busy = match (by_memory, open) {
-            (0, bound) | (bound, 0) => bound,
-            (by_memory, open) => by_memory.min(open),
-        };
-        ConnectionBounds { open, busy }
+        let by_memory = (self.memory_bytes > 0).then_some(requests_bytes / REQUEST_BYTES as f64);
+        let has_descriptors = self.file_descriptors > 0;
+        let by_descriptors = has_descriptors.then_some(descriptors * REQUESTS_DESCRIPTORS_SHARE);
+        let busy = by_memory.into_iter().chain(by_descriptors).reduce(f64::min);
+        let open = has_descriptors.then_some(descriptors * CALLERS_DESCRIPTORS_SHARE);
+        ConnectionBounds {
+            open: open.map_or(0, |open| (open as usize).max(OPEN_MIN)),
+            busy: busy.map_or(0, |busy| (busy as usize).max(BUSY_MIN)),
+        }
     }
 }
--- a/elmstream_http/src/server.rs
+++ b/elmstream_http/src/server.rs
@@ -24,8 +24,10 @@
 /// Default time for which a connection may be idle, and in which a client must send its headers.
 const HEADERS_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a failed accept, so that the loop does not spin while no file descriptors are
-/// free, and between checks for whether further connections may be accepted.
+/// free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Pause in which connections that were asked to close do so, while no further one may be accepted.
+const FULL_PAUSE: Duration = Duration::from_millis(2);
 /// Longest time for which missing file descriptors may delay the last accepts of a stop.
 const LAST_ACCEPTS_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause that lets the runtime run its reactor once, which then releases the listener from a
@@ -168,7 +170,7 @@
     };
     loop {
         if connections.is_full() {
-            let pause = pin!(compio::time::sleep(ACCEPT_PAUSE));
+            let pause = pin!(compio::time::sleep(FULL_PAUSE));
             match select(pause, stop.clone()).await {
                 Either::Left(_) => continue,
                 Either::Right(_) => break,
--- a/elmstream_http/tests/connections.rs
+++ b/elmstream_http/tests/connections.rs
@@ -119,10 +119,11 @@
     format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
 }
 
-/// Reads until `end`; returns the text, `None` if the connection ends before.
+/// Reads until `end`; returns the text, `None` if the connection ends before. What follows the end,
+/// such as another response, is left unread.
 fn read_until(stream: &mut TcpStream, end: &str) -> Option<String> {
     let mut text = String::new();
-    let mut bytes = [0; 4_096];
+    let mut bytes = [0; 1];
     while !text.ends_with(end) {
         match stream.read(&mut bytes) {
             Ok(0) | Err(_) => return None,
--- a/elmstream_soak/src/callers.rs
+++ b/elmstream_soak/src/callers.rs
@@ -180,6 +180,16 @@
                 self.host
             ));
         }
+        let times_ms = (requested_ms, hosts.borrow()[self.host].disturbed_ms);
+        let outages = world.outages.borrow();
+        if let Some(overdue_ms) = world.unsaid_removals.overdue_ms(server, times_ms, era, &outages)
+        {
+            ledger.add_violation(format!(
+                "{id} ran at {server}, {overdue_ms} ms after its entry was removed, by host {}, which \
+                 had stood still before",
+                self.host
+            ));
+        }
         // A host that accepts a key uses a configuration that contains it.
         let acceptance = KeyAcceptance {
             host,
--- a/elmstream_soak/src/faults.rs
+++ b/elmstream_soak/src/faults.rs
@@ -50,6 +50,11 @@
     /// A server joins, the host is killed for the fault's duration, and the server's entry is
     /// removed just before the host starts again.
     RemoveServerAtStart(usize),
+    /// A server joins, the host stands still for 3.5 s, and soon after that the server leaves
+    /// without notice.
+    RemoveServerAfterStandstill(usize),
+    /// Thousands of connections come to the host at once and stay for the fault's duration.
+    ConnectionBurst(usize),
     /// The host loses its paths to all backend servers for the fault's duration.
     CutFromServers(usize),
     /// A new configuration is applied.
@@ -112,6 +117,8 @@
     series::roll_outs(seed, total_ms, &mut events);
     series::removals(seed, total_ms, hosts, &mut events);
     series::cuts(seed, total_ms, hosts, &mut events);
+    series::connection_bursts(seed, total_ms, hosts, &mut events);
+    series::standstills(seed, total_ms, hosts, &mut events);
     events.retain(|event| event.at_ms + CALM_MARGIN_MS < total_ms);
     events.sort_by_key(|event| event.at_ms);
     events
--- a/elmstream_soak/src/injection.rs
+++ b/elmstream_soak/src/injection.rs
@@ -6,9 +6,10 @@
 
 use crate::{
     callers::Hosts,
+    connection_burst,
     faults::{Event, Fault},
     process::Process,
-    removals, server_signals, stop_load, versions,
+    removals, server_signals, standstills, stop_load, versions,
     world::{SHOP, ServerMode, StoreMode, World},
 };
 
@@ -90,6 +91,10 @@
         Fault::RemoveServerAtStart(n) => {
             removals::remove_while_host_starts(world, hosts, n, duration, address).await
         }
+        Fault::RemoveServerAfterStandstill(n) => {
+            standstills::remove_after_standstill(world, hosts, n, address).await
+        }
+        Fault::ConnectionBurst(n) => connection_burst::open(world, hosts, n, duration).await,
         Fault::CutFromServers(n) => cut_from_servers(world, hosts, n, duration).await,
         Fault::RollOut(bad) => versions::roll_out(world, hosts, bad, address).await,
         Fault::Configure => {
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod backend;
 pub mod callers;
+pub mod connection_burst;
 pub mod faults;
 pub mod gate;
 pub mod host;
@@ -19,6 +20,7 @@
 pub mod series;
 pub mod server_signals;
 pub mod soak;
+pub mod standstills;
 pub mod stop_load;
 pub mod store;
 pub mod store_client;
--- a/elmstream_soak/src/process.rs
+++ b/elmstream_soak/src/process.rs
@@ -14,6 +14,9 @@
 pub const STOP_NOTICE_MS: u64 = 300;
 /// Time limit for a planned stop.
 const STOP_GRACE_MS: u64 = 3_000;
+/// Memory that a host may hold, and its file descriptors.
+pub const HOST_MEMORY_BYTES: u64 = 64 << 20;
+const HOST_FILE_DESCRIPTORS: u64 = 4_096;
 /// Number of hosts that starting hosts contact first.
 pub const SEED_HOSTS: usize = 3;
 
@@ -102,6 +105,9 @@
             "domains": {"a1": "a"}, "seeds": seeds,
             "stop": {"notice_ms": STOP_NOTICE_MS, "grace_ms": STOP_GRACE_MS},
             "logging": {"sample": 0, "lines_per_s": 20},
+            "resources": {
+                "memory_bytes": HOST_MEMORY_BYTES, "file_descriptors": HOST_FILE_DESCRIPTORS,
+            },
         });
         let path = self.folder.join(format!("{}.json", self.name()));
         fs::write(&path, settings.to_string())?;
--- a/elmstream_soak/src/series.rs
+++ b/elmstream_soak/src/series.rs
@@ -29,6 +29,21 @@
 const REMOVAL_INTERVAL_MS: std::ops::Range<u64> = 6_000..9_000;
 const REMOVAL_DOWN_MS: std::ops::Range<u64> = 20..300;
 
+/// One in this many seeds has bursts of connections, and the value that its generator starts with.
+const BURSTS_SEED_DIVISOR: u64 = 4;
+const BURSTS_SEED: u64 = 0x6272_7374;
+/// Time between two bursts, and how long their connections stay, in milliseconds.
+const BURST_INTERVAL_MS: std::ops::Range<u64> = 2_000..6_000;
+const BURST_DURATION_MS: std::ops::Range<u64> = 200..3_000;
+/// One in this many seeds lets hosts stand still beside servers that leave, and the value that its
+/// generator starts with.
+const STANDSTILLS_SEED_DIVISOR: u64 = 4;
+const STANDSTILLS_SEED: u64 = 0x7374_616e;
+/// Time between two standstills, and from the beginning of one until its server has ended, in
+/// milliseconds.
+const STANDSTILL_INTERVAL_MS: std::ops::Range<u64> = 500..4_000;
+const STANDSTILL_DURATION_MS: u64 = 9_000;
+
 /// Time between two configurations of a series, in milliseconds.
 const CONFIGURATION_INTERVAL_MS: u64 = 350;
 /// How long a stopping host gets little processor time, in milliseconds. It lasts beyond the
@@ -176,6 +191,39 @@
     }
 }
 
+/// Lets thousands of connections come to a host at once, at every fourth seed. They are drawn from a
+/// generator of their own, so that a seed's other faults do not depend on them.
+pub fn connection_bursts(seed: u64, total_ms: u64, hosts: usize, events: &mut Vec<Event>) {
+    if seed % BURSTS_SEED_DIVISOR != 1 {
+        return;
+    }
+    let mut random = StdRng::seed_from_u64(seed ^ BURSTS_SEED);
+    let mut at_ms = CALM_MARGIN_MS + random.random_range(0..BURST_INTERVAL_MS.start);
+    while at_ms + CALM_MARGIN_MS < total_ms {
+        let duration_ms = random.random_range(BURST_DURATION_MS);
+        let fault = Fault::ConnectionBurst(random.random_range(0..hosts));
+        events.push(Event { at_ms, duration_ms, fault });
+        at_ms += random.random_range(BURST_INTERVAL_MS);
+    }
+}
+
+/// Lets hosts stand still beside servers that leave without notice, at every fourth seed, some at the
+/// same time. They are drawn from a generator of their own, so that a seed's other faults do not
+/// depend on them.
+pub fn standstills(seed: u64, total_ms: u64, hosts: usize, events: &mut Vec<Event>) {
+    if seed % STANDSTILLS_SEED_DIVISOR != 2 {
+        return;
+    }
+    let mut random = StdRng::seed_from_u64(seed ^ STANDSTILLS_SEED);
+    let mut at_ms = CALM_MARGIN_MS;
+    while at_ms + STANDSTILL_DURATION_MS < total_ms {
+        let host = random.random_range(0..hosts);
+        let fault = Fault::RemoveServerAfterStandstill(host);
+        events.push(Event { at_ms, duration_ms: 0, fault });
+        at_ms += random.random_range(STANDSTILL_INTERVAL_MS);
+    }
+}
+
 /// Rolls out a bad version at every second seed, in addition to the other faults and if
 /// there is time for it. It is drawn from a generator of its own, so that a seed's other
 /// faults do not depend on it.
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     gate::Gate, ledger::Ledger, outages::Outages, poison, removals::Removals,
-    server_signals::Arrivals, versions, workspaces,
+    server_signals::Arrivals, standstills::UnsaidRemovals, versions, workspaces,
 };
 
 /// Number of services that show the version of a configuration. A host that lags behind by
@@ -129,6 +129,8 @@
     pub gate: Rc<Gate>,
     /// Servers whose entries were removed without notice.
     pub removals: Removals,
+    /// Servers whose entries were removed after a host stood still.
+    pub unsaid_removals: UnsaidRemovals,
     /// What callers and backend servers observed.
     pub ledger: RefCell<Ledger>,
     /// Stalls of the soak itself: their end and their length.
@@ -158,6 +160,7 @@
             cut_since_ms: RefCell::default(),
             gate: Rc::default(),
             removals: Removals::default(),
+            unsaid_removals: UnsaidRemovals::default(),
             ledger: RefCell::default(),
             stalls: RefCell::default(),
             broken_rule,
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -243,3 +243,58 @@
     // The users ask for two thirds of what the other hosts serve.
     assert!(count("cut served") > 0 && cut * 1.5 >= other, "{cut} at cut hosts, {other}: {report}");
 }
+
+/// Two hosts get thousands of connections each, the second one while the first one has them.
+fn connection_bursts(broken: Option<&str>) -> Report {
+    let options = options(6, 10, broken);
+    let burst =
+        |at_ms, host| Event { at_ms, duration_ms: 2_500, fault: Fault::ConnectionBurst(host) };
+    let runtime = Runtime::new().expect("a runtime");
+    let events = vec![burst(2_500, 0), burst(3_500, 2)];
+    runtime.block_on(soak::run_events(&options, Duration::from_secs(10), events))
+}
+
+/// Guards against hosts that are killed for memory, with the requests that they had passed on, when
+/// many callers connect at once.
+#[test]
+fn hosts_outlive_thousands_of_connections_at_once() {
+    let report = connection_bursts(None);
+    assert!(report.passed(), "{report}");
+    assert!(report.counts().get("memory judged").is_some_and(|n| *n == 2), "{report}");
+}
+
+#[test]
+fn excess_memory_is_detected() {
+    let report = connection_bursts(Some("memory"));
+    assert!(report.violations().iter().any(|text| text.contains("bytes of memory")), "{report}");
+}
+
+/// Two hosts stand still, and a server leaves without notice soon after each of them woke.
+fn removed_after_standstills(broken: Option<&str>) -> Report {
+    let options = options(8, 14, broken);
+    let event = |at_ms, host| Event {
+        at_ms,
+        duration_ms: 0,
+        fault: Fault::RemoveServerAfterStandstill(host),
+    };
+    let runtime = Runtime::new().expect("a runtime");
+    let events = vec![event(2_500, 0), event(3_500, 1)];
+    runtime.block_on(soak::run_events(&options, Duration::from_secs(14), events))
+}
+
+/// Guards against hosts that take their own standstill for an outage of the store, and send to servers
+/// after these have left.
+#[test]
+fn servers_that_leave_after_a_standstill_are_not_used_for_long() {
+    let report = removed_after_standstills(None);
+    assert!(report.passed(), "{report}");
+    let removed = report.counts().get("servers removed after a standstill");
+    assert!(removed.is_some_and(|n| *n == 2), "{report}");
+}
+
+#[test]
+fn use_of_servers_that_left_after_a_standstill_is_detected() {
+    let report = removed_after_standstills(Some("unsaid"));
+    let is_found = |text: &String| text.contains("which had stood still before");
+    assert!(report.violations().iter().any(is_found), "{report}");
+}
