A connection whose request's body was not read closes after the response

On rereading: such a connection cannot be told from one in the middle of a body, so it stayed busy until the timeout of a head (5 s), and counted against the bound on requests under way. Many POSTs over a workspace's limit, which are refused before their body is read, could have taken all of it. The response asks the caller to close now, as callers repeat over new connections.

Test: connection_with_an_unread_body_is_closed_after_its_response.

--- a/elmstream_http/src/connection.rs
+++ b/elmstream_http/src/connection.rs
@@ -87,6 +87,7 @@
             client,
             traffic: traffic.clone(),
             notice: options.notice.clone(),
+            closes_unread: options.tls.is_none() && !options.http2,
         };
         let watched =
             |transport| WatchedStream::new(transport, traffic.clone(), options.unread_timeout);
@@ -202,6 +203,9 @@
     client: SocketAddr,
     traffic: Rc<Traffic>,
     notice: StopNotice,
+    /// Whether a connection closes if a request's body was not read. Else it would stay busy for as
+    /// long as the rest may still come.
+    closes_unread: bool,
 }
 
 /// A request that is being answered. It is boxed because hyper allocates the place of a future
@@ -221,10 +225,13 @@
         let in_flight = self.traffic.enter();
         let request = request.map(|body| RequestBody::new(body, self.traffic.unread_bodies()));
         let answering = (self.handler)(self.client, request);
-        let notice = self.notice.clone();
+        let (notice, traffic) = (self.notice.clone(), self.traffic.clone());
+        let closes_unread = self.closes_unread;
         Box::pin(async move {
             let mut response = answering.await?;
-            add_connection_close(&notice, &mut response);
+            if notice.is_announced() || closes_unread && traffic.has_unread_body() {
+                add_connection_close(&mut response);
+            }
             Ok(response.map(|body| body::holding(body, in_flight)))
         })
     }
@@ -232,9 +239,9 @@
 
 /// Asks the caller to close the connection, at a moment when no request of its own can be in
 /// transit.
-fn add_connection_close(notice: &StopNotice, response: &mut Response<LocalBody>) {
+fn add_connection_close(response: &mut Response<LocalBody>) {
     // HTTP/2 has frames for this, which its graceful shutdown sends.
-    if notice.is_announced() && response.version() <= Version::HTTP_11 {
+    if response.version() <= Version::HTTP_11 {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
 }
--- a/elmstream_http/src/watched.rs
+++ b/elmstream_http/src/watched.rs
@@ -103,7 +103,12 @@
         self.in_flight.get() == 0
             && !self.partial_head.get()
             && !self.unsent.get()
-            && self.unread_bodies.load(Ordering::Relaxed) == 0
+            && !self.has_unread_body()
+    }
+
+    /// Whether a body was not read to its end.
+    pub(crate) fn has_unread_body(&self) -> bool {
+        self.unread_bodies.load(Ordering::Relaxed) > 0
     }
 
     pub(crate) fn unread_bodies(&self) -> &UnreadBodies {
--- a/elmstream_http/tests/connections.rs
+++ b/elmstream_http/tests/connections.rs
@@ -192,6 +192,21 @@
     assert_eq!(server.stop(), ["/unread"]);
 }
 
+/// A connection whose body was not read would stay busy, and keep others from the bound.
+#[test]
+fn connection_with_an_unread_body_is_closed_after_its_response() {
+    let server = Server::start(ConnectionBounds { open: 0, busy: 1 });
+    let mut client = server.connect();
+    send(&mut client, "POST /unread HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nbody");
+    let response = read_until(&mut client, "unread").expect("a response");
+    assert!(response.contains("connection: close"), "{response}");
+    assert!(is_closed(&mut client));
+    let mut next = server.connect();
+    send(&mut next, &get("/a"));
+    assert!(read_until(&mut next, "whole").is_some(), "its place is free");
+    server.stop();
+}
+
 #[test]
 fn large_response_to_a_slow_reader_is_complete() {
     let server = Server::start(ConnectionBounds::default());
