--- a/review/5/case.py
+++ b/review/5/case.py
@@ -29,7 +29,7 @@
             n = 0
             while running:
                 rid = f"c{k}-{n}"; n += 1
-                status, *_ = await request(hosts[k % 3].front, "POST", f"/order/{k}", rid, body=b"x", key=str(k))
+                status, *_ = await request(hosts[k % 3].front, "POST", f"/order/{k}", rid, body=b"x", key=str(random.randrange(400)))
                 ends[status] = ends.get(status, 0) + 1
                 await asyncio.sleep(0.02)
         ends = {}
@@ -40,12 +40,12 @@
         lost_at = now()
         task = asyncio.create_task(leaving.write(LATE_S if TROUBLE else None))
         leaving.beat_from(lost_at)
-        await asyncio.sleep(CONTACT_S + 0.2)
+        await asyncio.sleep(CONTACT_S + 1.3)
         # The store has been without disruption for contactMs. The server says that it leaves.
         leaving.beat_task.cancel(); leaving.state = "draining"
         await leaving.write(); acked = now(); record("the store has acknowledged that the server is draining")
         leaving.beat_from(acked)
-        await asyncio.sleep(4.5)
+        await asyncio.sleep(5)
         running = False; await asyncio.gather(*clients)
         late = [(at - acked, rid) for at, rid, _ in leaving.runs if at > acked + DRAIN_S]
         record(f"clients' ends: {ends}")
