A server's late older heartbeat no longer takes back that it leaves

Callers: requests were sent to a backend server up to 3 s after the store had acknowledged that it leaves (2 s allowed); it may end by then, and a request that may not be repeated is lost.

Cause: the order of two entries of a server was taken from the order in which the store completed the writes. A write without an answer may be completed seconds later, so an older entry got the newer version and won the merge. Only the retention after a restore of the store used the servers' own order.

Change: one comparison, EntryNumber::precedes, tells which of two entries a server wrote first; merging, restores, the exchange between hosts and full reads use it. The newer entry is retained against the store's, as rows of an earlier era are, until the server writes again or its row is removed, 12 s at most. An entry that says that the server leaves applies at once.

Why it works: a late write has a lower number than the entry that changed the state before it, and all hosts know that number or get it from those that do.

--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -215,6 +215,14 @@
                         json!({"table": table, "count": keys.len(), "rows": rows, "from": from});
                     self.event_log.state_change("rows_outdated", fields);
                 }
+                StateChange::LateEntry { id, entry, newest } => {
+                    metrics::counter!("elmstream_late_entries").increment(1);
+                    let fields = json!({
+                        "server": id, "entry": entry.entries, "newest": newest.entries,
+                        "same_start": entry.born == newest.born, "from": from,
+                    });
+                    self.event_log.state_change("late_entry", fields);
+                }
                 StateChange::RetentionEnded(key) => {
                     self.event_log.write("hold_ended", json!({"row": key.to_string()}));
                 }
--- a/elmstream_steer/src/era.rs
+++ b/elmstream_steer/src/era.rs
@@ -14,7 +14,7 @@
 use elmstream::time::{MILLI, SECOND, Time};
 
 use crate::{
-    model::Server,
+    model::EntryNumber,
     rollout::RolloutProgress,
     version::StoreVersion,
     view::{RemovedCounters, RowContent, RowKey},
@@ -42,6 +42,12 @@
     /// For a server that has left or whose entry in the backup is outdated. The server writes again
     /// within its heartbeat interval of 1.5 s, or the store drops it after three intervals.
     pub outdated: u64,
+    /// For a server's newer entry against an older one that the store completed late, in
+    /// microseconds from when a host first sees the older one. The store completes such writes
+    /// within six seconds, and drops the entry of a server that has left after three heartbeat
+    /// intervals of 1.5 s. After that the store's content applies, as the newer number may have been
+    /// written by mistake.
+    pub late_entry: u64,
 }
 
 impl Default for Retention {
@@ -51,6 +57,7 @@
             evacuation: 60 * SECOND,
             missing: LAPSE_TIMEOUT,
             outdated: 10 * SECOND,
+            late_entry: 12 * SECOND,
         }
     }
 }
@@ -58,7 +65,7 @@
 impl Retention {
     /// No retention: the backup takes effect at once.
     pub const NONE: Retention =
-        Retention { configuration: 0, evacuation: 0, missing: 0, outdated: 0 };
+        Retention { configuration: 0, evacuation: 0, missing: 0, outdated: 0, late_entry: 0 };
 }
 
 /// A row as known from an earlier era.
@@ -70,6 +77,8 @@
     pub content: Option<&'a RowContent>,
     /// Counters at which the row existed before its deletion, if it was deleted and they are known.
     pub removed_counters: RemovedCounters,
+    /// Number of the newest known entry of a server, also if it was deleted.
+    pub entry_number: Option<EntryNumber>,
 }
 
 impl EarlierRow<'_> {
@@ -134,10 +143,15 @@
         (Some(RowContent::Progress(earlier)), copy) if earlier.outranks(progress(copy)) => {
             Some(retention.configuration)
         }
+        (_, Some(RowContent::Server(copy)))
+            if earlier.entry_number.is_some_and(|number| copy.is_outdated_by(number)) =>
+        {
+            Some(retention.outdated)
+        }
         (Some(RowContent::Server(earlier)), Some(RowContent::Server(copy)))
-            if differ_in_entry_count(earlier, copy) =>
+            if earlier.entry_number().precedes(copy.entry_number()) =>
         {
-            (earlier.entries > copy.entries).then_some(retention.outdated)
+            None
         }
         _ if written_since_restore => None,
         (Some(RowContent::Server(_)), None) => Some(retention.missing),
@@ -161,8 +175,3 @@
         _ => one == other,
     }
 }
-
-/// Whether two entries of the same server instance can be ordered by their entry counts.
-fn differ_in_entry_count(earlier: &Server, copy: &Server) -> bool {
-    earlier.born == copy.born && earlier.entries != copy.entries
-}
--- a/elmstream_steer/src/model.rs
+++ b/elmstream_steer/src/model.rs
@@ -144,7 +144,8 @@
     pub draining: bool,
     /// Remaining time for which it is cold, in milliseconds, when this entry was written.
     pub cold_ms: u64,
-    /// Distinguishes starts that use one id; 0 if unknown.
+    /// When it started, in milliseconds since the Unix epoch by its own clock; 0 if unknown. It
+    /// distinguishes starts that use one id.
     pub born: u64,
     /// Sequence number of this entry among those of its start; 0 if unknown.
     pub entries: u64,
@@ -153,7 +154,42 @@
     pub version: String,
 }
 
+/// Position of an entry among those that a backend server writes under its id.
+///
+/// The store may complete a write seconds after the server gave up on it, so the versions of the
+/// store do not tell which of two entries the server wrote later.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EntryNumber {
+    /// The start that wrote the entry, as in [`Server::born`].
+    pub born: u64,
+    /// Sequence number among the entries of that start, as in [`Server::entries`].
+    pub entries: u64,
+}
+
+impl EntryNumber {
+    /// Whether the entry was written before another one; `false` if the order is unknown.
+    pub fn precedes(self, other: EntryNumber) -> bool {
+        match self.born == other.born {
+            true => self.entries > 0 && self.entries < other.entries,
+            false => self.born > 0 && self.born < other.born,
+        }
+    }
+}
+
 impl Server {
+    /// Position of this entry among those of the server.
+    pub fn entry_number(&self) -> EntryNumber {
+        EntryNumber { born: self.born, entries: self.entries }
+    }
+
+    /// Whether this entry is outdated if the server has also written the entry `known`.
+    ///
+    /// An entry that says that the server leaves is never outdated: a server that leaves stays away,
+    /// and an entry `known` by another writer may have any number.
+    pub fn is_outdated_by(&self, known: EntryNumber) -> bool {
+        !self.draining && self.entry_number().precedes(known)
+    }
+
     /// Whether two entries are equal, apart from their sequence numbers.
     pub fn same_content(&self, other: &Server) -> bool {
         let Server {
--- a/elmstream_steer/src/restore.rs
+++ b/elmstream_steer/src/restore.rs
@@ -36,12 +36,13 @@
         // Entries added since the backup was made are lost.
         self.registry.invalidate();
         self.urgent = true;
+        let retained = self.view.retained(now, table);
         StateChange::StoreRestored(StoreRestored {
             table,
             before,
             version: self.view.watermark(table).version,
             changed: changes.len(),
-            retained: self.view.retained(table).into_iter().map(|row| row.key).collect(),
+            retained: retained.into_iter().map(|retained| retained.row.key).collect(),
         })
     }
 
--- a/elmstream_steer/src/rollout_control.rs
+++ b/elmstream_steer/src/rollout_control.rs
@@ -512,12 +512,12 @@
     /// Whether the progress of an order must be written again unchanged: the store lost it, or
     /// numbers the order's row differently.
     fn needs_rewrite(&self) -> bool {
-        let retained = self.view.retained(Table::Rollouts);
         let order_renumbered = |rollout: &Rollout| {
             let progress = rollout.progress.as_ref();
             progress.is_some_and(|(progress, _)| progress.order != rollout.version)
         };
-        !retained.is_empty() || self.rollouts.by_service.values().any(order_renumbered)
+        self.view.has_retained(Table::Rollouts)
+            || self.rollouts.by_service.values().any(order_renumbered)
     }
 
     fn due_write_of(&self, now: Time, unix_ms: u64, service: &str) -> Option<RolloutWrite> {
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -23,7 +23,7 @@
     leaving::LeavingServers,
     lookup::{self, ReadyHost},
     members::Members,
-    model::{Limits, Route},
+    model::{EntryNumber, Limits, Route},
     observation::Observation,
     pick::{self, Pick, PickContext, PickRequest},
     placement::{OwnShares, ServicePlacement},
@@ -182,8 +182,17 @@
         /// Keys of the rows.
         keys: Vec<RowKey>,
     },
-    /// The retention of a row from an earlier era of the store ended, and the row that the store
-    /// holds came into force.
+    /// The store completed an older entry of a server after a newer one, which stays in force.
+    LateEntry {
+        /// Id of the server.
+        id: String,
+        /// Number of the older entry.
+        entry: EntryNumber,
+        /// Number of the newest known entry.
+        newest: EntryNumber,
+    },
+    /// The retention of a row against the store ended, and the row that the store holds came into
+    /// force.
     RetentionEnded(RowKey),
     /// A rollout was ordered or withdrawn, or reached another stage.
     Rollout {
--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -13,7 +13,7 @@
     steer::{PendingNews, ServerState, StateChange, Steer},
     store_schedule::{self, ReadContext, ReadReason},
     version::StoreVersion,
-    view::{Row, RowContent, RowKey, Table},
+    view::{Effect, Row, RowContent, RowKey, Table},
     workspaces::WorkspaceTable,
 };
 
@@ -263,8 +263,10 @@
         }
         for row in rows {
             let key = row.key.clone();
-            if self.view.merge(now, row) {
-                self.apply_row(now, &key, &mut changes);
+            match self.view.merge(now, row) {
+                Effect::Changed => self.apply_row(now, &key, &mut changes),
+                Effect::Outdated => self.report_late_entry(&key, &mut changes),
+                Effect::Nothing | Effect::Recorded => {}
             }
         }
         self.elect_cold_senders(now);
@@ -272,6 +274,16 @@
         changes
     }
 
+    /// Reports that the store completed an older entry of a server after a newer one.
+    fn report_late_entry(&mut self, key: &RowKey, changes: &mut Vec<StateChange>) {
+        let RowKey::Server(id) = key else { return };
+        if let Some((entry, newest)) = self.view.late_entry(key) {
+            // Hosts that do not know the newer entry need it from this one.
+            self.urgent = true;
+            changes.push(StateChange::LateEntry { id: id.clone(), entry, newest });
+        }
+    }
+
     /// The outage of the store that ends with rows that arrive now; `None` if there was none.
     fn ended_outage(&self, now: Time) -> Option<StateChange> {
         let confirmed_at = self.view.watermark(Table::Servers).confirmed_at?;
--- a/elmstream_steer/src/stored_row.rs
+++ b/elmstream_steer/src/stored_row.rs
@@ -1,11 +1,15 @@
 //! A row of the view: the content in force and, if it differs, the store's content.
+//!
+//! The two differ if the row in force is retained: either it is of an earlier era than the store's,
+//! or the store completed an older write of the same backend server after a newer one.
 
-use elmstream::time::Time;
+use elmstream::time::{MILLI, Time};
 
 use crate::{
     era::{EarlierRow, Era, Retention, same_content},
+    model::EntryNumber,
     version::StoreVersion,
-    view::{RemovedCounters, Row, RowContent, RowKey},
+    view::{RemovedCounters, RetainedRow, Row, RowContent, RowKey},
 };
 
 /// A row of the view with its versions and the time of its last change.
@@ -18,9 +22,11 @@
     pub content: Option<RowContent>,
     pub changed_at: Time,
     pub removed_counters: RemovedCounters,
+    /// Number of the server's newest known entry, also after its deletion.
+    pub entry_number: Option<EntryNumber>,
     /// Version of the row in an earlier era, if the content is unchanged in the store's era.
     pub carried_from: Option<StoreVersion>,
-    /// The store's content, if the row is retained from an earlier era against it.
+    /// The store's content, if the row is retained against it.
     pub store_copy: Option<StoreCopy>,
 }
 
@@ -29,15 +35,20 @@
 pub(crate) struct StoreCopy {
     pub version: StoreVersion,
     pub content: Option<RowContent>,
+    /// Since when the store's content is known to be an older entry of the server; `None` if the row
+    /// in force is of an earlier era.
+    pub late_since: Option<Time>,
 }
 
 /// Effect of merging a row.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Effect {
+pub enum Effect {
     /// The row was already known.
     Nothing,
     /// The store's content or version changed, but not the content in force.
     Recorded,
+    /// The row is an older entry of a server than the one in force, which is retained.
+    Outdated,
     /// The content in force changed.
     Changed,
 }
@@ -47,6 +58,7 @@
         StoredRow {
             version,
             last_version: version,
+            entry_number: content.as_ref().and_then(RowContent::entry_number),
             content,
             changed_at: now,
             removed_counters: None,
@@ -55,9 +67,21 @@
         }
     }
 
+    /// Creates a row from one that another host sent.
+    pub fn from_row(now: Time, row: Row) -> StoredRow {
+        let (removed_counters, entry_number) = (row.removed_counters, row.entry_number());
+        let stored = StoredRow::new(now, row.version, row.content);
+        StoredRow { removed_counters, entry_number, ..stored }
+    }
+
     /// The row as known from the earlier era.
     pub fn as_earlier<'a>(&'a self, key: &'a RowKey) -> EarlierRow<'a> {
-        EarlierRow { key, content: self.content.as_ref(), removed_counters: self.removed_counters }
+        EarlierRow {
+            key,
+            content: self.content.as_ref(),
+            removed_counters: self.removed_counters,
+            entry_number: self.entry_number,
+        }
     }
 
     /// Merges a row of the store.
@@ -76,15 +100,25 @@
                 (row.version, new_content),
             );
             if retained_until.is_some_and(|retained_until| now < retained_until) {
-                let known = self
-                    .store_copy
-                    .replace(StoreCopy { version: row.version, content: row.content.clone() });
-                let is_repeated =
-                    known.is_some_and(|known| same_content(known.content.as_ref(), new_content));
-                return if is_repeated { Effect::Nothing } else { Effect::Recorded };
+                return match self.replace_store_copy(row, None) {
+                    true => Effect::Nothing,
+                    false => Effect::Recorded,
+                };
             }
         } else if reverts(before, new_content) {
             return Effect::Nothing;
+        } else if self.is_late_entry(new_content) {
+            if self.store_copy.is_none() && same_content(before, new_content) {
+                self.last_version = row.version;
+                return Effect::Nothing;
+            }
+            let late_since = self.late_since().unwrap_or(now);
+            if now < late_since + retention.late_entry {
+                return match self.replace_store_copy(row, Some(late_since)) {
+                    true => Effect::Nothing,
+                    false => Effect::Outdated,
+                };
+            }
         }
         let was_retained = self.store_copy.take().is_some();
         let previous_version = std::mem::replace(&mut self.last_version, row.version);
@@ -93,11 +127,14 @@
             // restore.
             let known = self.content.is_some() && self.carried_from.is_none();
             let last_counters = known.then_some([self.version, previous_version]);
+            let entry_number = self.entry_number_after(row);
             *self = StoredRow::new(now, row.version, row.content.clone());
+            self.entry_number = entry_number;
             self.removed_counters =
                 row.removed_counters.or(last_counters.map(|counters| counters.map(|at| at.count)));
             return Effect::Changed;
         }
+        self.entry_number = self.entry_number_after(row);
         if let (Some(RowContent::Server(known)), Some(RowContent::Server(new_content))) =
             (&mut self.content, new_content)
         {
@@ -117,6 +154,52 @@
         Effect::Recorded
     }
 
+    /// Records the store's content, against which the row in force is retained. Returns whether the
+    /// content was already known.
+    fn replace_store_copy(&mut self, row: &Row, late_since: Option<Time>) -> bool {
+        let copy = StoreCopy { version: row.version, content: row.content.clone(), late_since };
+        let known = self.store_copy.replace(copy);
+        known.is_some_and(|known| same_content(known.content.as_ref(), row.content.as_ref()))
+    }
+
+    /// Since when the store's content is known to be an older entry of the server.
+    fn late_since(&self) -> Option<Time> {
+        self.store_copy.as_ref()?.late_since
+    }
+
+    /// Whether a content of the store is an older entry of the server than the newest known one.
+    pub fn is_late_entry(&self, content: Option<&RowContent>) -> bool {
+        match (content, self.entry_number) {
+            (Some(RowContent::Server(server)), Some(known)) => server.is_outdated_by(known),
+            _ => false,
+        }
+    }
+
+    /// Number of the server's newest known entry once a row is in force.
+    ///
+    /// An entry in force is the newest one even if its number is lower. A deletion leaves the
+    /// number, so that older entries which the store completes later remain recognizable.
+    fn entry_number_after(&self, row: &Row) -> Option<EntryNumber> {
+        let is_entry = matches!(row.content, Some(RowContent::Server(_)));
+        match (self.entry_number, row.entry_number()) {
+            (Some(known), Some(new)) if !is_entry && new.precedes(known) => Some(known),
+            (known, new) => new.or(known),
+        }
+    }
+
+    /// Until when the row in force is retained against the store's content; `None` if it is not.
+    pub fn retained_until(&self, key: &RowKey, era: &Era, retention: &Retention) -> Option<Time> {
+        let copy = self.store_copy.as_ref()?;
+        match copy.late_since {
+            Some(late_since) => Some(late_since + retention.late_entry),
+            None => era.retained_until(
+                retention,
+                self.as_earlier(key),
+                (copy.version, copy.content.as_ref()),
+            ),
+        }
+    }
+
     /// The store's content, with a version of its era.
     pub fn as_stored(&self, era: u64) -> (StoreVersion, Option<RowContent>) {
         match &self.store_copy {
@@ -141,8 +224,16 @@
 
     /// The row in force.
     pub fn in_force(&self, key: &RowKey) -> Row {
-        let removed_counters = self.removed_counters;
-        Row { removed_counters, ..Row::new(key.clone(), self.version, self.content.clone()) }
+        let (removed_counters, last_entry) = (self.removed_counters, self.entry_number);
+        let row = Row::new(key.clone(), self.version, self.content.clone());
+        Row { removed_counters, last_entry, ..row }
+    }
+
+    /// The row in force and for how long it has been retained, if it is.
+    pub fn retained(&self, now: Time, key: &RowKey) -> Option<RetainedRow> {
+        let copy = self.store_copy.as_ref()?;
+        let late_ms = copy.late_since.map(|late_since| now.since(late_since) / MILLI);
+        Some(RetainedRow { row: self.in_force(key), late_ms })
     }
 
     /// Whether the row exists in the store.
--- a/elmstream_steer/src/table_sync.rs
+++ b/elmstream_steer/src/table_sync.rs
@@ -7,7 +7,7 @@
     heartbeat::TableStatus,
     steer::{StateChange, Steer},
     version::StoreVersion,
-    view::{Row, Table},
+    view::{RetainedRow, Row, Table},
 };
 
 /// Number of merged retention digests that are remembered; a restore of the store produces a few.
@@ -37,8 +37,8 @@
     /// Version of an earlier era up to which a host must know the table for partial rows to be
     /// sufficient; `None` if there is no such version.
     pub era_bridge: Option<StoreVersion>,
-    /// Rows that the sender retains from an earlier era against the store's contents.
-    pub retained: Vec<Row>,
+    /// Rows that the sender retains against the store's contents.
+    pub retained: Vec<RetainedRow>,
     /// The newest era known to the sender. The table may belong to an earlier one.
     pub era: EraNotice,
 }
@@ -109,7 +109,7 @@
             after,
             is_full,
             era_bridge,
-            retained: view.retained(table),
+            retained: view.retained(now, table),
             era: EraNotice {
                 number: era.number,
                 first_count: era.first_count,
@@ -183,12 +183,12 @@
     fn merge_retained_rows(
         &mut self,
         now: Time,
-        retained: Vec<Row>,
+        retained: Vec<RetainedRow>,
         changes: &mut Vec<StateChange>,
     ) {
-        for row in retained {
-            let key = row.key.clone();
-            if self.view.merge_retained(now, row) {
+        for retained in retained {
+            let key = retained.row.key.clone();
+            if self.view.merge_retained(now, retained) {
                 self.apply_row(now, &key, changes);
             }
         }
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -11,6 +11,10 @@
 //! of the earlier era stay in force against the store's contents for some time. Such a retained row
 //! keeps both contents, so for each row there is one in force and one as the store has it. A row
 //! that is equal in both eras is carried over: it only gets a version of the new era.
+//!
+//! A row is also retained if the store completes an older write of a backend server after a newer
+//! one: of two entries of one server the one that the server wrote later is in force, whatever their
+//! versions; see [`EntryNumber`].
 
 use std::{
     cell::Cell,
@@ -25,12 +29,14 @@
     era::{EarlierRow, Era, Retention, same_content},
     hash,
     heartbeat::{StoreRead, TableStatus},
-    model::{Configuration, Server},
+    model::{Configuration, EntryNumber, Server},
     rollout::{RolloutOrder, RolloutProgress},
-    stored_row::{Effect, StoreCopy, StoredRow},
+    stored_row::{StoreCopy, StoredRow},
     version::StoreVersion,
 };
 
+pub use crate::stored_row::Effect;
+
 /// How long tombstones are kept, so that delayed messages do not restore deleted rows.
 const TOMBSTONE_RETENTION: u64 = 60 * SECOND;
 
@@ -133,6 +139,16 @@
     Progress(RolloutProgress),
 }
 
+impl RowContent {
+    /// Number of a server's entry; `None` for other contents.
+    pub fn entry_number(&self) -> Option<EntryNumber> {
+        match self {
+            RowContent::Server(server) => Some(server.entry_number()),
+            _ => None,
+        }
+    }
+}
+
 /// A row as sent between hosts.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Row {
@@ -145,6 +161,19 @@
     /// Counters at which the row existed before its deletion; `None` if it exists or they are
     /// unknown.
     pub removed_counters: RemovedCounters,
+    /// Number of the server's newest known entry, if the row has none itself, as it was deleted or
+    /// cannot be parsed.
+    pub last_entry: Option<EntryNumber>,
+}
+
+/// A row in force that is retained against the store's content, as sent between hosts.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RetainedRow {
+    /// The row in force.
+    pub row: Row,
+    /// Time since the store's content is known to be an older entry of the server, in milliseconds;
+    /// `None` if the row is retained from an earlier era.
+    pub late_ms: Option<u64>,
 }
 
 /// The store's counters at which a row existed before its deletion: that of its last significant
@@ -154,7 +183,12 @@
 impl Row {
     /// Creates a row as the store has it, without counters of a deletion.
     pub fn new(key: RowKey, version: StoreVersion, content: Option<RowContent>) -> Row {
-        Row { key, version, content, removed_counters: None }
+        Row { key, version, content, removed_counters: None, last_entry: None }
+    }
+
+    /// Number of the server's newest entry known with this row.
+    pub fn entry_number(&self) -> Option<EntryNumber> {
+        self.content.as_ref().and_then(RowContent::entry_number).or(self.last_entry)
     }
 }
 
@@ -300,8 +334,8 @@
         watermark.confirmed_at.is_some()
     }
 
-    /// Merges a row of the store. Returns whether the content in force changed.
-    pub fn merge(&mut self, now: Time, row: Row) -> bool {
+    /// Merges a row of the store.
+    pub fn merge(&mut self, now: Time, row: Row) -> Effect {
         let (index, version) = (row.key.table() as usize, row.version);
         let (effect, is_newest) = match self.rows.get_mut(&row.key) {
             Some(stored) => {
@@ -312,13 +346,11 @@
                 // The tombstone of an unknown row is kept too, as it has to override delayed
                 // messages and other hosts may know the row.
                 let effect = row.content.as_ref().map_or(Effect::Nothing, |_| Effect::Changed);
-                let mut stored = StoredRow::new(now, version, row.content);
-                stored.removed_counters = row.removed_counters;
-                self.rows.insert(row.key, stored);
+                self.rows.insert(row.key.clone(), StoredRow::from_row(now, row));
                 (effect, true)
             }
         };
-        self.may_have_retained |= effect == Effect::Recorded;
+        self.may_have_retained |= matches!(effect, Effect::Recorded | Effect::Outdated);
         if effect != Effect::Nothing {
             self.key_digests[index].set(None);
         }
@@ -326,7 +358,7 @@
             let watermark = &mut self.watermarks[index];
             watermark.version = watermark.version.max(version);
         }
-        effect == Effect::Changed
+        effect
     }
 
     /// Merges a row that this host wrote. The watermark stays, as other rows may have changed
@@ -334,9 +366,9 @@
     pub fn merge_written(&mut self, now: Time, row: Row) -> bool {
         let index = row.key.table() as usize;
         let version = self.watermarks[index].version;
-        let changed = self.merge(now, row);
+        let effect = self.merge(now, row);
         self.watermarks[index].version = version;
-        changed
+        effect == Effect::Changed
     }
 
     /// Splits rows into those to merge and the keys of those that were deleted since: they are
@@ -355,9 +387,49 @@
         (current, deleted.into_iter().map(|row| row.key).collect())
     }
 
-    /// Merges a row of an earlier era that another host retains against the store. Returns whether
-    /// this host now retains it too.
-    pub fn merge_retained(&mut self, now: Time, row: Row) -> bool {
+    /// Merges a row that another host retains against the store. Returns whether this host now
+    /// retains it too.
+    pub fn merge_retained(&mut self, now: Time, RetainedRow { row, late_ms }: RetainedRow) -> bool {
+        match late_ms {
+            Some(late_ms) => {
+                let late_since = Time(now.0.saturating_sub(late_ms.saturating_mul(MILLI)));
+                self.merge_newer_entry(now, row, late_since)
+            }
+            None => self.merge_earlier_era(now, row),
+        }
+    }
+
+    /// Merges a server's entry, or its deletion, that another host retains because the store
+    /// completed an older entry of the server later.
+    fn merge_newer_entry(&mut self, now: Time, row: Row, late_since: Time) -> bool {
+        let (Some(stored), Some(number)) = (self.rows.get(&row.key), row.entry_number()) else {
+            return false;
+        };
+        let (version, content) = stored.as_stored(self.era.number);
+        let Some(RowContent::Server(copy)) = &content else { return false };
+        let is_same_era = row.version.era == version.era;
+        let is_newer = copy.is_outdated_by(number)
+            && stored.entry_number.is_none_or(|known| known.precedes(number));
+        let is_over = now >= late_since + self.retention.late_entry;
+        if !is_same_era || row.version >= version || !is_newer || is_over {
+            return false;
+        }
+        let late_since = Some(late_since);
+        self.retain(now, row, StoreCopy { version, content, late_since });
+        true
+    }
+
+    /// Puts a row in force against the store's content.
+    fn retain(&mut self, now: Time, row: Row, copy: StoreCopy) {
+        let key = row.key.clone();
+        let retained = StoredRow { store_copy: Some(copy), ..StoredRow::from_row(now, row) };
+        self.key_digests[key.table() as usize].set(None);
+        self.rows.insert(key, retained);
+        self.may_have_retained = true;
+    }
+
+    /// Merges a row of an earlier era that another host retains against the store.
+    fn merge_earlier_era(&mut self, now: Time, row: Row) -> bool {
         if row.version.era >= self.era.number {
             return false;
         }
@@ -381,18 +453,14 @@
             key: &row.key,
             content: row.content.as_ref(),
             removed_counters: row.removed_counters,
+            entry_number: row.entry_number(),
         };
         let retained_until =
             era.retained_until(&self.retention, retained_row, (version, content.as_ref()));
         if retained_until.is_none_or(|retained_until| now >= retained_until) {
             return false;
         }
-        let mut retained = StoredRow::new(now, row.version, row.content);
-        retained.removed_counters = row.removed_counters;
-        retained.store_copy = Some(StoreCopy { version, content });
-        self.key_digests[row.key.table() as usize].set(None);
-        self.rows.insert(row.key, retained);
-        self.may_have_retained = true;
+        self.retain(now, row, StoreCopy { version, content, late_since: None });
         true
     }
 
@@ -406,8 +474,7 @@
         }
         for (key, row) in &mut self.rows {
             let Some(copy) = &row.store_copy else { continue };
-            let store_row = (copy.version, copy.content.as_ref());
-            let retained_until = era.retained_until(&retention, row.as_earlier(key), store_row);
+            let retained_until = row.retained_until(key, &era, &retention);
             if retained_until.is_none_or(|retained_until| now >= retained_until) {
                 *row = StoredRow::new(now, copy.version, copy.content.clone());
                 self.key_digests[key.table() as usize].set(None);
@@ -421,10 +488,22 @@
 
     /// Rows of a table that are retained against the store's contents, with the contents in force,
     /// not the store's.
-    pub fn retained(&self, table: Table) -> Vec<Row> {
-        let rows =
-            self.rows.iter().filter(|(key, row)| key.table() == table && row.store_copy.is_some());
-        rows.map(|(key, row)| row.in_force(key)).collect()
+    pub fn retained(&self, now: Time, table: Table) -> Vec<RetainedRow> {
+        let rows = self.rows.iter().filter(|(key, _)| key.table() == table);
+        rows.filter_map(|(key, row)| row.retained(now, key)).collect()
+    }
+
+    /// Whether any row of a table is retained against the store's content.
+    pub fn has_retained(&self, table: Table) -> bool {
+        self.rows.iter().any(|(key, row)| key.table() == table && row.store_copy.is_some())
+    }
+
+    /// Numbers of a server's entry in the store and of its entry in force, if that is retained
+    /// against an older one.
+    pub fn late_entry(&self, key: &RowKey) -> Option<(EntryNumber, EntryNumber)> {
+        let row = self.rows.get(key)?;
+        let copy = row.store_copy.as_ref()?.content.as_ref()?;
+        Some((copy.entry_number()?, row.entry_number?))
     }
 
     /// Number of retained rows in all tables, for metrics.
@@ -572,8 +651,11 @@
         let rows = self.rows.iter().filter(|(key, _)| key.table() == table);
         let rows = rows.map(|(key, row)| {
             let (version, content) = row.as_stored(table_version.era);
-            let removed_counters = row.removed_counters.filter(|_| row.store_copy.is_none());
-            Row { removed_counters, ..Row::new(key.clone(), version.min(table_version), content) }
+            let is_in_force = row.store_copy.is_none();
+            let removed_counters = row.removed_counters.filter(|_| is_in_force);
+            let last_entry = row.entry_number.filter(|_| is_in_force);
+            let row = Row::new(key.clone(), version.min(table_version), content);
+            Row { removed_counters, last_entry, ..row }
         });
         rows.collect()
     }
@@ -596,7 +678,7 @@
         existing.map_or(0, |row| row.as_stored(self.era.number).0.count)
     }
 
-    /// Whether a row is retained from an earlier era against the store's contents.
+    /// Whether a row is retained against the store's contents.
     pub fn is_retained(&self, key: &RowKey) -> bool {
         self.rows.get(key).is_some_and(|row| row.store_copy.is_some())
     }
