Survivors of a loss no longer wait twice for readers that are lost

Cause: lost hosts count as live for 3 s. The ranked readers may all be lost, and then each further read waits 1.1 s and a random time, drawn for one call each 0.1 s by all hosts that count as live. A host whose turn comes reads once, the others take the table as current again, and all wait anew.

Change: a host whose turn came by its random wait reads as if it ranked first for the 3 s in which lost hosts may not be known as lost; the rate of such calls doubles after 0.25 s without a reader.

--- a/elmstream_edge/src/fetch_schedule.rs
+++ b/elmstream_edge/src/fetch_schedule.rs
@@ -147,6 +147,11 @@
         Some(host)
     }
 
+    /// Whether a fetch of a table from a host is running.
+    pub fn is_active(&self, table: Table, host: SocketAddr) -> bool {
+        self.tables[table as usize].active.contains_key(&host)
+    }
+
     /// Records the result of a fetch. Returns the earliest time to ask the host again if it
     /// refused or failed.
     pub fn on_fetch_ended(
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -22,7 +22,7 @@
 /// How long a host counts as live after its last heartbeat if each round reaches all hosts.
 pub const LIVE_TIMEOUT: u64 = 1_200 * MILLI;
 /// How long a host counts as live after its last heartbeat if the targets rotate.
-const ROTATING_LIVE_TIMEOUT: u64 = 3_000 * MILLI;
+pub(crate) const ROTATING_LIVE_TIMEOUT: u64 = 3_000 * MILLI;
 /// How long the loads that a host reported count.
 const LOADS_TIMEOUT: u64 = 1_200 * MILLI;
 /// A region counts as lost when none of its hosts was heard for this long. Even in the largest
--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -37,7 +37,11 @@
         {
             return None;
         }
-        self.store_schedule.due_read(now, table, &self.read_context(now, table))
+        let mut context = self.read_context(now, table);
+        if self.store_schedule.is_acting_reader(now, table) {
+            context.ranked_ahead = 0;
+        }
+        self.store_schedule.due_read(now, table, &context)
     }
 
     /// Whether no host has a reason to read yet, whatever its rank. This holds most of the time and
@@ -120,7 +124,7 @@
         began: Time,
         version: StoreVersion,
     ) {
-        self.store_schedule.record_answer(table, reason == ReadReason::Check);
+        self.store_schedule.record_answer(began, table, reason);
         self.view.mark_complete(table, version);
         let update = self.missing_update(table).filter(|update| update.reported_at <= began);
         let read_up_to = &mut self.read_up_to[table as usize];
--- a/elmstream_steer/src/store_schedule.rs
+++ b/elmstream_steer/src/store_schedule.rs
@@ -9,6 +9,7 @@
 use elmstream::time::{MILLI, Time};
 
 use crate::{
+    members::ROTATING_LIVE_TIMEOUT,
     reader_rank::{READER_RANKS, read_delay},
     startup::StartupContext,
     view::Table,
@@ -18,6 +19,13 @@
 pub const FLEET_READ_SLOT: u64 = 100 * MILLI;
 /// Upper limit of a random wait, as a multiple of the mean. One draw in 55 exceeds it.
 const WAIT_MULTIPLE_MAX: f64 = 4.0;
+/// Time in which the rate of first calls doubles while no host reads a table, and how often it does.
+///
+/// Hosts that have just been lost count as live for seconds, so the others wait for slots that
+/// nobody uses. A rate that rises finds a reader among few survivors soon, and a healthy fleet with
+/// an absent store still calls it at a bounded rate.
+const RATE_DOUBLING: u64 = 250 * MILLI;
+const RATE_DOUBLINGS_MAX: i32 = 1;
 /// Shortest pause of a host after a failed call.
 const RETRY_PAUSE_MIN: u64 = 500 * MILLI;
 /// Average interval between the fleet's calls that check whether the store serves a host again,
@@ -89,10 +97,12 @@
     draw: f64,
 }
 
-/// Failures of a host's calls to the store, by table.
+/// Outcomes of a host's calls to the store, by table.
 #[derive(Clone, Debug, Default)]
 pub struct StoreSchedule {
     failures: [Option<Failure>; 3],
+    /// Until when the host reads as if it ranked first.
+    acting_until: [Time; 3],
 }
 
 impl StoreSchedule {
@@ -101,13 +111,25 @@
         self.failures.iter().all(Option::is_none)
     }
 
-    /// Records an answered call. A successful check, made while others read the store, clears the
-    /// failures of all tables.
-    pub fn record_answer(&mut self, table: Table, was_check: bool) {
-        if was_check {
+    /// Records an answered call that began at `began`. A successful check, made while others read
+    /// the store, clears the failures of all tables.
+    pub fn record_answer(&mut self, began: Time, table: Table, reason: ReadReason) {
+        if reason == ReadReason::Check {
             self.failures = [None; 3];
         }
         self.failures[table as usize] = None;
+        if reason == ReadReason::Slot {
+            self.acting_until[table as usize] = began + ROTATING_LIVE_TIMEOUT;
+        }
+    }
+
+    /// Whether the host reads a table as if it ranked first.
+    ///
+    /// A host whose turn came by its random wait reads for as long as hosts of the first ranks may
+    /// be lost without this being known yet. Otherwise the fleet would wait as long again for each
+    /// further read.
+    pub fn is_acting_reader(&self, now: Time, table: Table) -> bool {
+        now < self.acting_until[table as usize]
     }
 
     /// Records a failed call; `draw` is a random number from 0 up to 1.
@@ -135,7 +157,7 @@
             return Some(ReadReason::Behind);
         }
         let rank_delay = read_delay(table, context.ranked_ahead.max(1), context.bound_ms);
-        let extra_delay = random_wait(context.live_hosts, context.draw);
+        let extra_delay = rising_rate_wait(context.live_hosts, context.draw);
         if age >= rank_delay + extra_delay && has_paused(Failure::read_pause) {
             return Some(ReadReason::Slot);
         }
@@ -183,6 +205,21 @@
     random_wait(hosts, draw).max(RETRY_PAUSE_MIN)
 }
 
+/// Wait of one of `hosts` hosts like [`random_wait`], but at a rate that doubles
+/// [`RATE_DOUBLINGS_MAX`] times, once per [`RATE_DOUBLING`].
+fn rising_rate_wait(hosts: u64, draw: f64) -> u64 {
+    let constant_wait = random_wait(hosts, draw) as f64;
+    let doubling = RATE_DOUBLING as f64;
+    // The constant-rate wait that corresponds to the end of the rise.
+    let rate_max = 2f64.powi(RATE_DOUBLINGS_MAX);
+    let rise = doubling / std::f64::consts::LN_2 * (rate_max - 1.0);
+    let wait = match constant_wait < rise {
+        true => doubling * (1.0 + constant_wait * std::f64::consts::LN_2 / doubling).log2(),
+        false => doubling * f64::from(RATE_DOUBLINGS_MAX) + (constant_wait - rise) / rate_max,
+    };
+    wait as u64
+}
+
 /// Exponentially distributed wait of one of `hosts` hosts, in microseconds. Together they act once
 /// per slot on average, from any moment on and independent of their earlier calls.
 fn random_wait(hosts: u64, draw: f64) -> u64 {
