Requests that are whole late in a stop are refused, not sent and aborted

The gap: a body that ends late, or a second send. Its request was sent whatever was left, and aborted with 504 soon after, so that its caller could not know whether it had run.

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -33,7 +33,7 @@
 pub(crate) const UNREADY_RETRY_MS: u64 = 300;
 /// Retry-After of a host that is stopping, in milliseconds: another host serves its name by
 /// now.
-const STOPPING_RETRY_MS: u64 = 50;
+pub(crate) const STOPPING_RETRY_MS: u64 = 50;
 
 /// How far a request has come; decides on the response that it gets if the host stops.
 #[derive(Debug, Default)]
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     backend::Pool, buffer_bound::BufferBound, connections, event_log::EventLog, rollout,
-    settings::Settings,
+    settings::Settings, shutdown::PlannedStop,
 };
 
 /// If more servers than this change at once, they are logged in one line.
@@ -46,6 +46,8 @@
     pub connections: Rc<Connections>,
     /// The event log on standard output.
     pub event_log: EventLog,
+    /// The planned stop, once it is requested.
+    pub(crate) stop: Cell<Option<PlannedStop>>,
     /// Set when the list of refused requests must be read from the store again.
     pub(crate) reread_refused: Cell<bool>,
 }
@@ -84,6 +86,7 @@
             buffers,
             connections: Rc::new(connections),
             event_log,
+            stop: Cell::new(None),
             reread_refused: Cell::new(false),
         })
     }
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     backend::{self, Exchange},
-    callers::{self, CallerRequest},
+    callers::{self, CallerRequest, STOPPING_RETRY_MS},
     edge::Edge,
     headers,
     poison::{self, SuspectedServer},
@@ -91,6 +91,12 @@
     while attempts.servers.len() < request.route.attempts.max(1) as usize
         && request.remaining() > REMAINING_MIN
     {
+        if edge.stop.get().is_some_and(|stop| !stop.allows_send(clock::now(), request.deadline)) {
+            if !possibly_run && failed_response.is_none() {
+                return refuse_at_stop(edge, request);
+            }
+            break;
+        }
         let is_retry = !attempts.servers.is_empty();
         if !possibly_run && let Some(response) = Box::pin(relay::send(edge, request)).await {
             return response;
@@ -367,6 +373,20 @@
     callers::retry_later(code, refusal.retry_ms)
 }
 
+/// Refuses a request that no server ran and that the host's stop might abort.
+fn refuse_at_stop(edge: &Edge, request: &CallerRequest) -> Response<LocalBody> {
+    metrics::counter!("elmstream_requests", "outcome" => "not_run").increment(1);
+    let code = Code::Stopping;
+    let fields = json!({
+        "id": request.id, "code": code.number(), "status": code.http_status(),
+        "route": request.route.name, "service": request.service,
+        "workspace": request.workspace_name(),
+        "took_ms": clock::now().since(request.received) / MILLI,
+    });
+    edge.event_log.request("not_run_stop", fields);
+    callers::retry_later(code, STOPPING_RETRY_MS)
+}
+
 /// Result code of a request that no server ran.
 fn result_code(reason: RefusalReason, attempts: &Attempts) -> Code {
     let last = attempts.outcomes.last().map(|(_, outcome, _)| *outcome);
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -6,6 +6,7 @@
 use std::{io, net::SocketAddr, rc::Rc};
 
 use compio::net::{TcpListener, UdpSocket};
+use elmstream::time::MILLI;
 use elmstream_http::{
     LocalBody, RequestBody, Stop, StopNotice, Stopper,
     server::{self, Aborted},
@@ -20,7 +21,9 @@
     Edge, StoreSource, callers,
     concurrency_limit::ConcurrencyLimit,
     connections::{OpenConnections, caller_options},
-    host_registry, peers, poison, relay, rollout, shutdown, store_reader,
+    host_registry, peers, poison, relay, rollout,
+    shutdown::{self, PlannedStop},
+    store_reader,
 };
 
 /// Why a host cannot start.
@@ -119,9 +122,13 @@
     terminated.await;
     // The deadlines of the stop count from this moment, so that delays do not add up.
     let stop_requested_at = clock::now();
+    let stop_settings = &edge.settings.stop;
+    let planned = PlannedStop::new(stop_requested_at, stop_settings);
+    let notice_ends_at = stop_requested_at + stop_settings.notice_ms * MILLI;
+    edge.stop.set(Some(planned));
     notice.announce();
     shutdown::announce(&edge, &socket).await;
-    shutdown::drain(&edge, stop_requested_at, stopper, abort_requests, async {
+    shutdown::drain(&edge, (notice_ends_at, planned), stopper, abort_requests, async {
         drop(serving.await);
         relay::until_idle(&edge).await;
     })
--- a/elmstream_edge/src/settings.rs
+++ b/elmstream_edge/src/settings.rs
@@ -99,13 +99,16 @@
     /// Time between the stop notice to callers and the end of new connections, in
     /// milliseconds.
     pub notice_ms: u64,
+    /// Time after the start of the stop from which on a request is sent only if it ends, at the
+    /// latest by its deadline, before requests in flight are aborted, in milliseconds.
+    pub last_send_ms: u64,
     /// Longest time from the start of the stop to the end of the process, in milliseconds.
     pub grace_ms: u64,
 }
 
 impl Default for Stop {
     fn default() -> Stop {
-        Stop { notice_ms: 1_500, grace_ms: 5_500 }
+        Stop { notice_ms: 1_500, last_send_ms: 3_000, grace_ms: 5_500 }
     }
 }
 
--- a/elmstream_edge/src/shutdown.rs
+++ b/elmstream_edge/src/shutdown.rs
@@ -8,7 +8,7 @@
 use elmstreamd::waits;
 use serde_json::json;
 
-use crate::{Edge, peers};
+use crate::{Edge, peers, settings::Stop};
 
 /// A host ends this long before its grace time is over.
 const END_MARGIN: Duration = Duration::from_millis(400);
@@ -16,6 +16,36 @@
 /// host itself; a host that gets a tenth of a core lags some 200 ms.
 const LAST_RESPONSES_TIME: Duration = Duration::from_millis(200);
 
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlannedStop {
+    /// From when on only requests are sent that end before `last_responses_at`.
+    last_send_at: Time,
+    /// When requests in flight get a final response from the host itself.
+    last_responses_at: Time,
+    /// When the host ends.
+    end_at: Time,
+}
+
+impl PlannedStop {
+    /// The times of a stop that was requested at `requested_at`.
+    pub(crate) fn new(requested_at: Time, settings: &Stop) -> PlannedStop {
+        let grace = Duration::from_millis(settings.grace_ms).saturating_sub(END_MARGIN);
+        let last_responses = grace.saturating_sub(LAST_RESPONSES_TIME);
+        PlannedStop {
+            last_send_at: requested_at + settings.last_send_ms * MILLI,
+            last_responses_at: requested_at + last_responses.as_micros() as u64,
+            end_at: requested_at + grace.as_micros() as u64,
+        }
+    }
+
+    /// Whether a request with a deadline may still be sent. Others would be aborted while a server
+    /// runs them, and their callers could not know whether they had run.
+    pub(crate) fn allows_send(&self, now: Time, deadline: Time) -> bool {
+        now < self.last_send_at || deadline <= self.last_responses_at
+    }
+}
+
 /// Announces to the other hosts that this host is leaving.
 pub(crate) async fn announce(edge: &Rc<Edge>, socket: &UdpSocket) {
     edge.steer.borrow_mut().start_leaving();
@@ -29,21 +59,17 @@
 /// Ends the service of callers: new connections are accepted until the notice time is over,
 /// and requests that are then still in flight get their final response just before the end.
 ///
-/// `stop_requested_at` is when the stop was requested. `stopper` stops the listeners,
+/// The notice time is over at `notice_ends_at`. `stopper` stops the listeners,
 /// `abort_requests` the requests; `serving` resolves when all connections are closed.
 pub(crate) async fn drain(
     edge: &Edge,
-    stop_requested_at: Time,
+    (notice_ends_at, stop): (Time, PlannedStop),
     stopper: Stopper,
     abort_requests: Stopper,
     serving: impl Future<Output = ()>,
 ) {
-    let settings = edge.settings.stop;
-    let grace = Duration::from_millis(settings.grace_ms).saturating_sub(END_MARGIN);
-    let last_responses_at =
-        stop_requested_at + grace.saturating_sub(LAST_RESPONSES_TIME).as_micros() as u64;
-    let end_at = stop_requested_at + grace.as_micros() as u64;
-    waits::until(stop_requested_at + settings.notice_ms * MILLI).await;
+    let PlannedStop { last_responses_at, end_at, .. } = stop;
+    waits::until(notice_ends_at).await;
     stopper.stop();
     let mut serving = pin!(serving);
     if waits::within(last_responses_at, serving.as_mut()).await.is_some() {
--- a/elmstream_edge/tests/stop.rs
+++ b/elmstream_edge/tests/stop.rs
@@ -14,7 +14,7 @@
     io::{AsyncRead, AsyncWriteExt},
     net::TcpStream,
 };
-use elmstream_edge::connections;
+use elmstream_edge::{connections, settings::Stop};
 use elmstream_steer::{model::Repeatability, view::RowKey};
 use support::{
     CALLERS, Store, backend, configuration, good, ip, run, send_request, send_request_within,
@@ -79,6 +79,12 @@
 /// Runs a host on its own thread until the test requests the stop; its runtime ends with it,
 /// as at the end of a process.
 fn host_on_own_thread(ip: IpAddr, backend: SocketAddr) -> (Sender<()>, JoinHandle<()>) {
+    let stop = Stop { notice_ms: NOTICE_MS, grace_ms: GRACE_MS, ..Stop::default() };
+    host_with_stop(ip, backend, stop)
+}
+
+/// Runs a host with a timing of its stop as [`host_on_own_thread`] does.
+fn host_with_stop(ip: IpAddr, backend: SocketAddr, stop: Stop) -> (Sender<()>, JoinHandle<()>) {
     let (terminate, terminated) = channel::<()>();
     let (ready_sender, ready) = channel();
     let thread = thread::spawn(move || {
@@ -87,8 +93,7 @@
             store.put(RowKey::Configuration, Some(configuration(1, Repeatability::Once)));
             store.put(RowKey::Server("s-0".into()), Some(server(backend)));
             let mut settings = settings(ip, &[]);
-            settings.stop.notice_ms = NOTICE_MS;
-            settings.stop.grace_ms = GRACE_MS;
+            settings.stop = stop;
             let host = start_with(ip, settings, &store);
             assert!(until(STEP_TIMEOUT, || host.edge.serves()).await, "the host is ready");
             ready_sender.send(()).expect("the test waits");
@@ -141,6 +146,11 @@
     let head = "POST /thing HTTP/1.1\r\nhost: shop.example\r\nelmstream-request: id-1\r\n\
                 content-length: 10\r\n\r\nhalf";
     stream.write_all(head).await.0.expect("it is sent");
+    read_to_end(stream).await
+}
+
+/// Reads until the host closes the connection.
+async fn read_to_end(mut stream: TcpStream) -> String {
     let mut text = String::new();
     loop {
         let BufResult(read, bytes) = stream.read(Vec::with_capacity(4_096)).await;
@@ -150,3 +160,75 @@
         }
     }
 }
+
+/// A request whose body ends late in the grace time was passed on and aborted soon after, so that its
+/// caller could not know whether it had run.
+#[test]
+fn request_that_is_whole_late_in_the_grace_time_is_refused_and_not_sent() {
+    run(async || {
+        let (address, received) = backend(ip(), |head| good(head, "ok")).await;
+        let at = ip();
+        let stop = Stop { notice_ms: NOTICE_MS, last_send_ms: 300, grace_ms: 1_300 };
+        let (terminate, thread) = host_with_stop(at, address, stop);
+        let mut stream = TcpStream::connect(SocketAddr::new(at, CALLERS)).await.expect("connects");
+        let head = "GET /slow HTTP/1.1\r\nhost: shop.example\r\nelmstream-request: id-1\r\n\
+                    content-length: 10\r\n\r\nhalf ";
+        stream.write_all(head).await.0.expect("it is sent");
+        compio::time::sleep(IN_FLIGHT_TIME).await;
+        terminate.send(()).expect("the host runs");
+        compio::time::sleep(Duration::from_millis(420)).await;
+        stream.write_all("whole").await.0.expect("it is sent");
+        let answer = read_to_end(stream).await.to_ascii_lowercase();
+        assert!(answer.starts_with("http/1.1 503"), "{answer}");
+        assert!(answer.contains("elmstream-code: 1108"), "{answer}");
+        assert!(answer.contains("retry-after"), "{answer}");
+        thread.join().expect("no panic");
+        assert_eq!(received.requests.borrow().len(), 0, "the request reaches no server");
+    });
+}
+
+/// Guards against requests that are taken from a kept connection late in the grace time: they are
+/// either answered or not passed on, whenever they come.
+#[test]
+fn kept_connections_take_no_request_that_is_not_answered_at_any_moment_of_the_stop() {
+    run(async || {
+        let (address, received) = backend(ip(), |head| good(head, "ok")).await;
+        let at = ip();
+        let stop = Stop { notice_ms: 400, last_send_ms: 800, grace_ms: 2_000 };
+        let (terminate, thread) = host_with_stop(at, address, stop);
+        let mut connections = Vec::new();
+        for _ in 0..40 {
+            let stream = TcpStream::connect(SocketAddr::new(at, CALLERS)).await;
+            connections.push(stream.expect("a connection"));
+        }
+        // Each connection has had a request, so that it is one that is kept.
+        for (n, stream) in connections.iter_mut().enumerate() {
+            let request = request_text(&format!("first-{n}"));
+            stream.write_all(request).await.0.expect("it is sent");
+            let BufResult(read, _) = stream.read(Vec::with_capacity(4_096)).await;
+            assert!(read.expect("an answer") > 0);
+        }
+        let before = received.requests.borrow().len();
+        terminate.send(()).expect("the host runs");
+        let mut answers = Vec::new();
+        for (n, mut stream) in connections.into_iter().enumerate() {
+            answers.push(compio::runtime::spawn(async move {
+                compio::time::sleep(Duration::from_millis(50 * n as u64)).await;
+                let sent = stream.write_all(request_text(&format!("id-{n}"))).await.0;
+                let answer = read_to_end(stream).await;
+                sent.is_ok() && answer.starts_with("HTTP/1.1 200")
+            }));
+        }
+        let mut answered = 0;
+        for answer in answers {
+            answered += usize::from(answer.await.expect("no panic"));
+        }
+        thread.join().expect("no panic");
+        assert!(answered >= 4, "{answered} requests were answered");
+        assert_eq!(received.requests.borrow().len() - before, answered, "a request was cut");
+    });
+}
+
+fn request_text(id: &str) -> String {
+    format!("GET /thing HTTP/1.1\r\nhost: shop.example\r\nelmstream-request: {id}\r\n\r\n")
+}
