--- a/elmstream_steer/src/model.rs
+++ b/elmstream_steer/src/model.rs
@@ -176,7 +176,24 @@
     }
 }
 
+/// Largest number of slots that an entry may give a server. One server with many more would get all
+/// requests of its service.
+const SLOTS_MAX: u32 = 1 << 16;
+/// Longest time for which an entry may say that a server is cold, in milliseconds.
+const COLD_MS_MAX: u64 = 3_600_000;
+
+/// Whether a text can be the id of a server: requests name it in a header.
+pub fn is_server_id(id: &str) -> bool {
+    !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 impl Server {
+    /// Whether all figures are within the ranges of a server that can be used.
+    pub fn is_plausible(&self) -> bool {
+        let is_reachable = self.address.port() > 0 && !self.address.ip().is_unspecified();
+        is_reachable && (1..=SLOTS_MAX).contains(&self.slots) && self.cold_ms <= COLD_MS_MAX
+    }
+
     /// Position of this entry among those of the server.
     pub fn entry_number(&self) -> EntryNumber {
         EntryNumber { born: self.born, entries: self.entries }
--- a/elmstream_steer/src/rollout_control.rs
+++ b/elmstream_steer/src/rollout_control.rs
@@ -572,7 +572,8 @@
             && let Some((progress, _)) = &rollout.progress
         {
             let stored_age_ms = unix_ms.saturating_sub(progress.began_unix_ms);
-            since_order_ms = since_order_ms.max(stored_age_ms.min(2 * rollout.order.duration_ms));
+            since_order_ms =
+                since_order_ms.max(stored_age_ms.min(rollout.order.duration_ms.saturating_mul(2)));
         }
         let is_clear = analysis.is_none_or(CanaryAnalysis::is_clear);
         let few_requests_left =
@@ -613,12 +614,12 @@
 
     /// Slots of a service's usable servers: of the given version, and of all others.
     fn slots(&self, service: &str, version: &str) -> (u32, u32) {
-        let mut slots = (0, 0);
+        let mut slots = (0u32, 0u32);
         for (_, entry) in self.servers.of_service(service).filter(|(_, entry)| !entry.is_leaving())
         {
             match entry.server.version == version {
-                true => slots.0 += entry.server.slots,
-                false => slots.1 += entry.server.slots,
+                true => slots.0 = slots.0.saturating_add(entry.server.slots),
+                false => slots.1 = slots.1.saturating_add(entry.server.slots),
             }
         }
         slots
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -80,8 +80,10 @@
     /// Number of other hosts that the server answers; reported only while some host finds it
     /// silent.
     pub answers_elsewhere: u32,
-    /// The server counts as cold until then.
-    pub cold_until: Time,
+    /// The server counts as cold until then, whatever its entry says.
+    cold_until: Time,
+    /// The server is cold until then by its entry in the store.
+    entry_cold_until: Time,
     /// Whether this host is one of the senders while the server is cold.
     pub cold_sender: bool,
     /// When this host last sent a request while the server was cold.
@@ -252,6 +254,7 @@
             silent_elsewhere: 0,
             answers_elsewhere: 0,
             cold_until: Time(0),
+            entry_cold_until: Time(0),
             cold_sender: false,
             last_cold_send: None,
             waiting_since: None,
@@ -279,7 +282,7 @@
             known_since: now,
             rollout_role: RolloutRole::Unaffected,
         };
-        entry.extend_cold(now, server.cold_ms);
+        entry.set_entry_cold(now, server.cold_ms);
         entry
     }
 
@@ -339,7 +342,7 @@
 
     /// Whether the server counts as cold.
     pub fn is_cold(&self, now: Time) -> bool {
-        now < self.cold_until
+        now < self.cold_until.max(self.entry_cold_until)
     }
 
     /// Whether this host is waiting for an answer for too long, or recently gave up on one.
@@ -430,10 +433,16 @@
     /// Makes the server count as cold for at least `millis` milliseconds from now.
     pub fn extend_cold(&mut self, now: Time, millis: u64) {
         if millis > 0 {
-            self.cold_until = self.cold_until.max(now + millis * MILLI + COLD_MARGIN);
+            self.cold_until = self.cold_until.max(cold_end(now, millis));
         }
     }
 
+    /// Makes the server cold for as long as its entry in the store says. A newer entry replaces what
+    /// an earlier one said, as that may have been wrong.
+    pub fn set_entry_cold(&mut self, now: Time, millis: u64) {
+        self.entry_cold_until = if millis > 0 { cold_end(now, millis) } else { Time(0) };
+    }
+
     /// Records that this host sent a request to the server, which is warm for its key or not.
     pub fn record_sent(&mut self, now: Time, is_warm: bool) {
         self.own_in_flight += 1;
@@ -587,3 +596,8 @@
         self.failure_rate += (value - self.failure_rate) * FAILURE_WEIGHT;
     }
 }
+
+/// When a server that is cold for `millis` milliseconds from now on is warm.
+fn cold_end(now: Time, millis: u64) -> Time {
+    now + millis.saturating_mul(MILLI).saturating_add(COLD_MARGIN)
+}
--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -220,7 +220,7 @@
             entry.server = server.clone();
             entry.domain_index = domain_index;
             entry.lapses_at = None;
-            entry.extend_cold(now, server.cold_ms);
+            entry.set_entry_cold(now, server.cold_ms);
             return index;
         }
         let index = ServerIndex(self.next_index);
--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -417,7 +417,7 @@
         let settings = &self.cold_settings;
         for entry in self.servers.all_mut().filter(|entry| entry.server.domain == domain) {
             let cold_ms = settings.get(&entry.server.service).map_or(0, |(cold_ms, _)| *cold_ms);
-            entry.extend_cold(now, cold_ms + EVACUATION_END_COLD_MS);
+            entry.extend_cold(now, cold_ms.saturating_add(EVACUATION_END_COLD_MS));
         }
     }
 }
