All answers that a host holds are bounded together

Cause: the body of each answer was bounded (64 MB), the sum was not, as answers are never held back. 24 requests at once, half of them to a server that sends without end: the host held 738 MB beside a bound of 4 MB on bodies. It would be killed for memory with all that it had passed on.

Change: all answers together take 0.3 of resources.memory_bytes; beyond that the longest that is being read is broken off, its request ends with 502 and its connection is closed. Capacity of bodies of unknown length grows by 1 MB at most.

Failed try: four times buffers.total_bytes as the bound broke unread_answers_leave_half_of_the_room_to_bodies; slow readers may hold more.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -14,7 +14,7 @@
 use elmstream_http::{LocalBody, PlainStream, body, client};
 use elmstreamd::{clock, waits};
 use http::{HeaderMap, Request, header, response};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 
 use crate::{buffer_bound::BufferBound, counted_body};
 
@@ -36,6 +36,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// An idle connection is dropped this long before the server would close it.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Largest head of a response, in bytes.
+const RESPONSE_HEAD_BYTES_MAX: usize = 64 << 10;
 /// Largest response body, in bytes.
 const RESPONSE_BYTES_MAX: usize = 64 << 20;
 
@@ -298,7 +300,9 @@
 
 /// Starts HTTP on a stream.
 async fn start_connection(stream: TcpStream) -> io::Result<Connection> {
-    let handshake = handshake(PlainStream::new(stream)?).await;
+    let mut builder = Builder::new();
+    builder.max_buf_size(RESPONSE_HEAD_BYTES_MAX);
+    let handshake = builder.handshake(PlainStream::new(stream)?).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
     let driver = compio::runtime::spawn(async move {
         // The future of the request returns the error.
--- a/elmstream_edge/src/buffer_bound.rs
+++ b/elmstream_edge/src/buffer_bound.rs
@@ -5,10 +5,11 @@
 //! steps as it comes in. If only such bodies hold room, the oldest of them goes on and may pass the
 //! bound by its own length, so that bodies read in part do not wait for each other without end. Answers are
 //! never held back, because a server cuts off an answer that stays unread; they take at most half
-//! of the bound away from bodies.
+//! of the bound away from bodies. If all answers together pass a bound of their own, the longest of those
+//! that are being read is broken off: a server in trouble may send without end.
 
 use std::{
-    collections::{BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     mem,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
@@ -26,6 +27,8 @@
 struct State {
     /// Bound on the held bytes; 0 for none.
     total: u64,
+    /// Bytes that all answers together may take; 0 for no bound.
+    answers_max: u64,
     /// Bytes held for bodies of requests.
     bodies: u64,
     /// Bytes held for answers.
@@ -37,6 +40,8 @@
     growing: BTreeSet<u64>,
     /// Bytes held for these, a part of `bodies`.
     growing_bytes: u64,
+    /// Bytes of each answer that is being read, by its number.
+    reading: BTreeMap<u64, u64>,
     /// Bodies that wait, by their number.
     waiting: VecDeque<WaitingBody>,
 }
@@ -53,8 +58,14 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Purpose {
     Answer,
+    /// An answer that is being read.
+    GrowingAnswer {
+        number: u64,
+    },
     Body,
-    GrowingBody { number: u64 },
+    GrowingBody {
+        number: u64,
+    },
 }
 
 impl State {
@@ -64,13 +75,16 @@
 
     fn count(&mut self, purpose: Purpose) -> &mut u64 {
         match purpose {
-            Purpose::Answer => &mut self.answers,
+            Purpose::Answer | Purpose::GrowingAnswer { .. } => &mut self.answers,
             Purpose::Body | Purpose::GrowingBody { .. } => &mut self.bodies,
         }
     }
 
     fn add(&mut self, purpose: Purpose, bytes: u64) {
         *self.count(purpose) += bytes;
+        if let Purpose::GrowingAnswer { number } = purpose {
+            *self.reading.entry(number).or_default() += bytes;
+        }
         self.peak = self.peak.max(self.held());
     }
 
@@ -103,6 +117,14 @@
         BufferBound(Some(Arc::new(Mutex::new(state))))
     }
 
+    /// Sets a bound on the bytes of all answers together; 0 for none.
+    pub fn with_answers_max(self, answers_max: u64) -> BufferBound {
+        if let Some(mut state) = self.state() {
+            state.answers_max = answers_max;
+        }
+        self
+    }
+
     /// Whether bytes are counted.
     pub fn counts(&self) -> bool {
         self.0.is_some()
@@ -131,7 +153,8 @@
 
     /// Starts to hold an answer, without regard to the bound; no bytes at first.
     pub fn hold(&self) -> Held {
-        Held { bound: self.clone(), purpose: Purpose::Answer, bytes: 0 }
+        let purpose = Purpose::GrowingAnswer { number: self.next_number() };
+        Held { bound: self.clone(), purpose, bytes: 0 }
     }
 
     /// Waits until a body of `bytes` bytes fits, after those that came before it. A body that is
@@ -235,6 +258,17 @@
         }
     }
 
+    /// Whether this is an answer that has to be broken off: all answers together pass their bound, and
+    /// none that is being read is longer.
+    pub fn is_excessive(&self) -> bool {
+        let (Purpose::GrowingAnswer { .. }, Some(state)) = (self.purpose, self.bound.state())
+        else {
+            return false;
+        };
+        let longest = state.reading.values().max().copied().unwrap_or(0);
+        state.answers_max > 0 && state.answers > state.answers_max && self.bytes >= longest
+    }
+
     /// Waits until a body that grows may hold `bytes` more.
     pub async fn grow_by(&mut self, bytes: u64) {
         let Purpose::GrowingBody { number } = self.purpose else { return };
@@ -265,9 +299,16 @@
             state.growing.remove(&number);
             state.growing_bytes -= self.bytes;
         }
-        if matches!(self.purpose, Purpose::GrowingBody { .. }) {
-            self.purpose = Purpose::Body;
+        if let (Purpose::GrowingAnswer { number }, Some(mut state)) =
+            (self.purpose, self.bound.state())
+        {
+            state.reading.remove(&number);
         }
+        self.purpose = match self.purpose {
+            Purpose::GrowingBody { .. } => Purpose::Body,
+            Purpose::GrowingAnswer { .. } => Purpose::Answer,
+            purpose => purpose,
+        };
     }
 
     fn give_back(&mut self, bytes: u64) {
--- a/elmstream_edge/src/counted_body.rs
+++ b/elmstream_edge/src/counted_body.rs
@@ -23,6 +23,8 @@
 /// Bytes by which a body without a stated length grows, and most that is allocated before any of a
 /// body has come.
 const STEP_BYTES: u64 = 64 << 10;
+/// Largest step by which the capacity of a body of unknown length grows.
+const CAPACITY_STEP_MAX: usize = 1 << 20;
 /// A body waits to grow when less room than this is left, the most that is usually read at once.
 const READ_BYTES: u64 = 8 << 10;
 
@@ -37,7 +39,7 @@
     pub remaining: Duration,
 }
 
-/// A body could not grow within its time.
+/// A body could not grow within its time, or is the longest of too many bytes of answers.
 #[derive(Debug)]
 struct NoRoom;
 
@@ -53,7 +55,8 @@
 ///
 /// # Errors
 ///
-/// The body breaks off or is longer; then the error is a [`LengthLimitError`].
+/// The body breaks off, is longer, then the error is a [`LengthLimitError`], or has to be broken off, as
+/// all answers together take too much.
 pub(crate) async fn collect<B>(
     body: B,
     bytes_max: usize,
@@ -86,6 +89,10 @@
         extend(&mut whole, &data, expected);
         let length = whole.len() as u64;
         held.grow_to(length);
+        if held.is_excessive() {
+            metrics::counter!("elmstream_answers_broken_off").increment(1);
+            return Err(NoRoom.into());
+        }
         if let Some(timeout) = growth_timeout.filter(|_| held.bytes() < length + READ_BYTES) {
             waits::within_duration(timeout, held.grow_by(STEP_BYTES)).await.ok_or(NoRoom)?;
         }
@@ -95,11 +102,13 @@
 }
 
 /// Appends to a body. Its capacity grows to the `expected` length once its first part is full, or
-/// doubles if it is longer.
+/// doubles if it is longer, by at most [`CAPACITY_STEP_MAX`].
 fn extend(whole: &mut Vec<u8>, data: &[u8], expected: usize) {
     let length = whole.len() + data.len();
     if length > whole.capacity() {
-        let wanted = if length <= expected { expected } else { whole.capacity() * 2 };
+        let capacity = whole.capacity();
+        let longer = capacity + capacity.min(CAPACITY_STEP_MAX);
+        let wanted = if length <= expected { expected } else { longer };
         whole.reserve_exact(wanted.max(length) - whole.len());
     }
     whole.extend_from_slice(data);
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -73,7 +73,8 @@
         );
         let buffers = match settings.buffers.is_off() {
             true => BufferBound::default(),
-            false => BufferBound::new(settings.buffers.total_bytes),
+            false => BufferBound::new(settings.buffers.total_bytes)
+                .with_answers_max(settings.resources.answer_bytes_max()),
         };
         let connections =
             Connections::new(settings.resources.connection_bounds(), connections::refusal());
--- a/elmstream_edge/src/resources.rs
+++ b/elmstream_edge/src/resources.rs
@@ -16,6 +16,8 @@
 /// Part of the memory that requests under way may take, without the bodies, which
 /// `buffers.total_bytes` bounds.
 const REQUESTS_MEMORY_SHARE: f64 = 0.4;
+/// Part of the memory that servers' answers may take together.
+const ANSWERS_MEMORY_SHARE: f64 = 0.3;
 /// Memory of a request under way: its connection, its state and the connection to a server, without
 /// bodies. The test `connection_memory` checks it.
 pub const REQUEST_BYTES: u64 = 64 << 10;
@@ -33,6 +35,11 @@
 const OPEN_MIN: usize = 64;
 
 impl Resources {
+    /// Bound on the bytes of all answers that are held; 0 for none.
+    pub fn answer_bytes_max(&self) -> u64 {
+        (self.memory_bytes as f64 * ANSWERS_MEMORY_SHARE) as u64
+    }
+
     /// Bounds on callers' connections.
     pub fn connection_bounds(&self) -> ConnectionBounds {
         let descriptors = self.file_descriptors.saturating_sub(OTHER_DESCRIPTORS) as f64;
--- a/elmstream_edge/src/table_fetch.rs
+++ b/elmstream_edge/src/table_fetch.rs
@@ -11,7 +11,7 @@
 };
 use elmstreamd::{clock, waits};
 use http::{Request, StatusCode};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use serde_json::json;
 
 use crate::{
@@ -21,6 +21,8 @@
     poison,
 };
 
+/// Largest response to a fetch, in bytes.
+const ROWS_BYTES_MAX: usize = 64 << 20;
 /// Timeout of a fetch.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -149,6 +151,7 @@
         status if !status.is_success() => return Err(io::Error::other(format!("status {status}"))),
         _ => {}
     }
-    let whole = response.into_body().collect().await.map_err(io::Error::other)?;
+    let rows = Limited::new(response.into_body(), ROWS_BYTES_MAX);
+    let whole = rows.collect().await.map_err(io::Error::other)?;
     postcard::from_bytes(&whole.to_bytes()).map_err(io::Error::other)
 }
