Answers are bounded by the memory also without settings of buffers; soak: answers without end

The bound on all answers together applied only with `buffers` set. It follows from resources.memory_bytes alone now; deployments set both.

--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -71,10 +71,10 @@
             },
             clock::now(),
         );
-        let buffers = match settings.buffers.is_off() {
+        let answers_max = settings.resources.answer_bytes_max();
+        let buffers = match settings.buffers.is_off() && answers_max == 0 {
             true => BufferBound::default(),
-            false => BufferBound::new(settings.buffers.total_bytes)
-                .with_answers_max(settings.resources.answer_bytes_max()),
+            false => BufferBound::new(settings.buffers.total_bytes).with_answers_max(answers_max),
         };
         let connections =
             Connections::new(settings.resources.connection_bounds(), connections::refusal());
--- a/elmstream_edge/tests/endless_answers.rs
+++ b/elmstream_edge/tests/endless_answers.rs
@@ -53,8 +53,8 @@
 }
 
 /// Sends requests to a server that sends without end and to a good one, both of one service, and
-/// returns the most bytes that the host held.
-async fn peak_beside(endless: SocketAddr) -> u64 {
+/// returns the most bytes that the host held. Bodies of requests take `total_bytes` at most.
+async fn peak_beside(endless: SocketAddr, total_bytes: u64) -> u64 {
     let (good_server, received) = backend(ip(), |head| good(head, "ok")).await;
     let store = Store::default();
     store.put(RowKey::Configuration, Some(configuration(1, Repeatability::Once)));
@@ -62,7 +62,7 @@
     store.put(RowKey::Server("s-1".into()), Some(server(good_server)));
     let at = ip();
     let mut settings = settings(at, &[]);
-    settings.buffers.total_bytes = TOTAL_BYTES;
+    settings.buffers.total_bytes = total_bytes;
     settings.resources.memory_bytes = MEMORY_BYTES;
     let host = support::start_with(at, settings, &store);
     assert!(until(Duration::from_secs(3), || host.edge.serves()).await, "the host is ready");
@@ -97,9 +97,11 @@
             "8\r\nxxxxxxxx\r\n",
         ),
     ];
-    for (start, part) in starts {
+    for ((start, part), total_bytes) in
+        starts.into_iter().flat_map(|start| [(start, TOTAL_BYTES), (start, 0)])
+    {
         run(async move || {
-            let peak = peak_beside(endless_server(start, part).await).await;
+            let peak = peak_beside(endless_server(start, part).await, total_bytes).await;
             assert!(peak <= ANSWER_BYTES_MAX + SLACK_BYTES, "{peak} bytes were held");
         });
     }
@@ -109,8 +111,8 @@
 fn head_without_end_is_broken_off() {
     run(async || {
         let endless = endless_server("HTTP/1.1 200 OK\r\nx-", "a").await;
-        peak_beside(endless).await;
+        peak_beside(endless, TOTAL_BYTES).await;
         let informational = endless_server("", "HTTP/1.1 103 Early Hints\r\n\r\n").await;
-        peak_beside(informational).await;
+        peak_beside(informational, TOTAL_BYTES).await;
     });
 }
--- a/elmstream_soak/src/backend.rs
+++ b/elmstream_soak/src/backend.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use elmstream_http::{LocalBody, RequestBody, body, server::Aborted};
 use http::{Request, Response, StatusCode};
 
@@ -15,6 +16,10 @@
 /// Time for which an unresponsive server holds a request before it closes the connection.
 const UNRESPONSIVE_HOLD: Duration = Duration::from_secs(5);
 
+/// Size of the chunks of a body without end, and the interval between two.
+const ENDLESS_CHUNK_BYTES: usize = 256 << 10;
+const ENDLESS_CHUNK_INTERVAL: Duration = Duration::from_millis(2);
+
 /// Starts one listener that serves as any number of backend servers, and returns its
 /// address.
 pub async fn start(world: &Rc<World>) -> io::Result<SocketAddr> {
@@ -66,6 +71,7 @@
             Err(Aborted)
         }
         ServerMode::Closing => Err(Aborted),
+        ServerMode::Endless => Ok(endless_answer(&id)),
         ServerMode::FailingVersion if world.arrivals.times(&server).len().is_multiple_of(2) => {
             let mut failure = status(StatusCode::INTERNAL_SERVER_ERROR);
             if let Ok(value) = id.parse() {
@@ -89,6 +95,21 @@
     }
 }
 
+/// An answer with a body that never ends, at a rate that leaves the machine some time.
+fn endless_answer(id: &str) -> Response<LocalBody> {
+    let chunk = Bytes::from(vec![b'x'; ENDLESS_CHUNK_BYTES]);
+    let chunks = futures_util::stream::unfold(chunk, |chunk| async move {
+        compio::time::sleep(ENDLESS_CHUNK_INTERVAL).await;
+        Some((Ok(chunk.clone()), chunk))
+    });
+    let mut response = Response::new(body::stream(Box::pin(chunks)));
+    if let Ok(value) = id.parse() {
+        response.headers_mut().insert("elmstream-request", value);
+    }
+    response.headers_mut().insert("elmstream-signature", http::HeaderValue::from_static("s"));
+    response
+}
+
 /// Checks a request's headers: they must carry the right workspace name, and no key.
 fn check_headers(world: &World, request: &Request<RequestBody>, id: &str) {
     let mut ledger = world.ledger.borrow_mut();
--- a/elmstream_soak/src/connection_burst.rs
+++ b/elmstream_soak/src/connection_burst.rs
@@ -1,12 +1,12 @@
 //! Thousands of connections that come to a host at once, beside orders.
 
-use std::{fs, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use compio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::{
     callers::{HostConnection, Hosts, RequestParams},
-    process::HOST_MEMORY_BYTES,
+    memory,
     world::World,
 };
 
@@ -49,7 +49,7 @@
         }
     }
     compio::time::sleep(duration).await;
-    check_memory(world, hosts, n);
+    memory::check(world, hosts, n);
     drop(streams);
     for order in orders {
         let _ = order.await;
@@ -62,24 +62,3 @@
         connection.request(world, hosts, "once", id, params).await;
     }
 }
-
-fn check_memory(world: &World, hosts: &Hosts, n: usize) {
-    let resident = hosts.borrow()[n].process_id().and_then(resident_bytes);
-    // Without a figure the host has just ended.
-    let Some(resident) = resident else { return };
-    let mut ledger = world.ledger.borrow_mut();
-    ledger.count("memory judged");
-    if resident > HOST_MEMORY_BYTES || world.breaks("memory") {
-        ledger.add_violation(format!(
-            "host {n} holds {resident} bytes of memory with {CONNECTIONS} connections, and may \
-             hold {HOST_MEMORY_BYTES}"
-        ));
-    }
-}
-
-/// Resident memory of a process.
-fn resident_bytes(process: u32) -> Option<u64> {
-    let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-    Some(line.trim().trim_end_matches(" kB").parse::<u64>().ok()? << 10)
-}
--- a/elmstream_soak/src/faults.rs
+++ b/elmstream_soak/src/faults.rs
@@ -55,6 +55,8 @@
     RemoveServerAfterStandstill(usize),
     /// A server joins and leaves, and the store completes one of its older heartbeats after that.
     CompleteLate,
+    /// The backend server answers without end for the fault's duration.
+    AnswerWithoutEnd(usize),
     /// Thousands of connections come to the host at once and stay for the fault's duration.
     ConnectionBurst(usize),
     /// The host loses its paths to all backend servers for the fault's duration.
@@ -122,6 +124,7 @@
     series::connection_bursts(seed, total_ms, hosts, &mut events);
     series::standstills(seed, total_ms, hosts, &mut events);
     series::late_writes(seed, total_ms, &mut events);
+    series::endless_answers(seed, total_ms, servers, &mut events);
     events.retain(|event| event.at_ms + CALM_MARGIN_MS < total_ms);
     events.sort_by_key(|event| event.at_ms);
     events
--- a/elmstream_soak/src/injection.rs
+++ b/elmstream_soak/src/injection.rs
@@ -8,7 +8,7 @@
     callers::Hosts,
     connection_burst,
     faults::{Event, Fault},
-    late_writes,
+    late_writes, memory,
     process::Process,
     removals, server_signals, standstills, stop_load, versions,
     world::{SHOP, ServerMode, StoreMode, World},
@@ -31,6 +31,8 @@
 /// Time that a host has to run before it is signalled to reload, in milliseconds: until it
 /// listens for signals, any signal ends it.
 const SIGNAL_READY_MS: u64 = 1_000;
+/// Interval of the checks of hosts' memory while a server answers without end.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Signals in a burst. Together they take longer than a host needs to read its settings, so
 /// that some arrive while it does.
 const BURST_SIGNALS: u32 = 400;
@@ -95,6 +97,7 @@
         Fault::RemoveServerAfterStandstill(n) => {
             standstills::remove_after_standstill(world, hosts, n, address).await
         }
+        Fault::AnswerWithoutEnd(n) => answer_without_end(world, hosts, n, duration).await,
         Fault::CompleteLate => late_writes::complete_late(world, address).await,
         Fault::ConnectionBurst(n) => connection_burst::open(world, hosts, n, duration).await,
         Fault::CutFromServers(n) => cut_from_servers(world, hosts, n, duration).await,
@@ -151,6 +154,19 @@
     world.gate.restore(process);
 }
 
+/// Lets a backend server answer without end for a while, and checks the memory of all hosts meanwhile.
+async fn answer_without_end(world: &World, hosts: &Hosts, n: usize, duration: Duration) {
+    world.ledger.borrow_mut().count("answers without end");
+    set_server_mode(world, n, ServerMode::Endless);
+    let end = world.now() + duration.as_millis() as u64;
+    while world.now() < end {
+        compio::time::sleep(MEMORY_CHECK_INTERVAL).await;
+        let host_count = hosts.borrow().len();
+        (0..host_count).for_each(|host| memory::check(world, hosts, host));
+    }
+    set_server_mode(world, n, ServerMode::Healthy);
+}
+
 /// Sets how a backend server behaves, if it is still registered.
 fn set_server_mode(world: &World, n: usize, mode: ServerMode) {
     if let Some(current) = world.servers.borrow_mut().get_mut(&format!("shop-{n}")) {
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod late_writes;
 pub mod ledger;
 pub mod listen;
+pub mod memory;
 pub mod outages;
 pub mod poison;
 pub mod process;
--- a/elmstream_soak/src/series.rs
+++ b/elmstream_soak/src/series.rs
@@ -53,6 +53,13 @@
 const LATE_WRITE_INTERVAL_MS: std::ops::Range<u64> = 500..4_000;
 const LATE_WRITE_DURATION_MS: u64 = 6_000;
 
+/// One in this many seeds has servers that answer without end, the value that its generator starts with,
+/// and for how long they do, in milliseconds.
+const ENDLESS_SEED_DIVISOR: u64 = 5;
+const ENDLESS_SEED: u64 = 0x656e_646c;
+const ENDLESS_INTERVAL_MS: std::ops::Range<u64> = 1_000..5_000;
+const ENDLESS_DURATION_MS: std::ops::Range<u64> = 300..2_000;
+
 /// Time between two configurations of a series, in milliseconds.
 const CONFIGURATION_INTERVAL_MS: u64 = 350;
 /// How long a stopping host gets little processor time, in milliseconds. It lasts beyond the
@@ -247,6 +254,22 @@
     }
 }
 
+/// Lets servers answer without end, at every fifth seed. They are drawn from a generator of their own, so
+/// that a seed's other faults do not depend on them.
+pub fn endless_answers(seed: u64, total_ms: u64, servers: usize, events: &mut Vec<Event>) {
+    if seed % ENDLESS_SEED_DIVISOR != 2 {
+        return;
+    }
+    let mut random = StdRng::seed_from_u64(seed ^ ENDLESS_SEED);
+    let mut at_ms = CALM_MARGIN_MS;
+    while at_ms + CALM_MARGIN_MS < total_ms {
+        let duration_ms = random.random_range(ENDLESS_DURATION_MS);
+        let fault = Fault::AnswerWithoutEnd(random.random_range(0..servers));
+        events.push(Event { at_ms, duration_ms, fault });
+        at_ms += random.random_range(ENDLESS_INTERVAL_MS);
+    }
+}
+
 /// Rolls out a bad version at every second seed, in addition to the other faults and if
 /// there is time for it. It is drawn from a generator of its own, so that a seed's other
 /// faults do not depend on it.
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -65,6 +65,8 @@
     Closing,
     /// Answers with the id of another request.
     MixingIds,
+    /// Answers with a body without end.
+    Endless,
     /// Refuses all requests.
     Full,
     /// Refuses all requests and asks for back-off.
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -324,3 +324,15 @@
     let is_found = |text: &String| text.contains("beside a late write of the server");
     assert!(report.violations().iter().any(is_found), "{report}");
 }
+
+/// Guards against hosts that outgrow their memory because a backend server answers without end.
+#[test]
+fn hosts_outlive_a_server_that_answers_without_end() {
+    let options = options(11, 9, None);
+    let event = |at_ms, n| Event { at_ms, duration_ms: 2_000, fault: Fault::AnswerWithoutEnd(n) };
+    let runtime = Runtime::new().expect("a runtime");
+    let events = vec![event(2_500, 0), event(3_500, 1)];
+    let report = runtime.block_on(soak::run_events(&options, Duration::from_secs(9), events));
+    assert!(report.passed(), "{report}");
+    assert!(report.counts().get("memory judged").is_some_and(|n| *n > 20), "{report}");
+}
