The rate of calls to a store that nobody reads is doubled for one second, not for good

Change: the rate is doubled from 0.25 to 1.25 s after hosts without a rank begin to call.

Soak: a stop is judged by the start that was asked. The wait ends now if another start runs; each start's stop has one waiter, which judges it.

--- a/elmstream_soak/src/injection.rs
+++ b/elmstream_soak/src/injection.rs
@@ -203,6 +203,7 @@
     }
     let requested_ms = world.now();
     hosts.borrow_mut()[n].stop_requested_ms = Some(requested_ms);
+    let start_number = hosts.borrow()[n].start_number;
     compio::runtime::spawn(stop_load::send_around_notice_end(
         world.clone(),
         hosts.clone(),
@@ -212,6 +213,10 @@
     .detach();
     let mut polls_left = MAX_EXIT_POLLS;
     let exit = loop {
+        if hosts.borrow()[n].start_number != start_number {
+            // A fault killed the start that was asked to stop, and another one runs.
+            return;
+        }
         let exit = hosts.borrow_mut()[n].exit_status();
         if exit.is_some() || hosts.borrow()[n].killed() || polls_left == 0 {
             break exit;
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -336,3 +336,17 @@
     assert!(report.passed(), "{report}");
     assert!(report.counts().get("memory judged").is_some_and(|n| *n > 20), "{report}");
 }
+
+/// Guards against a stop that is judged by a later start of the host: a fault restarts the host while it
+/// stops, and the next start is asked to stop as well.
+#[test]
+fn each_stop_is_judged_by_the_start_that_was_asked() {
+    let event = |at_ms, duration_ms, fault| Event { at_ms, duration_ms, fault };
+    let stops = |at_ms| (0..4).map(move |n| event(at_ms, 0, Fault::Terminate(n)));
+    let kill = event(2_550, 700, Fault::KillAll);
+    let events = stops(2_500).chain([kill]).chain(stops(3_150)).chain(stops(3_700)).collect();
+    let runtime = Runtime::new().expect("a runtime");
+    let options = options(12, 10, None);
+    let report = runtime.block_on(soak::run_events(&options, Duration::from_secs(10), events));
+    assert!(report.passed(), "{report}");
+}
--- a/elmstream_steer/src/store_schedule.rs
+++ b/elmstream_steer/src/store_schedule.rs
@@ -19,13 +19,14 @@
 pub const FLEET_READ_SLOT: u64 = 100 * MILLI;
 /// Upper limit of a random wait, as a multiple of the mean. One draw in 55 exceeds it.
 const WAIT_MULTIPLE_MAX: f64 = 4.0;
-/// Time in which the rate of first calls doubles while no host reads a table, and how often it does.
+/// Beginning and end of the time in which the rate of first calls is doubled, from when hosts without a
+/// rank begin to call.
 ///
 /// Hosts that have just been lost count as live for seconds, so the others wait for slots that
-/// nobody uses. A rate that rises finds a reader among few survivors soon, and a healthy fleet with
-/// an absent store still calls it at a bounded rate.
-const RATE_DOUBLING: u64 = 250 * MILLI;
-const RATE_DOUBLINGS_MAX: i32 = 1;
+/// nobody uses. The doubled rate finds a reader among few survivors sooner, and an absent store gets
+/// only a few more calls, as it does not last.
+const DOUBLED_RATE_BEGIN: u64 = 250 * MILLI;
+const DOUBLED_RATE_END: u64 = 1_250 * MILLI;
 /// Shortest pause of a host after a failed call.
 const RETRY_PAUSE_MIN: u64 = 500 * MILLI;
 /// Average interval between the fleet's calls that check whether the store serves a host again,
@@ -157,7 +158,7 @@
             return Some(ReadReason::Behind);
         }
         let rank_delay = read_delay(table, context.ranked_ahead.max(1), context.bound_ms);
-        let extra_delay = rising_rate_wait(context.live_hosts, context.draw);
+        let extra_delay = first_call_wait(context.live_hosts, context.draw);
         if age >= rank_delay + extra_delay && has_paused(Failure::read_pause) {
             return Some(ReadReason::Slot);
         }
@@ -205,19 +206,12 @@
     random_wait(hosts, draw).max(RETRY_PAUSE_MIN)
 }
 
-/// Wait of one of `hosts` hosts like [`random_wait`], but at a rate that doubles
-/// [`RATE_DOUBLINGS_MAX`] times, once per [`RATE_DOUBLING`].
-fn rising_rate_wait(hosts: u64, draw: f64) -> u64 {
-    let constant_wait = random_wait(hosts, draw) as f64;
-    let doubling = RATE_DOUBLING as f64;
-    // The constant-rate wait that corresponds to the end of the rise.
-    let rate_max = 2f64.powi(RATE_DOUBLINGS_MAX);
-    let rise = doubling / std::f64::consts::LN_2 * (rate_max - 1.0);
-    let wait = match constant_wait < rise {
-        true => doubling * (1.0 + constant_wait * std::f64::consts::LN_2 / doubling).log2(),
-        false => doubling * f64::from(RATE_DOUBLINGS_MAX) + (constant_wait - rise) / rate_max,
-    };
-    wait as u64
+/// Wait of one of `hosts` hosts like [`random_wait`], but with the doubled rate from
+/// [`DOUBLED_RATE_BEGIN`] to [`DOUBLED_RATE_END`].
+fn first_call_wait(hosts: u64, draw: f64) -> u64 {
+    let wait = random_wait(hosts, draw);
+    let beyond = wait.saturating_sub(DOUBLED_RATE_BEGIN);
+    wait - (beyond / 2).min(DOUBLED_RATE_END - DOUBLED_RATE_BEGIN)
 }
 
 /// Exponentially distributed wait of one of `hosts` hosts, in microseconds. Together they act once
