Entries under odd names in the list of servers are not used

Not mended: an entry with plausible content was used whenever its name could be sent in a header, and requests that may not be repeated failed at its address.

Change: a server's name begins with a letter or digit and consists of unreserved characters (RFC 3986).

--- a/elmstream_steer/src/model.rs
+++ b/elmstream_steer/src/model.rs
@@ -182,16 +182,33 @@
 /// Longest time for which an entry may say that a server is cold, in milliseconds.
 const COLD_MS_MAX: u64 = 3_600_000;
 
-/// Whether a text can be the id of a server: requests name it in a header.
-pub fn is_server_id(id: &str) -> bool {
-    !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_graphic())
+/// Whether a text can name a server or a host in the store: it begins with an ASCII letter or digit,
+/// and all its characters are unreserved in URIs (RFC 3986, section 2.3).
+///
+/// Such a name needs no encoding in headers and addresses. Entries under other names are those of
+/// other writers.
+pub fn is_entry_name(name: &str) -> bool {
+    let is_unreserved =
+        |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_' | b'~');
+    name.starts_with(|first: char| first.is_ascii_alphanumeric()) && name.bytes().all(is_unreserved)
+}
+
+/// Whether an entry's address can be that of a server or a host.
+pub fn is_entry_address(address: SocketAddr) -> bool {
+    address.port() > 0 && !address.ip().is_unspecified()
 }
 
 impl Server {
-    /// Whether all figures are within the ranges of a server that can be used.
-    pub fn is_plausible(&self) -> bool {
-        let is_reachable = self.address.port() > 0 && !self.address.ip().is_unspecified();
-        is_reachable && (1..=SLOTS_MAX).contains(&self.slots) && self.cold_ms <= COLD_MS_MAX
+    /// Whether this is the entry of a server that can be used: its id and all figures are within
+    /// their ranges.
+    pub fn is_usable(&self, id: &str) -> bool {
+        is_entry_name(id) && self.is_plausible()
+    }
+
+    fn is_plausible(&self) -> bool {
+        is_entry_address(self.address)
+            && (1..=SLOTS_MAX).contains(&self.slots)
+            && self.cold_ms <= COLD_MS_MAX
     }
 
     /// Position of this entry among those of the server.
--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -339,7 +339,7 @@
                     changes.push(StateChange::Rollout { service: service.clone(), target, stage });
                 }
             }
-            (RowKey::Server(id), Some(RowContent::Server(server))) => {
+            (RowKey::Server(id), Some(RowContent::Server(server))) if server.is_usable(id) => {
                 self.record_version(now, &server.service, &server.version);
                 let region = self.settings.domains.get(&server.domain);
                 let region = region.cloned().unwrap_or_default();
@@ -358,7 +358,8 @@
                 self.urgent |= server.draining;
                 changes.push(StateChange::Server(id.clone(), state));
             }
-            (RowKey::Server(id), Some(RowContent::Unreadable)) => {
+            // A host of an earlier version may have passed an unusable entry on as a server's.
+            (RowKey::Server(id), Some(_)) => {
                 self.urgent = true;
                 self.remove_server(id);
                 changes.push(StateChange::Server(id.clone(), ServerState::Unreadable));
