Addresses that never answered no longer crowd out the known hosts

Cause: addresses that have never answered shared the 32 receivers of a round of heartbeats with the known hosts, those first that had waited longest, so each known host was reached once in some 220 rounds; it counts as live for 1.2 s.

Change: known hosts first, never-answered addresses get what they leave and at least 8.

Evidence: odd_names_in_other_tables_part_no_hosts (three processes, odd rows in the tables of hosts, roll-outs, refused requests and of the operator) failed before: "names 1 hosts"; it passes now. The tests of elmstream_steer and elmstream_edge pass.

--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -30,6 +30,9 @@
 pub const REGION_LOST_TIMEOUT: u64 = 1_200 * MILLI;
 /// Largest number of hosts of the own region in a round of heartbeats.
 pub const NEAR_FANOUT: usize = 32;
+/// Number of addresses that have never answered in a round of heartbeats, if there are as many. They
+/// also get what the region's known hosts leave of [`NEAR_FANOUT`].
+const UNCONFIRMED_FANOUT_MIN: usize = 8;
 /// Largest number of hosts of other regions in a round of heartbeats. Only one of
 /// `ROUNDS_PER_FAR_ROUND` rounds goes to other regions.
 pub const FAR_FANOUT: usize = 24;
@@ -427,12 +430,13 @@
         }
         let order =
             |unconfirmed: &UnconfirmedHost| hash::combine(own_hash, unconfirmed.address_hash);
-        near.extend(
-            self.unconfirmed
-                .iter()
-                .map(|(a, unconfirmed)| (unconfirmed.last_sent, order(unconfirmed), *a)),
-        );
-        let near = self.pick(now, near, NEAR_FANOUT);
+        let unconfirmed = self.unconfirmed.iter();
+        let unconfirmed = unconfirmed
+            .map(|(address, unconfirmed)| (unconfirmed.last_sent, order(unconfirmed), *address))
+            .collect();
+        let mut near = self.pick(now, near, NEAR_FANOUT);
+        let unconfirmed_max = (NEAR_FANOUT - near.len()).max(UNCONFIRMED_FANOUT_MIN);
+        near.extend(self.pick(now, unconfirmed, unconfirmed_max));
         let domains = match round.is_multiple_of(rounds_per_domain_round(self.target_count())) {
             true => self.pick(now, domains, NEAR_FANOUT),
             false => vec![],
