Answers with a status that is not final are not passed on

Callers got a server's 101, which says that their connection speaks another protocol from now on, and any status from 600 to 999, as they were.

Cause: the HTTP library returns 101 as the response to the request and accepts any three digits from 100 on; nothing checked the status.

Change: a response is checked when its head is there (elmstream_http's response_check), by hosts with and without owners; one that fails counts as broken: 502, or another server, and a failure of the server. Metric elmstream_answers_unusable.

Evidence: status_that_is_not_final_is_not_passed_on ("101 Switching Protocols"), status_that_does_not_exist_is_not_passed_on ("600 OK") and, for hosts with owners, odd_answers_are_not_passed_on_as_whole (600 and 101) failed before and pass now.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle};
 use elmstream::time::Time;
-use elmstream_http::{LocalBody, PlainStream, body, client};
+use elmstream_http::{LocalBody, PlainStream, ResponseFault, body, client, response_check};
 use elmstreamd::{clock, waits};
 use http::{HeaderMap, Request, header, response};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -171,7 +171,11 @@
         mut connection: Connection,
         answer: http::Response<hyper::body::Incoming>,
     ) -> Exchange {
+        let fault = response_check::check(&answer).err();
         let (parts, incoming) = answer.into_parts();
+        if let Some(fault) = fault {
+            return unusable(parts, fault);
+        }
         let reading = counted_body::collect(incoming, RESPONSE_BYTES_MAX, &self.buffers);
         let Ok(whole) = reading.await else {
             return Exchange::Broken(Some(Box::new(parts)));
@@ -271,6 +275,12 @@
     }
 }
 
+/// The result of a response that cannot be passed on.
+fn unusable(parts: response::Parts, fault: ResponseFault) -> Exchange {
+    metrics::counter!("elmstream_answers_unusable", "why" => fault.name()).increment(1);
+    Exchange::Broken(Some(Box::new(parts)))
+}
+
 /// How long a connection may be idle after a response; `None` if it must be closed.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
     let closes = |value: &http::HeaderValue| {
--- a/elmstream_edge/tests/odd_answers.rs
+++ b/elmstream_edge/tests/odd_answers.rs
@@ -81,11 +81,22 @@
 
 #[test]
 fn status_that_does_not_exist_is_not_passed_on() {
-    for status in ["000 ", "000 OK", "0 OK", "099 OK", "20 OK", "2000 OK", "-200 OK"] {
+    for status in
+        ["000 ", "000 OK", "0 OK", "099 OK", "20 OK", "2000 OK", "-200 OK", "600 OK", "999 OK"]
+    {
         assert_change_not_passed_on(status, move |text| text.replace("200 OK", status));
     }
 }
 
+#[test]
+fn status_that_is_not_final_is_not_passed_on() {
+    for status in ["101 Switching Protocols", "100 Continue", "103 Early Hints"] {
+        assert_not_passed_on(status, move |head| {
+            [good_text(head).replace("200 OK", status).as_bytes(), CLOSE_MARK].concat()
+        });
+    }
+}
+
 #[test]
 fn blank_or_control_byte_in_the_name_of_a_field_is_not_passed_on() {
     let names = [
--- a/elmstreamd/src/owner.rs
+++ b/elmstreamd/src/owner.rs
@@ -13,7 +13,7 @@
     request_handling::{OwnerAnswer, OwnerRequest, Refusal, RunWindow},
     time::{MILLI, SECOND, Time},
 };
-use elmstream_http::{BoxError, LocalBody, body};
+use elmstream_http::{BoxError, LocalBody, body, response_check};
 use elmstream_proto::{header, peer::RequestHead};
 use futures_channel::oneshot;
 use http::{HeaderName, HeaderValue, Request, Response};
@@ -150,7 +150,15 @@
             guard.running = false;
             not_run(Code::BackendShed)
         }
-        Ok(Ok(response)) => answered(guard, connection, response, ends_at),
+        Ok(Ok(response)) => match response_check::check(&response) {
+            Ok(()) => answered(guard, connection, response, ends_at),
+            Err(fault) => {
+                guard.result = RunResult::Failed;
+                let backend = &guard.slot.backend;
+                log::warn!(backend:%, fault = fault.name(); "an answer cannot be passed on");
+                DispatchResult::Failed(Code::BackendFailed)
+            }
+        },
         Ok(Err(error)) => {
             guard.result = RunResult::Failed;
             // The client returns the request if no byte of it was written.
