Answers without a length need a head that says that the connection closes

Cause: a body without a length or chunks ended with its connection, whatever its head said. A server whose head promised to keep the connection, and one that ended behind its head, gave a short or empty 200 with the length of what had come.

Change: such a body is whole only if the head says that the connection closes (Connection: close, or HTTP/1.0) and something of it came. Else the answer counts as broken: 502, or another server. Refusals need no body and hold.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -13,7 +13,7 @@
 use elmstream::time::Time;
 use elmstream_http::{LocalBody, PlainStream, ResponseFault, body, client, response_check};
 use elmstreamd::{clock, waits};
-use http::{HeaderMap, Request, header, response};
+use http::{HeaderMap, Request, response};
 use hyper::client::conn::http1::{Builder, SendRequest};
 
 use crate::{buffer_bound::BufferBound, counted_body};
@@ -96,6 +96,8 @@
     NoTime,
     /// The complete response.
     Whole(response::Parts, Bytes),
+    /// The head of a response whose body cannot be passed on. A refusal in it is valid.
+    Unusable(Box<response::Parts>),
     /// The request was sent, but no complete response came; holds the head of the response if
     /// that was received.
     Broken(Option<Box<response::Parts>>),
@@ -125,7 +127,7 @@
         let mut pending = Unanswered { pool: self, id, sent, broken: false, complete: false };
         let exchange = self.exchange_over(connection, id, address, &request).await;
         pending.broken = matches!(exchange, Exchange::Broken(_));
-        pending.complete = matches!(exchange, Exchange::Whole(..));
+        pending.complete = matches!(exchange, Exchange::Whole(..) | Exchange::Unusable(_));
         exchange
     }
 
@@ -172,6 +174,7 @@
         answer: http::Response<hyper::body::Incoming>,
     ) -> Exchange {
         let fault = response_check::check(&answer).err();
+        let ends_with_connection = response_check::ends_with_connection(&answer);
         let (parts, incoming) = answer.into_parts();
         if let Some(fault) = fault {
             return unusable(parts, fault);
@@ -180,6 +183,12 @@
         let Ok(whole) = reading.await else {
             return Exchange::Broken(Some(Box::new(parts)));
         };
+        if ends_with_connection {
+            if whole.is_empty() {
+                return unusable(parts, ResponseFault::Length);
+            }
+            metrics::counter!("elmstream_answers_without_length").increment(1);
+        }
         if let Some(idle_timeout) = idle_timeout(&parts.headers) {
             connection.last_response = clock::now();
             connection.idle_until = connection.last_response + idle_timeout.as_micros() as u64;
@@ -278,15 +287,15 @@
 /// The result of a response that cannot be passed on.
 fn unusable(parts: response::Parts, fault: ResponseFault) -> Exchange {
     metrics::counter!("elmstream_answers_unusable", "why" => fault.name()).increment(1);
-    Exchange::Broken(Some(Box::new(parts)))
+    match fault {
+        ResponseFault::Status => Exchange::Broken(Some(Box::new(parts))),
+        ResponseFault::Length => Exchange::Unusable(Box::new(parts)),
+    }
 }
 
 /// How long a connection may be idle after a response; `None` if it must be closed.
 fn idle_timeout(headers: &HeaderMap) -> Option<Duration> {
-    let closes = |value: &http::HeaderValue| {
-        value.to_str().is_ok_and(|text| text.to_ascii_lowercase().contains("close"))
-    };
-    if headers.get_all(header::CONNECTION).iter().any(closes) {
+    if response_check::has_option(headers, "close") {
         return None;
     }
     let keep_alive = headers.get("keep-alive").and_then(|value| value.to_str().ok());
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -224,6 +224,7 @@
     let exchange = edge.pool.exchange(&id, address, || backend_request(edge, request, index, &id));
     let exchange = waits::within(request.deadline, Box::pin(exchange)).await;
     let micros = clock::now().since(sent);
+    let answered = Outcome::Answered { micros, was_warm };
     let (outcome, result) = match exchange {
         None => (Outcome::Silent, Attempt::Unknown),
         Some(Exchange::NoConnection) => (Outcome::NoConnection, Attempt::NotRun),
@@ -241,17 +242,10 @@
             }
         }
         Some(Exchange::Whole(parts, body)) => {
-            let hints = Hints::read(&edge.settings.headers, &parts);
-            let (outcome, result) = classify(edge, request, &id, parts, body);
-            // A response of another server says nothing about this one.
-            if !matches!(outcome, Some(Outcome::Unknown | Outcome::WrongServer)) {
-                hints.apply(edge, index, SpeedSource::Answer);
-            }
-            let outcome = match outcome {
-                Some(Outcome::Full) if hints.has_free_slots() => Outcome::RefusedWithFreeSlots,
-                outcome => outcome.unwrap_or(Outcome::Answered { micros, was_warm }),
-            };
-            (outcome, result)
+            on_response(edge, request, (index, &id), (parts, Some(body)), answered)
+        }
+        Some(Exchange::Unusable(parts)) => {
+            on_response(edge, request, (index, &id), (*parts, None), answered)
         }
     };
     if matches!(result, Attempt::NotRun) {
@@ -266,6 +260,28 @@
     result
 }
 
+/// Takes in a server's response, of which the body is `None` if it cannot be passed on; `answered` is
+/// the outcome if the response is the answer to the request.
+fn on_response(
+    edge: &Edge,
+    request: &CallerRequest,
+    (index, id): (ServerIndex, &str),
+    (parts, body): (response::Parts, Option<Bytes>),
+    answered: Outcome,
+) -> (Outcome, Attempt) {
+    let hints = Hints::read(&edge.settings.headers, &parts);
+    let (outcome, result) = classify(edge, request, id, parts, body);
+    // A response of another server says nothing about this one.
+    if !matches!(outcome, Some(Outcome::Unknown | Outcome::WrongServer)) {
+        hints.apply(edge, index, SpeedSource::Answer);
+    }
+    let outcome = match outcome {
+        Some(Outcome::Full) if hints.has_free_slots() => Outcome::RefusedWithFreeSlots,
+        outcome => outcome.unwrap_or(answered),
+    };
+    (outcome, result)
+}
+
 /// The request to send to the server; `None` if no time remains, or the server has meanwhile
 /// asked for no more requests.
 fn backend_request(
@@ -295,8 +311,8 @@
     headers::text(&head.headers, &edge.settings.headers.request_id) == Some(request.id.as_str())
 }
 
-/// Classifies a complete response; one that does not belong to the request is an unknown
-/// result.
+/// Classifies a response; one that does not belong to the request, or whose body is `None` as it
+/// cannot be passed on, is an unknown result. A refusal needs no body.
 ///
 /// The outcome is `None` if the request was answered.
 fn classify(
@@ -304,7 +320,7 @@
     request: &CallerRequest,
     id: &str,
     parts: response::Parts,
-    body: Bytes,
+    body: Option<Bytes>,
 ) -> (Option<Outcome>, Attempt) {
     let names = &edge.settings.headers;
     let echoed_id = headers::text(&parts.headers, &names.request_id);
@@ -326,6 +342,7 @@
         edge.pool.discard_connections(id);
         return (Some(Outcome::Unknown), Attempt::Unknown);
     }
+    let Some(body) = body else { return (Some(Outcome::Unknown), Attempt::Unknown) };
     poison::record_response(edge, request);
     if parts.status.is_server_error() {
         return (Some(Outcome::Failed), Attempt::Failed(parts, body));
--- a/elmstream_edge/src/relay.rs
+++ b/elmstream_edge/src/relay.rs
@@ -144,7 +144,7 @@
     let id = relay.to_string();
     let relayed = match edge.relay_pool.exchange(&id, relay, || relay_request(request)).await {
         Exchange::NoConnection | Exchange::NoTime => Relayed::NotRun,
-        Exchange::Broken(_) => Relayed::Unknown,
+        Exchange::Broken(_) | Exchange::Unusable(_) => Relayed::Unknown,
         Exchange::Whole(parts, bytes) => classify(edge, request, relay, parts, bytes),
     };
     let outcome = match relayed {
--- a/elmstream_edge/tests/odd_answers.rs
+++ b/elmstream_edge/tests/odd_answers.rs
@@ -161,6 +161,28 @@
     });
 }
 
+/// A refusal is in the head, so a body that cannot be passed on does not make it doubtful.
+#[test]
+fn refusal_without_length_is_still_a_refusal() {
+    for refusal in ["503 Full\r\nelmstream-not-run: 1", "421 Misdirected Request"] {
+        for fields in ["", "connection: close\r\n"] {
+            run(async move || {
+                let (refusing, received) = backend(ip(), move |head| {
+                    let id = header(head, "elmstream-request");
+                    let text =
+                        format!("HTTP/1.1 {refusal}\r\nelmstream-request: {id}\r\n{fields}\r\n");
+                    [text.as_bytes(), CLOSE_MARK].concat()
+                })
+                .await;
+                let (_store, host) = serving(Repeatability::Once, &[refusing]).await;
+                let got = send_request(host.callers, "id-1", "/thing").await.expect("an answer");
+                assert_eq!(got.status, 503, "{refusal:?} {fields:?}");
+                assert_eq!(received.requests.borrow().len(), 1);
+            });
+        }
+    }
+}
+
 /// The end of the connection is the end of the body where the head says that the connection closes.
 #[test]
 fn body_without_length_is_passed_on_if_the_head_says_that_the_connection_closes() {
@@ -183,6 +205,36 @@
     });
 }
 
+/// A connection that was to be kept ends in the middle of the body or behind it: nothing tells which.
+#[test]
+fn body_without_length_is_not_passed_on_if_the_connection_was_to_be_kept() {
+    for (version, fields) in [
+        ("HTTP/1.1", ""),
+        ("HTTP/1.1", "connection: keep-alive\r\n"),
+        ("HTTP/1.1", "keep-alive: timeout=5\r\n"),
+        ("HTTP/1.1", "x-close: close\r\n"),
+        ("HTTP/1.0", "connection: keep-alive\r\n"),
+    ] {
+        for body in ["hello", "hel", ""] {
+            let name = format!("{version} {fields:?} {body:?}");
+            assert_not_passed_on(&name, move |head| {
+                let text = good_text(head).replace("content-length: 5\r\n", fields);
+                let text = text.replace("HTTP/1.1", version).replace("hello", body);
+                [text.as_bytes(), CLOSE_MARK].concat()
+            });
+        }
+    }
+}
+
+/// A server that ends between the head and the body has sent nothing of the body.
+#[test]
+fn empty_body_without_length_is_not_passed_on() {
+    assert_not_passed_on("empty", |head| {
+        let text = good_text(head).replace("content-length: 5", "connection: close");
+        [text.replace("hello", "").as_bytes(), CLOSE_MARK].concat()
+    });
+}
+
 /// A reset leaves an answer without a length incomplete.
 #[test]
 fn body_without_length_is_not_passed_on_after_a_reset() {
--- a/elmstream_http/src/response_check.rs
+++ b/elmstream_http/src/response_check.rs
@@ -1,6 +1,7 @@
 //! Decides whether a response that a client read can be passed on.
 
-use http::Response;
+use http::{HeaderMap, Response, Version, header};
+use hyper::body::Body;
 
 /// Largest status code of HTTP (RFC 9110, section 15).
 const STATUS_MAX: u16 = 599;
@@ -10,6 +11,8 @@
 pub enum ResponseFault {
     /// The status is informational, so this is not the answer to the request, or is none of HTTP's.
     Status,
+    /// The body has no length, and its end cannot be told from that of a broken connection.
+    Length,
 }
 
 impl ResponseFault {
@@ -17,19 +20,53 @@
     pub fn name(self) -> &'static str {
         match self {
             ResponseFault::Status => "status",
+            ResponseFault::Length => "length",
         }
     }
 }
 
 /// Checks a response of which nothing but the head has been read.
 ///
+/// A body without a length or chunks ends with the connection. It can be passed on only if the head
+/// says that the connection closes: the end of a connection that was to be kept is a failure.
+///
 /// # Errors
 ///
 /// The reason why the response cannot be passed on.
-pub fn check<B>(response: &Response<B>) -> Result<(), ResponseFault> {
+pub fn check<B: Body>(response: &Response<B>) -> Result<(), ResponseFault> {
     let status = response.status();
     if status.is_informational() || status.as_u16() > STATUS_MAX {
         return Err(ResponseFault::Status);
     }
-    Ok(())
+    match ends_with_connection(response) && !closes(response) {
+        true => Err(ResponseFault::Length),
+        false => Ok(()),
+    }
+}
+
+/// Whether the body ends with the connection: it has neither a length nor chunks.
+///
+/// If nothing of such a body arrives, its sender may have ended behind the head.
+pub fn ends_with_connection<B: Body>(response: &Response<B>) -> bool {
+    !has_length(response) && !response.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
+fn has_length<B: Body>(response: &Response<B>) -> bool {
+    response.body().size_hint().exact().is_some()
+}
+
+/// Whether the sender closes the connection after the response.
+fn closes<B>(response: &Response<B>) -> bool {
+    match response.version() {
+        Version::HTTP_09 | Version::HTTP_10 => !has_option(response.headers(), "keep-alive"),
+        _ => has_option(response.headers(), "close"),
+    }
+}
+
+/// Whether the `Connection` header contains an option.
+pub fn has_option(headers: &HeaderMap, option: &str) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut options =
+        values.filter_map(|value| value.to_str().ok()).flat_map(|value| value.split(','));
+    options.any(|other| other.trim().eq_ignore_ascii_case(option))
 }
--- a/elmstreamd/src/owner.rs
+++ b/elmstreamd/src/owner.rs
@@ -20,6 +20,7 @@
 use http_body::{Body, Frame};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use snafu::Snafu;
 
 use crate::{clock, daemon::Daemon, pool::Connection};
 
@@ -208,11 +209,13 @@
     ends_at: Instant,
 ) -> DispatchResult {
     let slot = guard.slot.clone();
+    let lacks_body = response_check::ends_with_connection(&response);
     let (mut parts, incoming) = response.into_parts();
     // Outcome and code are headers of the system; those of a backend server are dropped.
     parts.headers.remove(header::OUTCOME);
     parts.headers.remove(header::CODE);
-    let mut answer_body = AnswerBody { guard, connection: Some(connection), incoming, ends_at };
+    let connection = Some(connection);
+    let mut answer_body = AnswerBody { guard, connection, incoming, ends_at, lacks_body };
     if answer_body.incoming.is_end_stream() {
         answer_body.finish();
         return DispatchResult::Answered(Response::from_parts(parts, body::empty()), slot);
@@ -227,8 +230,15 @@
     connection: Option<Connection>,
     incoming: Incoming,
     ends_at: Instant,
+    /// The body ends with the connection, and nothing of it has arrived yet.
+    lacks_body: bool,
 }
 
+/// The server closed the connection behind the head of an answer without a length.
+#[derive(Debug, Snafu)]
+#[snafu(display("the connection closed behind the head of an answer without a length"))]
+struct NoBody;
+
 /// Next frame of a body, with the state to go on with.
 type NextFrame = Option<(Result<Frame<Bytes>, BoxError>, Option<AnswerBody>)>;
 
@@ -242,7 +252,14 @@
             answer_body.finish();
             Some((Ok(frame), None))
         }
-        Ok(Some(Ok(frame))) => Some((Ok(frame), Some(answer_body))),
+        Ok(Some(Ok(frame))) => {
+            answer_body.lacks_body = false;
+            Some((Ok(frame), Some(answer_body)))
+        }
+        Ok(None) if answer_body.lacks_body => {
+            answer_body.guard.result = RunResult::Failed;
+            Some((Err(NoBody.into()), None))
+        }
         Ok(None) => {
             answer_body.finish();
             None
