Answers in an unknown transfer coding are not passed on

A server's body in a transfer coding such as gzip reached callers with 200 and without the field that names the coding: the host removes it, as it concerns one connection, but had not undone the coding.

Change: a body with a transfer coding other than chunked alone counts as one that cannot be passed on, in the same check as the others.

Evidence: body_in_another_coding_is_not_passed_on (six codings) failed before at gzip, with 200 and the coded bytes as the body, and odd_answers_are_not_passed_on_as_whole for hosts with owners; both pass.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -289,7 +289,7 @@
     metrics::counter!("elmstream_answers_unusable", "why" => fault.name()).increment(1);
     match fault {
         ResponseFault::Status => Exchange::Broken(Some(Box::new(parts))),
-        ResponseFault::Length => Exchange::Unusable(Box::new(parts)),
+        ResponseFault::Coding | ResponseFault::Length => Exchange::Unusable(Box::new(parts)),
     }
 }
 
--- a/elmstream_edge/tests/odd_answers.rs
+++ b/elmstream_edge/tests/odd_answers.rs
@@ -165,7 +165,7 @@
 #[test]
 fn refusal_without_length_is_still_a_refusal() {
     for refusal in ["503 Full\r\nelmstream-not-run: 1", "421 Misdirected Request"] {
-        for fields in ["", "connection: close\r\n"] {
+        for fields in ["", "connection: close\r\n", "transfer-encoding: x\r\n"] {
             run(async move || {
                 let (refusing, received) = backend(ip(), move |head| {
                     let id = header(head, "elmstream-request");
@@ -235,6 +235,19 @@
     });
 }
 
+#[test]
+fn body_in_another_coding_is_not_passed_on() {
+    for coding in ["gzip", "gzip, chunked", "chunked, gzip", "identity", "chunked, chunked", "x"] {
+        assert_not_passed_on(coding, move |head| {
+            let text = good_text(head);
+            let field = format!("connection: close\r\ntransfer-encoding: {coding}");
+            let text = text.replace("content-length: 5", &field);
+            let text = text.replace("hello", "5\r\nhello\r\n0\r\n\r\n");
+            [text.as_bytes(), CLOSE_MARK].concat()
+        });
+    }
+}
+
 /// A reset leaves an answer without a length incomplete.
 #[test]
 fn body_without_length_is_not_passed_on_after_a_reset() {
--- a/elmstream_http/src/response_check.rs
+++ b/elmstream_http/src/response_check.rs
@@ -1,6 +1,6 @@
 //! Decides whether a response that a client read can be passed on.
 
-use http::{HeaderMap, Response, Version, header};
+use http::{HeaderMap, HeaderValue, Response, Version, header};
 use hyper::body::Body;
 
 /// Largest status code of HTTP (RFC 9110, section 15).
@@ -11,6 +11,8 @@
 pub enum ResponseFault {
     /// The status is informational, so this is not the answer to the request, or is none of HTTP's.
     Status,
+    /// The body is in a transfer coding that was not asked for.
+    Coding,
     /// The body has no length, and its end cannot be told from that of a broken connection.
     Length,
 }
@@ -20,6 +22,7 @@
     pub fn name(self) -> &'static str {
         match self {
             ResponseFault::Status => "status",
+            ResponseFault::Coding => "coding",
             ResponseFault::Length => "length",
         }
     }
@@ -34,13 +37,18 @@
 ///
 /// The reason why the response cannot be passed on.
 pub fn check<B: Body>(response: &Response<B>) -> Result<(), ResponseFault> {
-    let status = response.status();
+    let (status, headers) = (response.status(), response.headers());
     if status.is_informational() || status.as_u16() > STATUS_MAX {
         return Err(ResponseFault::Status);
     }
-    match ends_with_connection(response) && !closes(response) {
-        true => Err(ResponseFault::Length),
-        false => Ok(()),
+    if has_length(response) {
+        return Ok(());
+    }
+    match headers.contains_key(header::TRANSFER_ENCODING) {
+        true if is_chunked(headers) => Ok(()),
+        true => Err(ResponseFault::Coding),
+        false if closes(response) => Ok(()),
+        false => Err(ResponseFault::Length),
     }
 }
 
@@ -55,6 +63,13 @@
     response.body().size_hint().exact().is_some()
 }
 
+/// Whether `chunked` is the only transfer coding.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let mut values = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let is_chunked = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"chunked");
+    values.next().is_some_and(is_chunked) && values.next().is_none()
+}
+
 /// Whether the sender closes the connection after the response.
 fn closes<B>(response: &Response<B>) -> bool {
     match response.version() {
--- a/elmstreamd/tests/odd_answers.rs
+++ b/elmstreamd/tests/odd_answers.rs
@@ -16,7 +16,7 @@
 use support::{request, with_fleet};
 
 /// Answers that are not passed on.
-const ODD_ANSWERS: [&str; 11] = [
+const ODD_ANSWERS: [&str; 12] = [
     "HTTP/1.1 000 OK\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 600 OK\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 101 Switching Protocols\r\n\r\n",
@@ -28,6 +28,7 @@
     "HTTP/1.1 200 OK\r\n\r\nhello",
     "HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n\r\nhel",
     "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: gzip\r\n\r\nhello",
 ];
 const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello";
 
