An odd entry of the host list no longer hides the other hosts

Change: entries are parsed one by one; those that cannot be are left out, with a warning in the log.

An answer that is no list stays an error.

--- a/elmstreamd/src/platform.rs
+++ b/elmstreamd/src/platform.rs
@@ -8,8 +8,8 @@
 use elmstream::{id::Name, member::ListedHost, steward::WriteOutcome};
 use elmstream_config::settings;
 use http::{Method, StatusCode};
-use serde::Deserialize;
-use serde_json::{Value, json};
+use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::{Value, json, value::RawValue};
 use snafu::Snafu;
 
 /// Reason why a call to the platform gave no result.
@@ -107,10 +107,11 @@
 }
 
 #[derive(Deserialize)]
-struct HostListReply {
-    entry_hosts: Vec<HostEntry>,
-    #[serde(default)]
-    backend_servers_leaving: Vec<Name>,
+struct HostListReply<'a> {
+    #[serde(borrow)]
+    entry_hosts: Vec<&'a RawValue>,
+    #[serde(borrow, default)]
+    backend_servers_leaving: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -167,6 +168,15 @@
     serde_json::from_slice(bytes).map_err(|e| PlatformError::Malformed { reason: e.to_string() })
 }
 
+/// Parses the entries of a list; those that cannot be parsed are left out and do not affect the others.
+fn readable<T: DeserializeOwned>(entries: &[&RawValue]) -> Vec<T> {
+    let parsed = entries.iter().filter_map(|entry| {
+        let parsed = serde_json::from_str(entry.get());
+        parsed.inspect_err(|error| log::warn!(error:%; "an entry of a list is malformed")).ok()
+    });
+    parsed.collect()
+}
+
 #[async_trait(?Send)]
 impl TableService for HttpPlatform {
     async fn read(&self, key: &str) -> Result<Option<VersionedRow>, PlatformError> {
@@ -217,7 +227,8 @@
     async fn hosts(&self) -> Result<Hosts, PlatformError> {
         let url = self.settings.hosts.clone();
         let body = self.call(Method::GET, url, Vec::new()).await?.into_body()?;
-        let list: HostListReply = parse(&body.unwrap_or_default())?;
+        let body = body.unwrap_or_default();
+        let list: HostListReply<'_> = parse(&body)?;
         let listed_host = |e: HostEntry| ListedHost {
             name: e.name,
             domain: e.failure_domain,
@@ -225,7 +236,7 @@
             peers: e.peers,
             leaving: e.leaving,
         };
-        let entry_hosts = list.entry_hosts.into_iter().map(listed_host).collect();
-        Ok(Hosts { entry_hosts, leaving: list.backend_servers_leaving })
+        let entry_hosts = readable(&list.entry_hosts).into_iter().map(listed_host).collect();
+        Ok(Hosts { entry_hosts, leaving: readable(&list.backend_servers_leaving) })
     }
 }
