--- a/elmstream_edge/tests/backend.rs
+++ b/elmstream_edge/tests/backend.rs
@@ -147,3 +147,31 @@
         assert!(received.requests.borrow().is_empty());
     });
 }
+
+/// Answers of backend servers and of hosts that relay requests are read here.
+#[test]
+fn odd_answers_are_never_whole() {
+    let odd_answers = [
+        "HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 101 OK\r\n\r\n",
+        "HTTP/1.1 600 OK\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx y: 1\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nx\u{1}: 1\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no",
+        "HTTP/1.1 200 OK\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    ];
+    for odd in odd_answers {
+        run(async || {
+            let answer = |_: &str| [odd.as_bytes(), CLOSE_MARK].concat();
+            let (address, received) = backend(ip(), answer).await;
+            let pool = Pool::default();
+            let exchange = pool.exchange(SERVER_ID, address, || Some(request("/", 0))).await;
+            let is_odd = matches!(exchange, Exchange::Broken(_) | Exchange::Unusable(_));
+            assert!(is_odd, "{odd:?}: {exchange:?}");
+            assert_eq!(received.requests.borrow().len(), 1);
+        });
+    }
+}
