--- a/elmstreamd/src/platform.rs
+++ b/elmstreamd/src/platform.rs
@@ -169,7 +169,7 @@
 }
 
 /// Parses the entries of a list; those that cannot be parsed are left out and do not affect the others.
-fn readable<T: DeserializeOwned>(entries: &[&RawValue]) -> Vec<T> {
+fn parse_entries<T: DeserializeOwned>(entries: &[&RawValue]) -> Vec<T> {
     let parsed = entries.iter().filter_map(|entry| {
         let parsed = serde_json::from_str(entry.get());
         parsed.inspect_err(|error| log::warn!(error:%; "an entry of a list is malformed")).ok()
@@ -236,7 +236,7 @@
             peers: e.peers,
             leaving: e.leaving,
         };
-        let entry_hosts = readable(&list.entry_hosts).into_iter().map(listed_host).collect();
-        Ok(Hosts { entry_hosts, leaving: readable(&list.backend_servers_leaving) })
+        let entry_hosts = parse_entries(&list.entry_hosts).into_iter().map(listed_host).collect();
+        Ok(Hosts { entry_hosts, leaving: parse_entries(&list.backend_servers_leaving) })
     }
 }
