Requests sent outside homes that changed meanwhile are counted and logged

A request keeps the route and the workspace that were in force when its head was read; whether a newer configuration forbade the region of the server could not be seen from logs or metrics. Lines homes_moved and the counter elmstream_homes_moved now tell it at the time the request is put on the wire, and lines configuration how old the host's news are.

Homes are one type (homes.rs), which servers, relays and this check ask. The choice of servers and relays is unchanged.

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -14,7 +14,7 @@
     time::{MILLI, Time},
 };
 use elmstream_http::{LocalBody, RequestBody, Stop, body, server::Aborted};
-use elmstream_steer::{hash, model::Route, routes};
+use elmstream_steer::{Steer, hash, homes::HomeRegions, model::Route, routes};
 use elmstreamd::clock;
 use futures_util::future::{Either, select};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header, request};
@@ -51,6 +51,9 @@
     pub homes: Vec<String>,
     /// Priority; `None` for the route's.
     pub priority: Option<u32>,
+    /// Id of the workspace; `None` if the request has none, or its host does not tell.
+    #[serde(default)]
+    pub workspace: Option<u64>,
 }
 
 /// A caller's request that may be forwarded.
@@ -60,6 +63,8 @@
     pub id: String,
     /// Address of the caller.
     pub caller: IpAddr,
+    /// The host name that the request is for.
+    pub host: String,
     /// The route that the request matched.
     pub route: Rc<Route>,
     /// The service that the request goes to.
@@ -87,6 +92,8 @@
     pub workspace: Option<AdmittedRequest>,
     /// What the workspace sets, if another host relayed the request.
     pub relayed: Option<RelayedTerms>,
+    /// Regions in which it may run by the configuration that it was received under.
+    pub homes: HomeRegions,
     /// How far the request has come.
     pub progress: Rc<RequestProgress>,
     /// The digests, once computed.
@@ -114,15 +121,20 @@
         workspace_priority.unwrap_or(self.route.priority)
     }
 
-    /// Regions in which the workspace's requests may run; empty for any.
-    pub fn workspace_homes(&self) -> &[String] {
-        match (&self.relayed, &self.workspace) {
-            (Some(terms), _) => &terms.homes,
-            (None, Some(admitted)) => &admitted.entry.workspace.homes,
-            (None, None) => &[],
+    /// Id of the workspace; `None` if there is none.
+    pub fn workspace_id(&self) -> Option<u64> {
+        match &self.relayed {
+            Some(terms) => terms.workspace,
+            None => self.workspace.as_ref().map(|admitted| admitted.entry.id),
         }
     }
 
+    /// Regions in which the request may run by a configuration that became known since it was
+    /// received; `None` if there is none.
+    pub fn newer_homes(&self, steer: &Steer) -> Option<HomeRegions> {
+        steer.newer_homes((&self.host, self.uri.path()), self.workspace_id(), &self.homes)
+    }
+
     /// Time until the deadline.
     pub fn remaining(&self) -> Duration {
         Duration::from_micros(self.deadline.since(clock::now()))
@@ -188,7 +200,8 @@
     progress: Rc<RequestProgress>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let (head, incoming) = request.into_parts();
-    let route = match find_route(edge, &head) {
+    let host = requested_host(&head).to_owned();
+    let route = match find_route(edge, &host, &head) {
         Ok(route) => route,
         Err(RouteError::Configuration) => return Ok(retry_later(Code::NotReady, UNREADY_RETRY_MS)),
         Err(RouteError::Stale) => return Ok(retry_later(Code::RoutesStale, UNREADY_RETRY_MS)),
@@ -198,6 +211,7 @@
         Ok(workspace) => workspace,
         Err(answer) => return Ok(*answer),
     };
+    let homes = homes_of(edge, &route, workspace.as_ref());
     let body_of = BodyOf {
         id: headers::text(&head.headers, &edge.settings.headers.request_id).unwrap_or_default(),
         route: &route,
@@ -209,8 +223,8 @@
         Ok(body) => body,
         Err(answer) => return answer,
     };
-    let caller_request =
-        caller_request(edge, (caller, head), (route, workspace), body, received, progress);
+    let accepted = Accepted { host, route, workspace, homes };
+    let caller_request = caller_request(edge, (caller, head), accepted, body, received, progress);
     Ok(forward::run(edge, &caller_request).await)
 }
 
@@ -224,14 +238,32 @@
     Stale,
 }
 
+/// What the configuration stated of a request when its head was read.
+struct Accepted {
+    host: String,
+    route: Rc<Route>,
+    workspace: Option<AdmittedRequest>,
+    homes: HomeRegions,
+}
+
+/// The host name that a request is for; empty if it names none.
+fn requested_host(head: &request::Parts) -> &str {
+    let host = head.uri.host().or_else(|| headers::text(&head.headers, &header::HOST));
+    host.unwrap_or_default()
+}
+
+/// Regions in which a request may run by the configuration in force.
+fn homes_of(edge: &Edge, route: &Route, workspace: Option<&AdmittedRequest>) -> HomeRegions {
+    let version = edge.steer.borrow().configuration_version().unwrap_or_default();
+    HomeRegions::new(version, route, workspace.map(|admitted| &admitted.entry.workspace))
+}
+
 /// The route of a request, or why there is none; a missing route is logged.
-fn find_route(edge: &Edge, head: &request::Parts) -> Result<Rc<Route>, RouteError> {
+fn find_route(edge: &Edge, host: &str, head: &request::Parts) -> Result<Rc<Route>, RouteError> {
     let steer = edge.steer.borrow();
     if steer.configuration_version().is_none() {
         return Err(RouteError::Configuration);
     }
-    let host = head.uri.host().or_else(|| headers::text(&head.headers, &header::HOST));
-    let host = host.unwrap_or_default();
     if let Some(route) = steer.route(host, head.uri.path()) {
         return Ok(route);
     }
@@ -257,7 +289,7 @@
 fn caller_request(
     edge: &Edge,
     (caller, head): (IpAddr, request::Parts),
-    (route, workspace): (Rc<Route>, Option<AdmittedRequest>),
+    Accepted { host, route, workspace, homes }: Accepted,
     body: Bytes,
     received: Time,
     progress: Rc<RequestProgress>,
@@ -281,6 +313,7 @@
     CallerRequest {
         id,
         caller,
+        host,
         route,
         service,
         key,
@@ -294,6 +327,7 @@
         returning,
         workspace,
         relayed: None,
+        homes,
         progress,
         digests: OnceCell::new(),
     }
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -159,8 +159,9 @@
         for change in changes {
             match change {
                 StateChange::Configuration(version) => {
-                    self.event_log
-                        .write("configuration", json!({"version": version, "from": from}));
+                    let stale_ms = self.steer.borrow().staleness(clock::now()) / MILLI;
+                    let fields = json!({"version": version, "from": from, "stale_ms": stale_ms});
+                    self.event_log.write("configuration", fields);
                 }
                 StateChange::Evacuation(domain, begins) => {
                     let fields = json!({"domain": domain, "begins": begins, "from": from});
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -154,7 +154,7 @@
         key: request.key,
         tried,
         returning: request.returning,
-        homes: request.workspace_homes(),
+        homes: request.homes.get(),
         priority: request.priority(),
         workspace: workspace.map(|admitted| admitted.entry.id),
         remaining_ms: request.remaining().as_millis() as u64,
@@ -295,6 +295,7 @@
     {
         return None;
     }
+    report_moved_homes(edge, request, index);
     let names = &edge.settings.headers;
     let mut backend_request = Request::new(backend::request_body(&request.body));
     *backend_request.method_mut() = request.method.clone();
@@ -306,6 +307,26 @@
     Some(backend_request)
 }
 
+/// Reports a request to a server in a region that the newest known configuration forbids.
+fn report_moved_homes(edge: &Edge, request: &CallerRequest, index: ServerIndex) {
+    let steer = edge.steer.borrow();
+    let Some(server) = steer.servers().get(index) else { return };
+    let Some(homes) = request.newer_homes(&steer) else { return };
+    if homes.get().allow(&server.region) {
+        return;
+    }
+    metrics::counter!("elmstream_homes_moved").increment(1);
+    let now = clock::now();
+    let fields = json!({
+        "id": request.id, "route": request.route.name, "workspace": request.workspace_name(),
+        "server": server.id, "region": server.region, "homes": homes.route,
+        "workspace_homes": homes.workspace, "picked_under": request.homes.version,
+        "version": homes.version, "took_ms": now.since(request.received) / MILLI,
+        "stale_ms": steer.staleness(now) / MILLI,
+    });
+    edge.event_log.request("homes_moved", fields);
+}
+
 /// Whether a response carries the id of this request.
 fn echoes_id(edge: &Edge, request: &CallerRequest, head: &response::Parts) -> bool {
     headers::text(&head.headers, &edge.settings.headers.request_id) == Some(request.id.as_str())
--- a/elmstream_edge/src/relay.rs
+++ b/elmstream_edge/src/relay.rs
@@ -4,20 +4,16 @@
 //! counted its demand; the relaying host picks the server and sends the request. A relayed request is
 //! not relayed again.
 
-use std::{
-    cell::OnceCell,
-    net::{IpAddr, SocketAddr},
-    pin::pin,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::OnceCell, net::IpAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use elmstream::{code::Code, time::MILLI};
 use elmstream_http::{LocalBody, RequestBody, Stop, body, server::Aborted};
 use elmstream_steer::{
     hash,
+    homes::HomeRegions,
     model::{Repeatability, Route},
+    relay::RelayHost,
 };
 use elmstreamd::{clock, waits};
 use futures_util::future::{Either, select};
@@ -51,6 +47,12 @@
 /// What a relaying host is told of a request, beside the request itself.
 #[derive(Debug, Deserialize, Serialize)]
 struct RelayHeader {
+    /// Version of the configuration that `route` and `terms` state the home regions of.
+    #[serde(default)]
+    version: u64,
+    /// The host name that the request is for.
+    #[serde(default)]
+    host: String,
     route: Route,
     service: String,
     key: u64,
@@ -62,10 +64,13 @@
 }
 
 impl RelayHeader {
-    fn of(request: &CallerRequest) -> RelayHeader {
+    fn new(request: &CallerRequest) -> RelayHeader {
+        let homes = &request.homes;
         let workspace = request.workspace.as_ref().map(|admitted| &admitted.entry.workspace);
         RelayHeader {
-            route: (*request.route).clone(),
+            version: homes.version,
+            host: request.host.clone(),
+            route: Route { homes: homes.route.clone(), ..(*request.route).clone() },
             service: request.service.clone(),
             key: request.key,
             has_key: request.has_key,
@@ -73,12 +78,22 @@
             caller: request.caller,
             remaining_ms: request.remaining().as_millis() as u64,
             terms: RelayedTerms {
-                homes: request.workspace_homes().to_vec(),
+                homes: homes.workspace.clone(),
                 priority: workspace.and_then(|workspace| workspace.priority),
+                workspace: request.workspace_id(),
             },
         }
     }
 
+    /// Regions in which the request may run by the sender's configuration.
+    fn homes(&self) -> HomeRegions {
+        HomeRegions {
+            version: self.version,
+            route: self.route.homes.clone(),
+            workspace: self.terms.homes.clone(),
+        }
+    }
+
     fn to_value(&self) -> Option<HeaderValue> {
         HeaderValue::try_from(serde_json::to_string(self).ok()?).ok()
     }
@@ -109,7 +124,7 @@
     }
     for relay in relays {
         let relayed =
-            waits::within(request.deadline, Box::pin(exchange(edge, request, relay))).await;
+            waits::within(request.deadline, Box::pin(exchange(edge, request, &relay))).await;
         match relayed.unwrap_or(Relayed::Unknown) {
             Relayed::Answer(parts, bytes) | Relayed::Refused(parts, bytes) => {
                 return Some(respond(request, parts, bytes));
@@ -127,26 +142,26 @@
 
 /// Hosts that may relay a request; none unless this host received it from its caller and does not
 /// reach the service.
-fn relays(edge: &Edge, request: &CallerRequest) -> Vec<SocketAddr> {
+fn relays(edge: &Edge, request: &CallerRequest) -> Vec<RelayHost> {
     let steer = edge.steer.borrow();
     if request.relayed.is_some() || !steer.is_cut(&request.service) {
         return Vec::new();
     }
-    let homes = [request.route.homes.as_slice(), request.workspace_homes()];
-    steer.relays(clock::now(), &request.service, &homes, hash::of(&request.id))
+    steer.relays(clock::now(), &request.service, request.homes.get(), hash::of(&request.id))
 }
 
-async fn exchange(edge: &Edge, request: &CallerRequest, relay: SocketAddr) -> Relayed {
+async fn exchange(edge: &Edge, request: &CallerRequest, relay: &RelayHost) -> Relayed {
     let had_run = request.progress.may_have_run.replace(true);
     if let Some(admitted) = &request.workspace {
         admitted.record_sent();
     }
-    let id = relay.to_string();
-    let relayed = match edge.relay_pool.exchange(&id, relay, || relay_request(request)).await {
-        Exchange::NoConnection | Exchange::NoTime => Relayed::NotRun,
-        Exchange::Broken(_) | Exchange::Unusable(_) => Relayed::Unknown,
-        Exchange::Whole(parts, bytes) => classify(edge, request, relay, parts, bytes),
-    };
+    let id = relay.address.to_string();
+    let relayed =
+        match edge.relay_pool.exchange(&id, relay.address, || relay_request(request)).await {
+            Exchange::NoConnection | Exchange::NoTime => Relayed::NotRun,
+            Exchange::Broken(_) | Exchange::Unusable(_) => Relayed::Unknown,
+            Exchange::Whole(parts, bytes) => classify(edge, request, &id, parts, bytes),
+        };
     let outcome = match relayed {
         Relayed::Answer(..) => "answered",
         Relayed::Refused(..) => "refused",
@@ -164,7 +179,7 @@
 }
 
 fn relay_request(request: &CallerRequest) -> Option<Request<LocalBody>> {
-    let header = RelayHeader::of(request);
+    let header = RelayHeader::new(request);
     if header.remaining_ms == 0 {
         return None;
     }
@@ -179,14 +194,14 @@
 fn classify(
     edge: &Edge,
     request: &CallerRequest,
-    relay: SocketAddr,
+    relay: &str,
     parts: response::Parts,
     bytes: Bytes,
 ) -> Relayed {
     let names = &edge.settings.headers;
     let echoed = headers::text(&parts.headers, &names.request_id);
     if echoed.is_some_and(|echoed| echoed != request.id) {
-        edge.relay_pool.discard_connections(&relay.to_string());
+        edge.relay_pool.discard_connections(relay);
         return Relayed::Unknown;
     }
     let is_own_answer =
@@ -301,8 +316,19 @@
         metrics::counter!("elmstream_relay_unreadable").increment(1);
         return Ok(callers::reply(Code::BadRequest, StatusCode::BAD_REQUEST));
     };
-    let RelayHeader { route, service, key, has_key, returning, caller, remaining_ms, terms } =
-        header;
+    let homes = header.homes();
+    let RelayHeader {
+        host,
+        route,
+        service,
+        key,
+        has_key,
+        returning,
+        caller,
+        remaining_ms,
+        terms,
+        ..
+    } = header;
     let route = Rc::new(route);
     let id = headers::text(&head.headers, &edge.settings.headers.request_id);
     let id = id.unwrap_or_default().to_owned();
@@ -315,6 +341,7 @@
     let request = CallerRequest {
         id,
         caller,
+        host,
         route,
         service,
         key,
@@ -328,6 +355,7 @@
         returning,
         workspace: None,
         relayed: Some(terms),
+        homes: homes,
         progress,
         digests: OnceCell::new(),
     };
--- a/elmstream_edge/tests/content_cost.rs
+++ b/elmstream_edge/tests/content_cost.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use elmstream::time::Time;
 use elmstream_edge::{callers::CallerRequest, request_digest::RequestDigests};
-use elmstream_steer::model::{Repeatability, Route, WeightedService};
+use elmstream_steer::{
+    homes::HomeRegions,
+    model::{Repeatability, Route, WeightedService},
+};
 use http::{HeaderMap, Method};
 
 /// Requests in a timed run, and number of runs; the fastest run counts.
@@ -36,6 +39,7 @@
     CallerRequest {
         id: "9c41d07be2a35f68".into(),
         caller: [10, 0, 0, 1].into(),
+        host: "shop.example".into(),
         route: Rc::new(route),
         service: "shop".into(),
         key: 0,
@@ -49,6 +53,7 @@
         returning: false,
         workspace: None,
         relayed: None,
+        homes: HomeRegions::default(),
         progress: Rc::default(),
         digests: OnceCell::new(),
     }
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -12,7 +12,9 @@
 use elmstream::time::{MILLI, Time};
 
 use crate::{
-    hash, key_moves,
+    hash,
+    homes::Homes,
+    key_moves,
     key_order::DomainRank,
     model::{Repeatability, Route},
     placement::ServicePlacement,
@@ -83,8 +85,8 @@
     pub tried: &'a [ServerIndex],
     /// Whether the caller has probably been refused before; the request then accepts a longer wait.
     pub returning: bool,
-    /// Regions in which the workspace's requests may run; empty for any.
-    pub homes: &'a [String],
+    /// Regions in which the request may run.
+    pub homes: Homes<'a>,
     /// Priority of the request; 0 is the most urgent.
     pub priority: u32,
     /// Id of the workspace that the request counts against; `None` if its route needs no key.
@@ -93,15 +95,6 @@
     pub remaining_ms: u64,
 }
 
-impl PickRequest<'_> {
-    /// Whether the request may run in a region. The home regions of both the route and the
-    /// workspace apply.
-    fn may_run_in(&self, region: &str) -> bool {
-        let allows = |homes: &[String]| homes.is_empty() || homes.iter().any(|home| home == region);
-        allows(&self.route.homes) && allows(self.homes)
-    }
-}
-
 /// Result of server selection.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Pick {
@@ -453,7 +446,7 @@
     index: ServerIndex,
     entry: &ServerEntry,
 ) -> bool {
-    request.may_run_in(&entry.region)
+    request.homes.allow(&entry.region)
         && !entry.is_leaving()
         && context.rollout_arm.includes(entry.rollout_role)
         && (context.rollout_arm != RolloutArm::Canary
--- a/elmstream_steer/src/relay.rs
+++ b/elmstream_steer/src/relay.rs
@@ -5,11 +5,22 @@
 
 use elmstream::time::Time;
 
-use crate::{hash, members::Member, servers::ServerIndex, steer::Steer};
+use crate::{
+    hash, homes::Homes, members::Member, servers::ServerIndex, settings::Host, steer::Steer,
+};
 
 /// Number of hosts that one request may be relayed to, one after another.
 const RELAYS_PER_REQUEST_MAX: usize = 2;
 
+/// A host that may relay requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RelayHost {
+    /// Its address for other hosts.
+    pub address: SocketAddr,
+    /// Its region.
+    pub region: String,
+}
+
 impl Steer {
     /// Whether this host's paths to the servers of a service count as cut.
     pub fn is_cut(&self, service: &str) -> bool {
@@ -21,37 +32,30 @@
         self.servers.cut_services().map(|service| hash::of(service) as u32).collect()
     }
 
-    /// Addresses for other hosts of up to two hosts that may relay a request to servers of a service,
+    /// Up to two hosts that may relay a request to servers of a service,
     /// the best first; those of the own region come before others. `homes` are the regions in which
-    /// the request may run, empty for any; `draw` spreads requests over the hosts.
-    pub fn relays(
-        &self,
-        now: Time,
-        service: &str,
-        homes: &[&[String]],
-        draw: u64,
-    ) -> Vec<SocketAddr> {
+    /// the request may run; `draw` spreads requests over the hosts.
+    pub fn relays(&self, now: Time, service: &str, homes: Homes<'_>, draw: u64) -> Vec<RelayHost> {
         let service = hash::of(service) as u32;
-        let allows =
-            |region: &String| homes.iter().all(|homes| homes.is_empty() || homes.contains(region));
         let usable = |member: &&Member| {
             member.ready
                 && !member.leaving
                 && !member.cut_services.contains(&service)
-                && allows(&member.host.region)
+                && homes.allow(&member.host.region)
         };
         let own_region = &self.settings.host.region;
-        let mut found: Vec<(bool, u64, SocketAddr)> = self
+        let mut found: Vec<(bool, u64, &Host)> = self
             .members
             .live(now)
             .filter(usable)
             .map(|member| {
                 let order = hash::combine(draw, member.hash);
-                (member.host.region != *own_region, order, member.host.peers)
+                (member.host.region != *own_region, order, &member.host)
             })
             .collect();
-        found.sort_unstable();
-        found.into_iter().take(RELAYS_PER_REQUEST_MAX).map(|(.., address)| address).collect()
+        found.sort_unstable_by_key(|(is_far, order, host)| (*is_far, *order, host.peers));
+        let relay = |host: &Host| RelayHost { address: host.peers, region: host.region.clone() };
+        found.into_iter().take(RELAYS_PER_REQUEST_MAX).map(|(.., host)| relay(host)).collect()
     }
 
     /// A server of each service that this host does not reach, by which to find out whether the paths
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -19,6 +19,7 @@
     domain_split::TransferSize,
     era::Retention,
     hash,
+    homes::HomeRegions,
     host_registry::Registry,
     leaving::LeavingServers,
     lookup::{self, ReadyHost},
@@ -377,6 +378,18 @@
         self.routes.find(host, path)
     }
 
+    /// Home regions of a request to a host name and path of the workspace with an id, if the
+    /// configuration in force is newer than the one that `known` is of.
+    pub fn newer_homes(
+        &self,
+        target: (&str, &str),
+        workspace: Option<u64>,
+        known: &HomeRegions,
+    ) -> Option<HomeRegions> {
+        let version = self.configuration_version().filter(|version| *version > known.version)?;
+        Some(known.updated(version, (&self.routes, &self.workspaces), target, workspace))
+    }
+
     /// Whether the host can serve callers.
     pub fn serves(&self) -> bool {
         let knows = self.configuration_version().is_some()
--- a/elmstream_steer/tests/relays.rs
+++ b/elmstream_steer/tests/relays.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeSet;
 
-use elmstream_steer::{Pick, Steer, model::Repeatability, servers::Outcome};
+use elmstream_steer::{Pick, Steer, homes::Homes, model::Repeatability, servers::Outcome};
 use support::{SERVICE, exchange_heartbeats, host_number, ms, ready, route, send, servers};
 
 /// Hosts 0, 1, 4 and 5 are in region a, 2, 3, 6 and 7 in region b.
@@ -28,8 +28,9 @@
 
 /// Numbers of the hosts that relay any of many requests.
 fn relays(host: &Steer, at: u64, homes: &[String]) -> BTreeSet<usize> {
-    let drawn = (0..200).flat_map(|draw| host.relays(ms(at), SERVICE, &[homes], draw));
-    drawn.map(host_number).collect()
+    let homes = Homes { route: homes, workspace: &[] };
+    let drawn = (0..200).flat_map(|draw| host.relays(ms(at), SERVICE, homes, draw));
+    drawn.map(|relay| host_number(relay.address)).collect()
 }
 
 #[test]
--- a/elmstream_steer/tests/returns.rs
+++ b/elmstream_steer/tests/returns.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use elmstream_steer::{
-    Pick, PickRequest, model::Repeatability, returning_callers::ReturningCallers,
+    Pick, PickRequest, homes::Homes, model::Repeatability, returning_callers::ReturningCallers,
 };
 use support::{SERVICE, ms, ready, route, server};
 
@@ -37,7 +37,7 @@
             key: *key,
             tried: &[],
             returning,
-            homes: &[],
+            homes: Homes { route: &route.homes, workspace: &[] },
             priority: route.priority,
             workspace: None,
             remaining_ms: route.timeout_ms,
--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use elmstream::time::{MILLI, Time};
 use elmstream_steer::{
     Bounds, Host, Pick, PickRequest, Settings, Steer,
+    homes::Homes,
     model::{Configuration, Limits, Repeatability, Route, Server, Service, WeightedService},
     policies::Policies,
     servers::ServerIndex,
@@ -172,7 +173,7 @@
         key,
         tried: &[],
         returning: false,
-        homes: &[],
+        homes: Homes { route: &route.homes, workspace: &[] },
         priority: route.priority,
         workspace: None,
         remaining_ms: route.timeout_ms,
--- a/elmstream_steer/tests/workspaces.rs
+++ b/elmstream_steer/tests/workspaces.rs
@@ -7,6 +7,7 @@
 
 use elmstream_steer::{
     Pick, PickRequest,
+    homes::Homes,
     key::KeyDigest,
     model::{Configuration, Repeatability, Workspace},
     view::{Row, RowContent, RowKey, Table},
@@ -112,7 +113,8 @@
         let texts: Vec<&str> = homes.iter().map(String::as_str).collect();
         let route = route(Repeatability::Safe, &texts);
         let request = PickRequest {
-            route: &route, service: SERVICE, key, tried: &[], returning: false, homes: &own,
+            route: &route, service: SERVICE, key, tried: &[], returning: false,
+            homes: Homes { route: &route.homes, workspace: &own },
             priority: route.priority, workspace: None, remaining_ms: route.timeout_ms,
         };
         let allows = |homes: &[String], region: &String| homes.is_empty() || homes.contains(region);
