--- /dev/null
+++ b/elmstream_edge/tests/homes.rs
@@ -0,0 +1,222 @@
+//! Home regions that change while requests are under way.
+
+mod support;
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use compio::{
+    buf::BufResult,
+    io::{AsyncRead, AsyncWriteExt},
+    net::TcpStream,
+};
+use elmstream_edge::Settings;
+use elmstream_steer::{
+    key::KeyDigest,
+    model::{Repeatability, Route, Workspace},
+    view::{RowContent, RowKey},
+};
+use serde_json::json;
+use support::{
+    CLOSE_MARK, Received, Running, SERVICE, Store, backend, configuration, good, ip, run,
+    send_request, server, settings, start_with, until,
+};
+
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Home regions of the only route and of the only workspace.
+type Homes<'a> = (&'a [&'a str], &'a [&'a str]);
+
+/// A configuration of a route that takes 3 s at most, and of a workspace with the key `key-w`.
+fn configured(version: u64, (route, workspace): Homes<'_>) -> RowContent {
+    let RowContent::Configuration(mut configuration) = configuration(version, Repeatability::Safe)
+    else {
+        panic!("a configuration");
+    };
+    let texts = |names: &[&str]| names.iter().map(|name| (*name).into()).collect();
+    configuration.routes[0].homes = texts(route);
+    configuration.routes[0].open = true;
+    configuration.routes[0].timeout_ms = 3_000;
+    configuration.workspaces = vec![Workspace {
+        name: "w".into(),
+        keys: vec![KeyDigest::of(b"key-w")],
+        homes: texts(workspace),
+        ..Workspace::default()
+    }];
+    RowContent::Configuration(configuration)
+}
+
+fn server_in(domain: &str, address: SocketAddr) -> RowContent {
+    let RowContent::Server(mut entry) = server(address) else { panic!("a server") };
+    entry.domain = domain.into();
+    RowContent::Server(entry)
+}
+
+/// A host in region `a`, its store, and what servers in regions `a` and `b` received.
+struct World {
+    store: Store,
+    host: Running,
+    in_a: Vec<Received>,
+    in_b: Vec<Received>,
+}
+
+impl World {
+    /// Starts two servers in each region; those in region `a` answer with what `answer_in_a` returns.
+    async fn start(homes: Homes<'_>, answer_in_a: fn(&str) -> Vec<u8>) -> World {
+        let store = Store::default();
+        store.put(RowKey::Configuration, Some(configured(1, homes)));
+        let (mut in_a, mut in_b) = (Vec::new(), Vec::new());
+        for number in 0..2 {
+            let (address, received) = backend(ip(), answer_in_a).await;
+            in_a.push(received);
+            store.put(RowKey::Server(format!("s-a-{number}")), Some(server_in("a1", address)));
+            let (address, received) = backend(ip(), |head| good(head, "ok")).await;
+            in_b.push(received);
+            store.put(RowKey::Server(format!("s-b-{number}")), Some(server_in("b1", address)));
+        }
+        let at = ip();
+        let host = start_with(at, two_regions(at), &store);
+        let is_ready = || host.edge.serves() && host.edge.steer.borrow().has_host_list();
+        assert!(until(TIMEOUT, is_ready).await);
+        World { store, host, in_a, in_b }
+    }
+
+    /// Changes the home regions, and waits until the host knows of it.
+    async fn move_homes(&self, homes: Homes<'_>) {
+        self.store.put(RowKey::Configuration, Some(configured(2, homes)));
+        let is_known = || self.host.edge.steer.borrow().configuration_version() == Some(2);
+        assert!(until(TIMEOUT, is_known).await);
+    }
+
+    /// Numbers of requests that reached servers in regions `a` and `b`.
+    fn reached(&self) -> (usize, usize) {
+        let count = |servers: &[Received]| {
+            servers.iter().map(|received| received.requests.borrow().len()).sum()
+        };
+        (count(&self.in_a), count(&self.in_b))
+    }
+}
+
+fn two_regions(at: IpAddr) -> Settings {
+    let mut settings = settings(at, &[]);
+    settings.domains.insert("b1".into(), "b".into());
+    settings
+}
+
+/// A connection to a host, for requests that are written in parts.
+struct Caller(TcpStream);
+
+impl Caller {
+    async fn connect(to: SocketAddr) -> Caller {
+        Caller(TcpStream::connect(to).await.expect("a connection"))
+    }
+
+    async fn write(&mut self, text: &str) {
+        self.0.write_all(text.to_owned()).await.0.expect("it is open");
+    }
+
+    /// Status and headers of the answer.
+    async fn answer(&mut self) -> (u16, String) {
+        let mut text = String::new();
+        while !text.contains("\r\n\r\n") {
+            let BufResult(read, bytes) = self.0.read(Vec::with_capacity(4_096)).await;
+            assert_ne!(read.expect("it is open"), 0, "no answer: {text}");
+            text += &String::from_utf8_lossy(&bytes);
+        }
+        let status = text.split(' ').nth(1).and_then(|status| status.parse().ok());
+        (status.expect("a status"), text.to_lowercase())
+    }
+}
+
+/// Head of an upload of 4 bytes by the workspace.
+const UPLOAD: &str = "POST /u HTTP/1.1\r\nhost: shop.example\r\nelmstream-request: u\r\n\
+                      authorization: Bearer key-w\r\ncontent-length: 4\r\n\r\n";
+
+/// Where an upload runs whose homes change before its body is complete.
+async fn upload_over_change(before: Homes<'_>, after: Homes<'_>) -> (u16, String, (usize, usize)) {
+    let world = World::start(before, |head| good(head, "ok")).await;
+    let mut caller = Caller::connect(world.host.callers).await;
+    caller.write(UPLOAD).await;
+    caller.write("bo").await;
+    compio::time::sleep(Duration::from_millis(50)).await;
+    world.move_homes(after).await;
+    caller.write("dy").await;
+    let (status, head) = caller.answer().await;
+    (status, head, world.reached())
+}
+
+#[test]
+fn request_whose_homes_change_while_its_body_arrives_runs_in_the_new_ones() {
+    run(async || {
+        for (before, after) in
+            [((&["a"][..], &[][..]), (&["b"][..], &[][..])), ((&[], &["a"]), (&[], &["b"]))]
+        {
+            let (status, _, reached) = upload_over_change(before, after).await;
+            assert_eq!((status, reached), (200, (0, 1)), "{before:?} to {after:?}");
+        }
+    });
+}
+
+#[test]
+fn request_that_no_region_may_run_any_more_is_refused_unsent() {
+    run(async || {
+        let (status, head, reached) = upload_over_change((&["a"], &["a"]), (&["a"], &["b"])).await;
+        assert_eq!((status, reached), (503, (0, 0)));
+        assert!(head.contains("\r\nretry-after: "), "{head}");
+    });
+}
+
+#[test]
+fn second_attempt_runs_in_homes_that_changed_during_the_first() {
+    run(async || {
+        let answer = |head: &str| match head.starts_with("GET /slow") {
+            true => CLOSE_MARK.to_vec(),
+            false => good(head, "ok"),
+        };
+        let world = World::start((&["a"], &[]), answer).await;
+        // Each answered request adds to the retry budget.
+        for n in 0..30 {
+            send_request(world.host.callers, &n.to_string(), "/").await.expect("an answer");
+        }
+        let (before, _) = world.reached();
+        let mut caller = Caller::connect(world.host.callers).await;
+        caller
+            .write("GET /slow HTTP/1.1\r\nhost: shop.example\r\nelmstream-request: r\r\n\r\n")
+            .await;
+        assert!(until(TIMEOUT, || world.reached() == (before + 1, 0)).await);
+        world.move_homes((&["b"], &[])).await;
+        let (status, _) = caller.answer().await;
+        assert_eq!((status, world.reached()), (200, (before + 1, 1)));
+    });
+}
+
+/// A request of another host that knows version 1 of the configuration.
+fn relayed(homes: &[&str]) -> String {
+    let RowContent::Configuration(configuration) = configured(1, (homes, &[])) else {
+        panic!("a configuration");
+    };
+    let route: &Route = &configuration.routes[0];
+    let relay = json!({
+        "version": configuration.version, "host": route.host, "route": route, "service": SERVICE,
+        "key": 7, "has_key": false, "returning": false, "caller": "127.0.0.1",
+        "remaining_ms": 1_000, "terms": {"homes": [], "priority": null},
+    });
+    format!(
+        "GET /r HTTP/1.1\r\nhost: shop.example\r\nelmstream-request: r\r\n\
+         elmstream-relay: {relay}\r\n\r\n"
+    )
+}
+
+#[test]
+fn relaying_host_keeps_homes_that_the_sender_does_not_know_yet() {
+    run(async || {
+        let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
+        world.move_homes((&["b"], &[])).await;
+        let mut sender = Caller::connect(world.host.edge.settings.host.peers).await;
+        sender.write(&relayed(&["a"])).await;
+        let (status, _) = sender.answer().await;
+        assert_eq!((status, world.reached()), (200, (0, 1)));
+    });
+}
