Homes are asked each time a request is sent, by the newest known configuration

A relaying host went by the sender's copy, however old.

The homes of a request are now looked up again, by host name, path and workspace, whenever the host knows a newer configuration: at each choice of a server or relay, and once more when the connection is open and the request is about to be written. The relay header carries the version of its homes; the relaying host goes by the newer one of the two. Route and workspace otherwise stay as admitted. Homes that a newer configuration does not state, as the route is gone, stay.

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -1,7 +1,7 @@
 //! Handles callers' requests: finds the route, checks limits, reads the body.
 
 use std::{
-    cell::{Cell, OnceCell},
+    cell::{Cell, OnceCell, RefCell},
     net::IpAddr,
     pin::pin,
     rc::Rc,
@@ -92,8 +92,8 @@
     pub workspace: Option<AdmittedRequest>,
     /// What the workspace sets, if another host relayed the request.
     pub relayed: Option<RelayedTerms>,
-    /// Regions in which it may run by the configuration that it was received under.
-    pub homes: HomeRegions,
+    /// Regions in which it may run, by the newest configuration that was asked.
+    pub homes: RefCell<Rc<HomeRegions>>,
     /// How far the request has come.
     pub progress: Rc<RequestProgress>,
     /// The digests, once computed.
@@ -129,10 +129,15 @@
         }
     }
 
-    /// Regions in which the request may run by a configuration that became known since it was
-    /// received; `None` if there is none.
-    pub fn newer_homes(&self, steer: &Steer) -> Option<HomeRegions> {
-        steer.newer_homes((&self.host, self.uri.path()), self.workspace_id(), &self.homes)
+    /// Regions in which the request may run now. A configuration that became known since the
+    /// request was received takes precedence over the one that it was received under.
+    pub fn current_homes(&self, steer: &Steer) -> Rc<HomeRegions> {
+        let mut homes = self.homes.borrow_mut();
+        let target = (self.host.as_str(), self.uri.path());
+        if let Some(newer) = steer.newer_homes(target, self.workspace_id(), &homes) {
+            *homes = Rc::new(newer);
+        }
+        Rc::clone(&homes)
     }
 
     /// Time until the deadline.
@@ -327,7 +332,7 @@
         returning,
         workspace,
         relayed: None,
-        homes,
+        homes: RefCell::new(Rc::new(homes)),
         progress,
         digests: OnceCell::new(),
     }
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -7,6 +7,7 @@
 use elmstream_http::{LocalBody, body};
 use elmstream_steer::{
     Pick, PickRequest, Refusal,
+    homes::Homes,
     model::Repeatability,
     pick::RefusalReason,
     retry_worth::RetryWorth,
@@ -109,7 +110,8 @@
             // have run.
             break;
         }
-        let pick_request = pick_request(request, &attempts.servers);
+        let homes = request.current_homes(&edge.steer.borrow());
+        let pick_request = pick_request(request, homes.get(), &attempts.servers);
         if is_retry {
             let steer = edge.steer.borrow();
             let service = &request.service;
@@ -146,7 +148,11 @@
 }
 
 /// What the choice of a server goes by.
-fn pick_request<'a>(request: &'a CallerRequest, tried: &'a [ServerIndex]) -> PickRequest<'a> {
+fn pick_request<'a>(
+    request: &'a CallerRequest,
+    homes: Homes<'a>,
+    tried: &'a [ServerIndex],
+) -> PickRequest<'a> {
     let workspace = request.workspace.as_ref();
     PickRequest {
         route: &request.route,
@@ -154,7 +160,7 @@
         key: request.key,
         tried,
         returning: request.returning,
-        homes: request.homes.get(),
+        homes,
         priority: request.priority(),
         workspace: workspace.map(|admitted| admitted.entry.id),
         remaining_ms: request.remaining().as_millis() as u64,
@@ -282,8 +288,8 @@
     (outcome, result)
 }
 
-/// The request to send to the server; `None` if no time remains, or the server has meanwhile
-/// asked for no more requests.
+/// The request to send to the server; `None` if no time remains, the server has meanwhile asked
+/// for no more requests, or a newer configuration forbids its region.
 fn backend_request(
     edge: &Edge,
     request: &CallerRequest,
@@ -295,7 +301,9 @@
     {
         return None;
     }
-    report_moved_homes(edge, request, index);
+    if !may_run_at(edge, request, index) {
+        return None;
+    }
     let names = &edge.settings.headers;
     let mut backend_request = Request::new(backend::request_body(&request.body));
     *backend_request.method_mut() = request.method.clone();
@@ -307,24 +315,26 @@
     Some(backend_request)
 }
 
-/// Reports a request to a server in a region that the newest known configuration forbids.
-fn report_moved_homes(edge: &Edge, request: &CallerRequest, index: ServerIndex) {
+/// Whether the request may run in the region of a server that was picked for it.
+fn may_run_at(edge: &Edge, request: &CallerRequest, index: ServerIndex) -> bool {
     let steer = edge.steer.borrow();
-    let Some(server) = steer.servers().get(index) else { return };
-    let Some(homes) = request.newer_homes(&steer) else { return };
+    let Some(server) = steer.servers().get(index) else { return false };
+    let picked_under = request.homes.borrow().version;
+    let homes = request.current_homes(&steer);
     if homes.get().allow(&server.region) {
-        return;
+        return true;
     }
     metrics::counter!("elmstream_homes_moved").increment(1);
     let now = clock::now();
     let fields = json!({
         "id": request.id, "route": request.route.name, "workspace": request.workspace_name(),
         "server": server.id, "region": server.region, "homes": homes.route,
-        "workspace_homes": homes.workspace, "picked_under": request.homes.version,
+        "workspace_homes": homes.workspace, "picked_under": picked_under,
         "version": homes.version, "took_ms": now.since(request.received) / MILLI,
         "stale_ms": steer.staleness(now) / MILLI,
     });
     edge.event_log.request("homes_moved", fields);
+    false
 }
 
 /// Whether a response carries the id of this request.
--- a/elmstream_edge/src/relay.rs
+++ b/elmstream_edge/src/relay.rs
@@ -4,7 +4,13 @@
 //! counted its demand; the relaying host picks the server and sends the request. A relayed request is
 //! not relayed again.
 
-use std::{cell::OnceCell, net::IpAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::{OnceCell, RefCell},
+    net::IpAddr,
+    pin::pin,
+    rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use elmstream::{code::Code, time::MILLI};
@@ -64,8 +70,7 @@
 }
 
 impl RelayHeader {
-    fn new(request: &CallerRequest) -> RelayHeader {
-        let homes = &request.homes;
+    fn new(request: &CallerRequest, homes: &HomeRegions) -> RelayHeader {
         let workspace = request.workspace.as_ref().map(|admitted| &admitted.entry.workspace);
         RelayHeader {
             version: homes.version,
@@ -147,7 +152,8 @@
     if request.relayed.is_some() || !steer.is_cut(&request.service) {
         return Vec::new();
     }
-    steer.relays(clock::now(), &request.service, request.homes.get(), hash::of(&request.id))
+    let homes = request.current_homes(&steer);
+    steer.relays(clock::now(), &request.service, homes.get(), hash::of(&request.id))
 }
 
 async fn exchange(edge: &Edge, request: &CallerRequest, relay: &RelayHost) -> Relayed {
@@ -156,12 +162,12 @@
         admitted.record_sent();
     }
     let id = relay.address.to_string();
-    let relayed =
-        match edge.relay_pool.exchange(&id, relay.address, || relay_request(request)).await {
-            Exchange::NoConnection | Exchange::NoTime => Relayed::NotRun,
-            Exchange::Broken(_) | Exchange::Unusable(_) => Relayed::Unknown,
-            Exchange::Whole(parts, bytes) => classify(edge, request, &id, parts, bytes),
-        };
+    let relay_request = || relay_request(edge, request, &relay.region);
+    let relayed = match edge.relay_pool.exchange(&id, relay.address, relay_request).await {
+        Exchange::NoConnection | Exchange::NoTime => Relayed::NotRun,
+        Exchange::Broken(_) | Exchange::Unusable(_) => Relayed::Unknown,
+        Exchange::Whole(parts, bytes) => classify(edge, request, &id, parts, bytes),
+    };
     let outcome = match relayed {
         Relayed::Answer(..) => "answered",
         Relayed::Refused(..) => "refused",
@@ -178,9 +184,12 @@
     relayed
 }
 
-fn relay_request(request: &CallerRequest) -> Option<Request<LocalBody>> {
-    let header = RelayHeader::new(request);
-    if header.remaining_ms == 0 {
+/// The request to send to a relaying host in a region; `None` if no time remains, or a newer
+/// configuration forbids the region.
+fn relay_request(edge: &Edge, request: &CallerRequest, region: &str) -> Option<Request<LocalBody>> {
+    let homes = request.current_homes(&edge.steer.borrow());
+    let header = RelayHeader::new(request, &homes);
+    if header.remaining_ms == 0 || !homes.get().allow(region) {
         return None;
     }
     let mut relayed = Request::new(backend::request_body(&request.body));
@@ -355,7 +364,7 @@
         returning,
         workspace: None,
         relayed: Some(terms),
-        homes: homes,
+        homes: RefCell::new(Rc::new(homes)),
         progress,
         digests: OnceCell::new(),
     };
--- a/elmstream_edge/tests/content_cost.rs
+++ b/elmstream_edge/tests/content_cost.rs
@@ -3,15 +3,17 @@
 //! As long as no server has crashed under a request there is no cost, as no digest is
 //! computed.
 
-use std::{cell::OnceCell, hint::black_box, rc::Rc, time::Instant};
+use std::{
+    cell::{OnceCell, RefCell},
+    hint::black_box,
+    rc::Rc,
+    time::Instant,
+};
 
 use bytes::Bytes;
 use elmstream::time::Time;
 use elmstream_edge::{callers::CallerRequest, request_digest::RequestDigests};
-use elmstream_steer::{
-    homes::HomeRegions,
-    model::{Repeatability, Route, WeightedService},
-};
+use elmstream_steer::model::{Repeatability, Route, WeightedService};
 use http::{HeaderMap, Method};
 
 /// Requests in a timed run, and number of runs; the fastest run counts.
@@ -53,7 +55,7 @@
         returning: false,
         workspace: None,
         relayed: None,
-        homes: HomeRegions::default(),
+        homes: RefCell::default(),
         progress: Rc::default(),
         digests: OnceCell::new(),
     }
