--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -218,6 +218,7 @@
             && let Some(entry) = self.entries.get_mut(&index.0)
         {
             entry.server = server.clone();
+            region.clone_into(&mut entry.region);
             entry.domain_index = domain_index;
             entry.lapses_at = None;
             entry.set_entry_cold(now, server.cold_ms);
--- a/elmstream_steer/tests/starts.rs
+++ b/elmstream_steer/tests/starts.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use elmstream_steer::{
+    Pick,
     model::Repeatability,
     servers::Outcome,
     steer::{ServerState, StateChange},
@@ -41,7 +42,7 @@
     // Outcomes of requests to the previous instance do not affect the new one.
     host.record_outcome(ms(703), old, Outcome::Silent);
     assert_eq!(host.servers().get(new).expect("the server is listed").own_in_flight, 0);
-    assert!(matches!(send(&mut host, ms(704), &route, KEY), elmstream_steer::Pick::Send(_)));
+    assert!(matches!(send(&mut host, ms(704), &route, KEY), Pick::Send(_)));
 }
 
 #[test]
@@ -88,7 +89,7 @@
     assert_eq!(host.servers().all().count(), all - 1);
     let route = route(Repeatability::Safe, &[]);
     for key in 0..50 {
-        if let elmstream_steer::Pick::Send(index) = send(&mut host, ms(2), &route, key) {
+        if let Pick::Send(index) = send(&mut host, ms(2), &route, key) {
             assert_ne!(id(&host, index), "s-a1-0");
         }
     }
@@ -98,3 +99,15 @@
     host.on_changes(ms(4), Table::Servers, vec![tombstone(key, 13)]);
     assert_eq!(host.servers().all().count(), all - 1);
 }
+
+#[test]
+fn server_whose_entry_changes_its_domain_gets_no_requests_for_the_homes_of_the_old_one() {
+    let mut host = ready(0, ms(0), vec![server("s", "a1", 10)]);
+    let in_a = route(Repeatability::Safe, &["a"]);
+    assert!(matches!(send(&mut host, ms(1), &in_a, KEY), Pick::Send(_)));
+    let moved = with(server("s", "a1", 10), 11, |server| server.domain = "b1".into());
+    host.on_changes(ms(2), Table::Servers, vec![moved]);
+    assert!(matches!(send(&mut host, ms(3), &in_a, KEY), Pick::Refuse(_)));
+    let in_b = route(Repeatability::Safe, &["b"]);
+    assert!(matches!(send(&mut host, ms(4), &in_b, KEY), Pick::Send(_)));
+}
