Changed settings of failure domains apply to servers that are listed already

After a reload of the settings, servers of a failure domain that was new, or had moved to another region, kept the region that they had been listed with: requests with homes were refused although servers of the domain stood in them, or sent outside. A server's region is derived when its entry is merged, and a reload left it alone. It is now derived again for all servers.

The test failed before (refused with home a after domain new was assigned to a). All tests of elmstream_steer pass.

--- a/elmstream_steer/src/servers.rs
+++ b/elmstream_steer/src/servers.rs
@@ -1,6 +1,6 @@
 //! Table of the backend servers, with indexes by id and by service.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use elmstream::time::Time;
 use rustc_hash::FxHashMap;
@@ -236,6 +236,13 @@
         index
     }
 
+    /// Assigns all servers to the regions of their failure domains, given by `regions`.
+    pub fn set_regions(&mut self, regions: &BTreeMap<String, String>) {
+        for entry in self.entries.values_mut() {
+            entry.region = regions.get(&entry.server.domain).cloned().unwrap_or_default();
+        }
+    }
+
     /// Removes a server.
     pub fn remove(&mut self, id: &str) {
         let Some(index) = self.by_id.remove(id) else { return };
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -338,6 +338,7 @@
         bounds: Bounds,
         policies: Policies,
     ) {
+        self.servers.set_regions(&domains);
         self.settings.domains = domains;
         self.settings.bounds = bounds;
         self.settings.policies = policies;
--- a/elmstream_steer/tests/starts.rs
+++ b/elmstream_steer/tests/starts.rs
@@ -3,13 +3,14 @@
 mod support;
 
 use elmstream_steer::{
-    Pick,
+    Bounds, Pick,
     model::Repeatability,
+    policies::Policies,
     servers::Outcome,
     steer::{ServerState, StateChange},
     view::{Row, RowContent, RowKey, Table},
 };
-use support::{address, at, id, ms, ready, route, send, server, servers, tombstone, with};
+use support::{address, at, domains, id, ms, ready, route, send, server, servers, tombstone, with};
 
 const KEY: u64 = 7;
 
@@ -111,3 +112,17 @@
     let in_b = route(Repeatability::Safe, &["b"]);
     assert!(matches!(send(&mut host, ms(4), &in_b, KEY), Pick::Send(_)));
 }
+
+#[test]
+fn servers_count_to_the_regions_that_changed_settings_name() {
+    let mut host = ready(0, ms(0), vec![server("s", "new", 10)]);
+    let in_a = route(Repeatability::Safe, &["a"]);
+    assert!(matches!(send(&mut host, ms(1), &in_a, KEY), Pick::Refuse(_)));
+    for (at, region, is_sent) in [(2, "a", true), (3, "b", false)] {
+        let mut domains = domains();
+        domains.insert("new".into(), region.into());
+        host.reconfigure(domains, Bounds::default(), Policies::default());
+        let picked = send(&mut host, ms(at), &in_a, KEY);
+        assert_eq!(matches!(picked, Pick::Send(_)), is_sent, "{region}");
+    }
+}
