A starting host takes a table for as old as its neighbour does

A host that starts beside hosts that are cut from the store took their old table for just confirmed: it denied routes and keys (404, 401) that had been added meanwhile, and read the store no sooner than with a current table. The age of a table follows from the stamps of reads by the reader's clock; the first stamp of a reader defined the clocks' difference, so the first read of every reader that a host hears of counted as just made, also at hosts that run.

Statuses of tables now carry the sender's age of the read. It is used for the first read of a reader if that is a second old or older, and defines the clocks' difference then; later reads go by the stamps as before. The time before a host's start counts as unobserved, so that an old table is no outage of the store.

Two tests of elmstream_steer/tests/table_age.rs failed before (age 0 in place of 5,000 and 4,900 ms).

--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -219,7 +219,8 @@
         return Ok(empty(StatusCode::NOT_FOUND));
     };
     // A host without rows replies at once, as the hosts that ask it have just started.
-    let has_rows = edge.steer.borrow().table_statuses()[table as usize].last_read.is_some();
+    let has_rows =
+        edge.steer.borrow().table_statuses(clock::now())[table as usize].last_read.is_some();
     let permit = row_limit.try_acquire();
     if has_rows && permit.is_none() {
         return Ok(empty(StatusCode::SERVICE_UNAVAILABLE));
--- a/elmstream_edge/tests/start.rs
+++ b/elmstream_edge/tests/start.rs
@@ -252,7 +252,7 @@
         }
         let peer = &mut self.nodes[from];
         peer.serving.retain(|until| *until > at);
-        let has_rows = peer.steer.table_statuses()[table as usize].last_read.is_some();
+        let has_rows = peer.steer.table_statuses(ms(at))[table as usize].last_read.is_some();
         if has_rows && peer.serving.len() >= peers::MAX_CONCURRENT_ROWS {
             self.schedule(
                 at + FETCH_ROUND_TRIP_MS,
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -57,12 +57,13 @@
     }
 
     /// How far this host knows each table, in the order of [`TABLES`].
-    pub fn table_statuses(&self) -> [TableStatus; 3] {
+    pub fn table_statuses(&self, now: Time) -> [TableStatus; 3] {
         TABLES.map(|table| {
             let watermark = self.view.watermark(table);
             TableStatus {
                 version: watermark.version,
                 last_read: watermark.last_read,
+                age_ms: self.view.age(now, table).unwrap_or_default() / MILLI,
                 retained_digest: self.view.retained_digest(table),
                 tombstone_floor: watermark.tombstone_floor,
                 keys_digest: self.view.keys_digest(table),
@@ -82,7 +83,7 @@
         self.urgent = false;
         self.ready = self.serves();
         let loads = self.next_loads(now);
-        let tables = self.table_statuses();
+        let tables = self.table_statuses(now);
         let demand = self.demand(now);
         Heartbeat {
             demand,
@@ -240,7 +241,7 @@
             if watermark.confirmed_at.is_none() || status.version > watermark.version {
                 self.record_pending_news(now, table, status.version);
             } else if status.version == watermark.version {
-                self.view.confirm(now, table, status.version, last_read);
+                self.view.confirm(now, table, status.version, (last_read, status.age_ms));
                 self.view.confirm_keys(table, &status);
             }
         }
--- a/elmstream_steer/src/heartbeat.rs
+++ b/elmstream_steer/src/heartbeat.rs
@@ -44,14 +44,16 @@
 /// How far the sender knows a table of the store.
 ///
 /// The age of the data is given as the last confirming read, stamped by the reader's own clock. If
-/// hosts passed on ages instead, each hop would lose the transmission time, and data passed around
-/// in a cycle would never age.
+/// hosts only passed on ages, each hop would lose the transmission time, and data passed around in a
+/// cycle would never age. The age serves a receiver that has not seen a read of the reader before.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TableStatus {
     /// Watermark of the table; the default version if the table is unknown.
     pub version: StoreVersion,
     /// Last store read that confirmed the version; `None` if the table is unknown.
     pub last_read: Option<StoreRead>,
+    /// Time since that read as far as the sender can tell, in milliseconds.
+    pub age_ms: u64,
     /// Digest of the rows retained from an earlier era of the store; 0 if there are none.
     pub retained_digest: u32,
     /// Lowest version from which all tombstones are known.
--- a/elmstream_steer/src/observation.rs
+++ b/elmstream_steer/src/observation.rs
@@ -38,7 +38,9 @@
 
 impl Observation {
     pub(crate) fn new(now: Time) -> Observation {
-        Observation { last_step: now, last_heard: None, gaps: VecDeque::new(), unreported: None }
+        let before_start = Gap { start: Time(0), end: now };
+        let gaps = VecDeque::from([before_start]);
+        Observation { last_step: now, last_heard: None, gaps, unreported: None }
     }
 
     /// Records that the host runs. Every input of the host is a step, as any of them may be the
--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -247,7 +247,7 @@
         // Insignificant changes also advance the store's counter, so the version of the last
         // significant row is used.
         let version = self.view.watermark(table).version;
-        self.view.confirm(now, table, version, read);
+        self.view.confirm(now, table, version, (read, now.since(read_at) / MILLI));
         changes
     }
 
--- a/elmstream_steer/src/table_sync.rs
+++ b/elmstream_steer/src/table_sync.rs
@@ -103,7 +103,7 @@
             tombstone_floor: watermark.tombstone_floor,
             complete_to: watermark.complete_version(),
             keys: lacks_tombstones.then(|| view.key_hashes(table)),
-            status: self.table_statuses()[table as usize],
+            status: self.table_statuses(now)[table as usize],
             rows: if is_full { view.all_rows(table) } else { view.changed_since(table, after) },
             carried_over: if is_full { Vec::new() } else { view.carried_over(table, after) },
             after,
@@ -168,7 +168,7 @@
             self.merged_retained_digests.clear();
         }
         self.merged_retained_digests.insert(status.retained_digest);
-        self.view.confirm(now, table, status.version, last_read);
+        self.view.confirm(now, table, status.version, (last_read, status.age_ms));
         if crossed || watermark.complete_version() < received.tombstone_floor {
             self.view.set_tombstone_floor(table, received.tombstone_floor);
         }
--- a/elmstream_steer/src/view.rs
+++ b/elmstream_steer/src/view.rs
@@ -50,6 +50,10 @@
 /// that confirmed the table last is kept.
 const READER_CLOCKS_MAX: usize = 4_096;
 
+/// Time for which a read is usually passed on at most, in milliseconds. The first read of a reader
+/// that is not older counts as just made, like those that define the reader's clock later.
+const TRANSMISSION_MS_MAX: u64 = 1_000;
+
 /// The tables of a view.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Table {
@@ -217,7 +221,8 @@
     /// Time of the last known read by the reader's clock, in milliseconds.
     last_stamp_ms: u64,
     /// Smallest difference seen between this host's clock on arrival and the time of a read, in
-    /// milliseconds: the clocks' offset plus the shortest transmission time.
+    /// milliseconds, less the age that was stated with the first one: the clocks' offset plus the
+    /// shortest transmission time.
     min_offset_ms: i64,
 }
 
@@ -265,12 +270,21 @@
     /// The watermark rises to `version` in any case. The time of the confirmation changes only if
     /// the read is later than those known of the same reader. A read that took longer to arrive
     /// than others of that reader counts as older by the difference, so that a delayed message does
-    /// not make the data appear recent.
-    pub fn confirm(&mut self, now: Time, table: Table, version: StoreVersion, read: StoreRead) {
+    /// not make the data appear recent. If the first read of a reader is old, `age_ms` tells its age: what
+    /// the host that passed it on states with it.
+    pub fn confirm(
+        &mut self,
+        now: Time,
+        table: Table,
+        version: StoreVersion,
+        (read, age_ms): (StoreRead, u64),
+    ) {
         let watermark = &mut self.watermarks[table as usize];
         watermark.version = watermark.version.max(version);
         let offset_ms = (now.0 / MILLI) as i64 - read.stamp_ms as i64;
-        let new = ReaderClock { last_stamp_ms: 0, min_offset_ms: offset_ms };
+        let first_age_ms = if age_ms < TRANSMISSION_MS_MAX { 0 } else { age_ms };
+        let first_offset_ms = offset_ms.saturating_sub_unsigned(first_age_ms);
+        let new = ReaderClock { last_stamp_ms: 0, min_offset_ms: first_offset_ms };
         let clock = self.reader_clocks[table as usize].entry(read.reader).or_insert(new);
         if clock.last_stamp_ms >= read.stamp_ms {
             return;
@@ -279,7 +293,7 @@
             last_stamp_ms: read.stamp_ms,
             min_offset_ms: clock.min_offset_ms.min(offset_ms),
         };
-        let delay = (offset_ms - clock.min_offset_ms) as u64 * MILLI;
+        let delay = offset_ms.abs_diff(clock.min_offset_ms).saturating_mul(MILLI);
         let confirmed_at = Time(now.0.saturating_sub(delay));
         if watermark.confirmed_at.is_none_or(|current| confirmed_at > current) {
             watermark.confirmed_at = Some(confirmed_at);
--- /dev/null
+++ b/elmstream_steer/tests/table_age.rs
@@ -0,0 +1,67 @@
+//! Age of tables that a host has from others.
+
+mod support;
+
+use elmstream::time::MILLI;
+use elmstream_steer::{
+    Steer,
+    view::{TABLES, Table},
+};
+use support::{configuration, exchange_heartbeats, host, ms, ready, servers};
+
+/// Longest time in which a host may not have heard of a read, in milliseconds.
+const OLD_MS: u64 = 5_000;
+
+fn age_ms(host: &Steer, at: u64) -> u64 {
+    host.view().age(ms(at), Table::Rules).expect("the table is known") / MILLI
+}
+
+/// Gives a host all tables of another one.
+fn fetch_tables(host: &mut Steer, from: &Steer, at: u64) {
+    for table in TABLES {
+        let rows = from.rows_for(ms(at), table, host.sync_request(table));
+        host.on_table_rows(ms(at), table, rows);
+    }
+}
+
+#[test]
+fn starting_host_does_not_take_the_old_table_of_a_neighbour_for_current() {
+    let old = ready(0, ms(0), servers(1));
+    let mut started = host(1, ms(OLD_MS));
+    fetch_tables(&mut started, &old, OLD_MS);
+    assert_eq!(started.configuration_version(), Some(1));
+    assert_eq!(age_ms(&started, OLD_MS), OLD_MS);
+    assert!(!started.can_deny_routes(ms(OLD_MS)), "a route may have been added meanwhile");
+}
+
+#[test]
+fn starting_host_reads_the_store_soon_if_its_neighbours_have_old_tables() {
+    let old = ready(0, ms(0), servers(1));
+    let mut started = host(1, ms(OLD_MS));
+    fetch_tables(&mut started, &old, OLD_MS);
+    let mut waits = 0..2_000;
+    let read_at = waits.find(|wait| started.due_read(ms(OLD_MS + wait), Table::Rules).is_some());
+    assert!(read_at.is_some_and(|wait| wait <= 500), "{read_at:?}");
+}
+
+#[test]
+fn read_by_an_unknown_reader_does_not_make_a_table_younger_than_the_read() {
+    let mut fleet = vec![ready(0, ms(0), servers(1)), ready(1, ms(100), servers(1))];
+    exchange_heartbeats(ms(OLD_MS), &mut fleet, |_, _| true);
+    for host in &fleet {
+        assert_eq!(age_ms(host, OLD_MS), OLD_MS - 100);
+    }
+}
+
+#[test]
+fn next_read_of_a_reader_makes_the_table_current() {
+    let mut old = ready(0, ms(0), servers(1));
+    let mut started = host(1, ms(OLD_MS));
+    fetch_tables(&mut started, &old, OLD_MS);
+    let read_at = ms(OLD_MS + 400);
+    old.on_full_read(read_at, Table::Rules, support::at(10), vec![configuration(1, 10)]);
+    let mut fleet = vec![old, started];
+    exchange_heartbeats(ms(OLD_MS + 500), &mut fleet, |_, _| true);
+    assert!(age_ms(&fleet[1], OLD_MS + 500) <= 100, "{}", age_ms(&fleet[1], OLD_MS + 500));
+    assert!(fleet[1].can_deny_routes(ms(OLD_MS + 500)));
+}
