A relaying host goes by its own configuration if that is newer than the sender's

Before, the homes alone of the newer configuration were asked.

The relaying host now finds the route anew if its configuration is newer: homes, service and time-out are those of its route. If it has none, or one that needs a key that was not presented, it answers that it cannot relay the request (counter elmstream_relay_outdated); the sender then tries the next host or refuses. Senders of earlier versions, which tell no version, are treated the same, by the Host header.

The three tests named relaying_host_* of elmstream_edge/tests/homes.rs failed before (requests reached region a, the gone route and the old service) and pass now. The header is a module of its own.

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -252,7 +252,7 @@
 }
 
 /// The host name that a request is for; empty if it names none.
-fn requested_host(head: &request::Parts) -> &str {
+pub(crate) fn requested_host(head: &request::Parts) -> &str {
     let host = head.uri.host().or_else(|| headers::text(&head.headers, &header::HOST));
     host.unwrap_or_default()
 }
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod poison;
 mod refusal_report;
 mod relay;
+mod relay_header;
 pub mod request_digest;
 pub mod resources;
 mod rollout;
--- a/elmstream_edge/src/relay.rs
+++ b/elmstream_edge/src/relay.rs
@@ -1,12 +1,11 @@
 //! Requests whose backend servers this host does not reach go by way of another host.
 //!
 //! The host that received a request from its caller has found the route, admitted the request and
-//! counted its demand; the relaying host picks the server and sends the request. A relayed request is
-//! not relayed again.
+//! counted its demand; the relaying host picks the server and sends the request, by the newer one of
+//! both hosts' configurations. A relayed request is not relayed again.
 
 use std::{
     cell::{OnceCell, RefCell},
-    net::IpAddr,
     pin::pin,
     rc::Rc,
     time::Duration,
@@ -15,24 +14,19 @@
 use bytes::Bytes;
 use elmstream::{code::Code, time::MILLI};
 use elmstream_http::{LocalBody, RequestBody, Stop, body, server::Aborted};
-use elmstream_steer::{
-    hash,
-    homes::HomeRegions,
-    model::{Repeatability, Route},
-    relay::RelayHost,
-};
+use elmstream_steer::{hash, model::Repeatability, relay::RelayHost};
 use elmstreamd::{clock, waits};
 use futures_util::future::{Either, select};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, response};
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::{
     backend::{self, Exchange},
-    callers::{self, CallerRequest, RelayedTerms, RequestProgress},
+    callers::{self, CallerRequest, RequestProgress},
     counted_body::{self, BodyOf},
     edge::Edge,
     forward, headers,
+    relay_header::RelayHeader,
 };
 
 /// Header with the [`RelayHeader`] of a relayed request, and header of the answer of a host that
@@ -50,64 +44,6 @@
 /// Interval of the check for whether relayed requests are still in flight.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// What a relaying host is told of a request, beside the request itself.
-#[derive(Debug, Deserialize, Serialize)]
-struct RelayHeader {
-    /// Version of the configuration that `route` and `terms` state the home regions of.
-    #[serde(default)]
-    version: u64,
-    /// The host name that the request is for.
-    #[serde(default)]
-    host: String,
-    route: Route,
-    service: String,
-    key: u64,
-    has_key: bool,
-    returning: bool,
-    caller: IpAddr,
-    remaining_ms: u64,
-    terms: RelayedTerms,
-}
-
-impl RelayHeader {
-    fn new(request: &CallerRequest, homes: &HomeRegions) -> RelayHeader {
-        let workspace = request.workspace.as_ref().map(|admitted| &admitted.entry.workspace);
-        RelayHeader {
-            version: homes.version,
-            host: request.host.clone(),
-            route: Route { homes: homes.route.clone(), ..(*request.route).clone() },
-            service: request.service.clone(),
-            key: request.key,
-            has_key: request.has_key,
-            returning: request.returning,
-            caller: request.caller,
-            remaining_ms: request.remaining().as_millis() as u64,
-            terms: RelayedTerms {
-                homes: homes.workspace.clone(),
-                priority: workspace.and_then(|workspace| workspace.priority),
-                workspace: request.workspace_id(),
-            },
-        }
-    }
-
-    /// Regions in which the request may run by the sender's configuration.
-    fn homes(&self) -> HomeRegions {
-        HomeRegions {
-            version: self.version,
-            route: self.route.homes.clone(),
-            workspace: self.terms.homes.clone(),
-        }
-    }
-
-    fn to_value(&self) -> Option<HeaderValue> {
-        HeaderValue::try_from(serde_json::to_string(self).ok()?).ok()
-    }
-
-    fn parse(value: &HeaderValue) -> Option<RelayHeader> {
-        serde_json::from_slice(value.as_bytes()).ok()
-    }
-}
-
 /// End of an attempt to have a request relayed.
 enum Relayed {
     /// The final response for the caller.
@@ -325,6 +261,15 @@
         metrics::counter!("elmstream_relay_unreadable").increment(1);
         return Ok(callers::reply(Code::BadRequest, StatusCode::BAD_REQUEST));
     };
+    let id = headers::text(&head.headers, &edge.settings.headers.request_id);
+    let id = id.unwrap_or_default().to_owned();
+    let header = header.with_host(callers::requested_host(&head));
+    let header = header.updated(&edge.steer.borrow(), head.uri.path(), &id);
+    let Some(header) = header else {
+        metrics::counter!("elmstream_relay_outdated").increment(1);
+        let refusal = callers::retry_later(Code::RoutesStale, NOT_RELAYED_RETRY_MS);
+        return Ok(cannot_relay(refusal));
+    };
     let homes = header.homes();
     let RelayHeader {
         host,
@@ -339,8 +284,6 @@
         ..
     } = header;
     let route = Rc::new(route);
-    let id = headers::text(&head.headers, &edge.settings.headers.request_id);
-    let id = id.unwrap_or_default().to_owned();
     let body_of = BodyOf { id: &id, route: &route, remaining: Duration::from_millis(remaining_ms) };
     let body = match Box::pin(counted_body::read_request(edge, body_of, incoming)).await {
         Ok(body) => body,
--- a/elmstream_edge/tests/homes.rs
+++ b/elmstream_edge/tests/homes.rs
@@ -192,17 +192,21 @@
     });
 }
 
-/// A request of another host that knows version 1 of the configuration.
-fn relayed(homes: &[&str]) -> String {
+/// A request of another host that knows version 1 of the configuration, or does not tell what it
+/// knows.
+fn relayed(tells_version: bool, homes: &[&str]) -> String {
     let RowContent::Configuration(configuration) = configured(1, (homes, &[])) else {
         panic!("a configuration");
     };
     let route: &Route = &configuration.routes[0];
-    let relay = json!({
-        "version": configuration.version, "host": route.host, "route": route, "service": SERVICE,
-        "key": 7, "has_key": false, "returning": false, "caller": "127.0.0.1",
-        "remaining_ms": 1_000, "terms": {"homes": [], "priority": null},
+    let mut relay = json!({
+        "route": route, "service": SERVICE, "key": 7, "has_key": false, "returning": false,
+        "caller": "127.0.0.1", "remaining_ms": 1_000, "terms": {"homes": [], "priority": null},
     });
+    if tells_version {
+        relay["version"] = configuration.version.into();
+        relay["host"] = route.host.clone().into();
+    }
     format!(
         "GET /r HTTP/1.1\r\nhost: shop.example\r\nelmstream-request: r\r\n\
          elmstream-relay: {relay}\r\n\r\n"
@@ -211,12 +215,59 @@
 
 #[test]
 fn relaying_host_keeps_homes_that_the_sender_does_not_know_yet() {
+    run(async || {
+        for tells_version in [true, false] {
+            let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
+            world.move_homes((&["b"], &[])).await;
+            let mut sender = Caller::connect(world.host.edge.settings.host.peers).await;
+            sender.write(&relayed(tells_version, &["a"])).await;
+            let (status, _) = sender.answer().await;
+            assert_eq!((status, world.reached()), (200, (0, 1)), "{tells_version}");
+        }
+    });
+}
+
+#[test]
+fn relaying_host_does_not_run_requests_of_routes_that_it_knows_to_be_gone() {
     run(async || {
         let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
-        world.move_homes((&["b"], &[])).await;
+        let RowContent::Configuration(mut without) = configured(2, (&["a"], &[])) else {
+            panic!("a configuration");
+        };
+        without.routes.clear();
+        world.store.put(RowKey::Configuration, Some(RowContent::Configuration(without)));
+        let is_known = || world.host.edge.steer.borrow().configuration_version() == Some(2);
+        assert!(until(TIMEOUT, is_known).await);
+        let mut sender = Caller::connect(world.host.edge.settings.host.peers).await;
+        sender.write(&relayed(true, &["a"])).await;
+        let (status, head) = sender.answer().await;
+        assert_eq!((status, world.reached()), (503, (0, 0)));
+        assert!(head.contains("\r\nelmstream-relay: "), "the sender may try another host: {head}");
+    });
+}
+
+#[test]
+fn relaying_host_sends_to_the_service_that_a_newer_configuration_names() {
+    run(async || {
+        let world = World::start((&[], &[]), |head| good(head, "ok")).await;
+        let (address, in_other) = backend(ip(), |head| good(head, "ok")).await;
+        let RowContent::Server(mut other) = server(address) else { panic!("a server") };
+        other.service = "other".into();
+        world.store.put(RowKey::Server("o".into()), Some(RowContent::Server(other)));
+        let RowContent::Configuration(mut moved) = configured(2, (&[], &[])) else {
+            panic!("a configuration");
+        };
+        moved.routes[0].parts[0].service = "other".into();
+        world.store.put(RowKey::Configuration, Some(RowContent::Configuration(moved)));
+        let is_known = || {
+            let steer = world.host.edge.steer.borrow();
+            steer.configuration_version() == Some(2) && steer.servers().find("o").is_some()
+        };
+        assert!(until(TIMEOUT, is_known).await);
         let mut sender = Caller::connect(world.host.edge.settings.host.peers).await;
-        sender.write(&relayed(&["a"])).await;
+        sender.write(&relayed(true, &[])).await;
         let (status, _) = sender.answer().await;
-        assert_eq!((status, world.reached()), (200, (0, 1)));
+        let reached_other = in_other.requests.borrow().len();
+        assert_eq!((status, world.reached(), reached_other), (200, (0, 0), 1));
     });
 }
