A key that may be new does not run without its workspace on an open route

On an open route, a request with a key that the host did not know ran like one without a key: in any region, beyond its workspace's limit and without its name, although the key may stand in a newer configuration that the host has not got yet.

While the host's configuration may be out of date such a request is now answered with 503 and 1118, as on other routes; with a current one it runs as before. Requests without a key are served throughout.

The test in elmstream_edge/tests/access.rs failed before (200 in place of 503). The property authentication_depends_on_key_route_and_certainty stated the old behaviour for this case; it states the new one and failed before, too.

--- a/elmstream_edge/tests/access.rs
+++ b/elmstream_edge/tests/access.rs
@@ -240,6 +240,21 @@
     });
 }
 
+#[test]
+fn key_that_may_be_new_does_not_run_without_its_workspace_on_open_routes() {
+    run(async || {
+        let (store, host, received) = serving().await;
+        let unknown = [("authorization", "Bearer key-new")];
+        assert_eq!(once(host.callers, "/open/a", &unknown).await.0, 200);
+        store.down.set(true);
+        // Three fifths of the configuration bound, and the duration of a call.
+        compio::time::sleep(Duration::from_millis(1_900)).await;
+        assert_eq!(once(host.callers, "/open/a", &unknown).await, (503, "1118".into()));
+        assert_eq!(once(host.callers, "/open/a", &[]).await.0, 200);
+        assert_eq!(received.requests.borrow().len(), 2);
+    });
+}
+
 #[test]
 fn home_regions_of_workspace_and_route_both_apply() {
     run(async || {
--- a/elmstream_steer/src/workspaces.rs
+++ b/elmstream_steer/src/workspaces.rs
@@ -105,7 +105,8 @@
     /// # Errors
     ///
     /// Returns the reason if the request is denied. It is [`Denial::Stale`] unless `can_deny` is
-    /// set, which means that this host's configuration is certain to be current.
+    /// set, which means that this host's configuration is certain to be current. Without it,
+    /// an unknown key is denied on open routes too.
     pub fn authenticate(
         &self,
         route: &Route,
@@ -124,6 +125,8 @@
             PresentedKey::Ambiguous => Denial::Ambiguous,
         };
         match (route.open, can_deny) {
+            // A newer configuration may have the key; then its workspace's homes and limit apply.
+            (true, false) if denial == Denial::Unknown => Err(Denial::Stale),
             (true, _) => Ok(None),
             (false, true) => Err(denial),
             (false, false) => Err(Denial::Stale),
--- a/elmstream_steer/tests/workspaces.rs
+++ b/elmstream_steer/tests/workspaces.rs
@@ -74,7 +74,13 @@
             (false, true) => Err(denial),
             (false, false) => Err(Denial::Stale),
         };
-        let with = if held.is_some() { Ok(held) } else { without(Denial::Unknown) };
+        // A newer configuration may have the key, and the workspace's homes and limit apply on open
+        // routes too.
+        let unknown = match !keys.is_empty() && !can_deny {
+            true => Err(Denial::Stale),
+            false => without(Denial::Unknown),
+        };
+        let with = if held.is_some() { Ok(held) } else { unknown };
         authenticate(PresentedKey::Key(digest(key))) == with
             && authenticate(PresentedKey::Absent) == without(Denial::Missing)
             && authenticate(PresentedKey::Ambiguous) == without(Denial::Ambiguous)
