Tests: broken and wrongly framed answers, directly and through a relaying host

Answers of servers in trouble were covered for hosts that reach the server themselves, and mostly for one request a connection. A backend server of the tests can reset its connections.

Hosts with owners: seven more answers.

--- a/elmstream_edge/tests/support/mod.rs
+++ b/elmstream_edge/tests/support/mod.rs
@@ -37,6 +37,7 @@
 use futures_util::future::{Either, select};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::BodyExt;
+use socket2::SockRef;
 
 /// The only service.
 pub const SERVICE: &str = "shop";
@@ -315,7 +316,7 @@
 
 /// A backend server that responds with what `answer` returns for the head of a request; it
 /// sends nothing for an empty text. It closes the connection after a response that ends with
-/// [`CLOSE_MARK`].
+/// [`CLOSE_MARK`], and resets it after one that ends with [`RESET_MARK`].
 pub async fn backend(
     ip: IpAddr,
     answer: impl Fn(&str) -> Vec<u8> + 'static,
@@ -344,6 +345,10 @@
 pub const SLOW_RESPONSE_TIME: Duration = Duration::from_millis(500);
 /// Marks the end of a response after which the server closes the connection.
 pub const CLOSE_MARK: &[u8] = b"\0close";
+/// Marks the end of a response after which the server resets the connection.
+pub const RESET_MARK: &[u8] = b"\0reset";
+/// Time between a response and the reset of its connection, so that the response is read.
+const RESET_PAUSE: Duration = Duration::from_millis(5);
 
 pub async fn serve_connection(
     mut stream: TcpStream,
@@ -365,6 +370,12 @@
             compio::time::sleep(SLOW_RESPONSE_TIME).await;
         }
         let bytes = answer(&head);
+        if let Some(bytes) = bytes.strip_suffix(RESET_MARK) {
+            let _ = stream.write_all(bytes.to_vec()).await;
+            compio::time::sleep(RESET_PAUSE).await;
+            let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            return reset.expect("the option");
+        }
         let (bytes, closes) = match bytes.strip_suffix(CLOSE_MARK) {
             Some(bytes) => (bytes.to_vec(), true),
             None => (bytes, false),
--- a/elmstreamd/tests/odd_answers.rs
+++ b/elmstreamd/tests/odd_answers.rs
@@ -16,15 +16,22 @@
 use support::{request, with_fleet};
 
 /// Answers that are not passed on.
-const ODD_ANSWERS: [&str; 12] = [
+const ODD_ANSWERS: [&str; 19] = [
     "HTTP/1.1 000 OK\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 600 OK\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+    "HTTP/1.1 2a0 OK\r\ncontent-length: 5\r\n\r\nhello",
+    "HTTP/1.1 103 Early Hints\r\n\r\n",
     "HTTP/1.1 200 OK\r\nx y: 1\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 200 OK\r\nx\x01: 1\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n",
     "HTTP/1.1 200 OK\r\ncontent-le",
     "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhel",
+    "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 4\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+    "HTTP/1.0 200 OK\r\ncontent-length: 5\r\n\r\nhel",
+    "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
     "HTTP/1.1 200 OK\r\n\r\nhello",
     "HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n\r\nhel",
     "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
