Answers that begin anew in the middle of their head are not passed on

If a server, or a machine before it, stopped in the middle of a head and sent another answer on the same connection, callers could get the status of the first with the body of the second: "200" and then a 500 without a body came as a 200 with an empty body, framed as whole, from hosts with and without owners. With a refusal as the second answer the request counted as not run (503) although the server had begun to answer. Found by tests, not reported.

At most positions the second status line is a syntax error, which the HTTP library rejects. In a field's value or the reason phrase it is plain text, and nothing looked at it. The check of a response's head now rejects a status line there (fault "restart"), at hosts of both kinds. A refusal in such a head, or in one with a status that is none of HTTP's, does not count: which faults leave the head valid is said in one place, and hosts with owners, which took any refusal as one before the check, go by it as well. A field that quotes a whole status line is rejected too; elmstream_answers_unusable{why="restart"} tells it.

Before: answer_behind_a_head_that_stopped_is_a_failure failed at each position within a value or the reason phrase; the three new answers of elmstreamd/tests/odd_answers.rs reached callers as 200.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -287,9 +287,9 @@
 /// The result of a response that cannot be passed on.
 fn unusable(parts: response::Parts, fault: ResponseFault) -> Exchange {
     metrics::counter!("elmstream_answers_unusable", "why" => fault.name()).increment(1);
-    match fault {
-        ResponseFault::Status => Exchange::Broken(Some(Box::new(parts))),
-        ResponseFault::Coding | ResponseFault::Length => Exchange::Unusable(Box::new(parts)),
+    match fault.leaves_head_valid() {
+        true => Exchange::Unusable(Box::new(parts)),
+        false => Exchange::Broken(Some(Box::new(parts))),
     }
 }
 
--- a/elmstream_edge/tests/broken_answers.rs
+++ b/elmstream_edge/tests/broken_answers.rs
@@ -293,6 +293,34 @@
     });
 }
 
+/// A server, or a machine before it, that stopped in the middle of a head and sends another answer.
+#[test]
+fn answer_behind_a_head_that_stopped_is_a_failure() {
+    let stopped = ok("content-length: 5\r\nx-own: value\r\n", "");
+    run_both(async |setup| {
+        for (line, fields, body) in [
+            ("HTTP/1.1 200 OK", "content-length: 5\r\n", "hello"),
+            ("HTTP/1.0 500 Error", "content-length: 0\r\n", ""),
+            ("HTTP/1.1 503 Full", "content-length: 0\r\nelmstream-not-run: 1\r\n", ""),
+        ] {
+            for end in 1..stopped.len() {
+                let text = format!("{}{}", &stopped[..end], answer(line, fields, body));
+                setup.check_fails("GET", &text, KEPT).await;
+            }
+        }
+    });
+}
+
+#[test]
+fn field_that_names_a_version_of_http_is_passed_on() {
+    run_both(async |setup| {
+        for value in ["HTTP/1.1 proxy", "HTTP/1.1 20", "HTTP/1.1", "xHTTP/x.1 200 OK", "200 OK"] {
+            let text = ok(&format!("content-length: 5\r\nvia: {value}\r\n"), "hello");
+            setup.check_passes("GET", &text, KEPT, (200, "hello")).await;
+        }
+    });
+}
+
 #[test]
 fn body_that_is_framed_wrongly_is_a_failure() {
     let cases = [
--- a/elmstream_http/src/response_check.rs
+++ b/elmstream_http/src/response_check.rs
@@ -1,16 +1,21 @@
 //! Decides whether a response that a client read can be passed on.
 
 use http::{HeaderMap, HeaderValue, Response, Version, header};
-use hyper::body::Body;
+use hyper::{body::Body, ext::ReasonPhrase};
 
 /// Largest status code of HTTP (RFC 9110, section 15).
 const STATUS_MAX: u16 = 599;
+/// Length of a status line up to the end of its status code, in bytes.
+const STATUS_LINE_BYTES: usize = b"HTTP/1.1 200".len();
 
 /// Why a response cannot be passed on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ResponseFault {
     /// The status is informational, so this is not the answer to the request, or is none of HTTP's.
     Status,
+    /// The head contains the status line of another response: its sender stopped in the middle of the
+    /// head and began anew, so that fields and body belong to different responses.
+    Restart,
     /// The body is in a transfer coding that was not asked for.
     Coding,
     /// The body has no length, and its end cannot be told from that of a broken connection.
@@ -22,10 +27,19 @@
     pub fn name(self) -> &'static str {
         match self {
             ResponseFault::Status => "status",
+            ResponseFault::Restart => "restart",
             ResponseFault::Coding => "coding",
             ResponseFault::Length => "length",
         }
     }
+
+    /// Whether the fault is one of the body only, so that a refusal in the head is valid.
+    pub fn leaves_head_valid(self) -> bool {
+        match self {
+            ResponseFault::Status | ResponseFault::Restart => false,
+            ResponseFault::Coding | ResponseFault::Length => true,
+        }
+    }
 }
 
 /// Checks a response of which nothing but the head has been read.
@@ -41,6 +55,9 @@
     if status.is_informational() || status.as_u16() > STATUS_MAX {
         return Err(ResponseFault::Status);
     }
+    if contains_status_line(response) {
+        return Err(ResponseFault::Restart);
+    }
     if has_length(response) {
         return Ok(());
     }
@@ -52,6 +69,22 @@
     }
 }
 
+/// Whether a status line is part of the reason phrase or of a field's value. Elsewhere in a head it is
+/// a syntax error.
+fn contains_status_line<B>(response: &Response<B>) -> bool {
+    let reason = response.extensions().get::<ReasonPhrase>().map(ReasonPhrase::as_bytes);
+    let mut texts = response.headers().values().map(HeaderValue::as_bytes).chain(reason);
+    texts.any(|text| text.windows(STATUS_LINE_BYTES).any(is_status_line))
+}
+
+/// Whether this is a status line up to the end of its status code.
+fn is_status_line(text: &[u8]) -> bool {
+    let Some(&[major, b'.', minor, b' ', ref status @ ..]) = text.strip_prefix(b"HTTP/") else {
+        return false;
+    };
+    [major, minor].iter().chain(status).all(u8::is_ascii_digit)
+}
+
 /// Whether the body ends with the connection: it has neither a length nor chunks.
 ///
 /// If nothing of such a body arrives, its sender may have ended behind the head.
--- a/elmstreamd/src/owner.rs
+++ b/elmstreamd/src/owner.rs
@@ -146,12 +146,9 @@
     let exchange = connection.try_send_request(request);
     guard.running = true;
     match compio::time::timeout_at(ends_at, exchange).await {
-        Ok(Ok(response)) if response.headers().contains_key(header::SHED) => {
-            guard.result = RunResult::Failed;
-            guard.running = false;
-            not_run(Code::BackendShed)
-        }
         Ok(Ok(response)) => match response_check::check(&response) {
+            Ok(()) if is_refusal(&response) => refused(guard),
+            Err(fault) if fault.leaves_head_valid() && is_refusal(&response) => refused(guard),
             Ok(()) => answered(guard, connection, response, ends_at),
             Err(fault) => {
                 guard.result = RunResult::Failed;
@@ -178,6 +175,17 @@
     }
 }
 
+/// Whether the backend server did not run the request.
+fn is_refusal(response: &Response<Incoming>) -> bool {
+    response.headers().contains_key(header::SHED)
+}
+
+fn refused(mut guard: SlotGuard) -> DispatchResult {
+    guard.result = RunResult::Failed;
+    guard.running = false;
+    not_run(Code::BackendShed)
+}
+
 fn not_run(code: Code) -> DispatchResult {
     DispatchResult::NotRun(Refusal { code, retry_after: SECOND })
 }
--- a/elmstreamd/tests/odd_answers.rs
+++ b/elmstreamd/tests/odd_answers.rs
@@ -16,7 +16,7 @@
 use support::{request, with_fleet};
 
 /// Answers that are not passed on.
-const ODD_ANSWERS: [&str; 19] = [
+const ODD_ANSWERS: [&str; 22] = [
     "HTTP/1.1 000 OK\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 600 OK\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 101 Switching Protocols\r\n\r\n",
@@ -32,6 +32,9 @@
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
     "HTTP/1.0 200 OK\r\ncontent-length: 5\r\n\r\nhel",
     "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nx: HTTP/1.1 500 Error\r\ncontent-length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nx: yHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+    "HTTP/1.1 200 OKHTTP/1.1 500 Error\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 200 OK\r\n\r\nhello",
     "HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n\r\nhel",
     "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
