Answers to callers have the HTTP version of the host, not that of the server

A server that spoke HTTP/1.0, sent no length and a part of the body, and then reset the connection: callers of the host that owns the server got a 200 with that part, framed as whole. Hosts without owners, which read the body first, answered callers of HTTP/1.1 with HTTP/1.0.

A response that was read from a server was sent on with the version it came with. For HTTP/1.0 the HTTP library sends no chunks: a body without a length then ends with the caller's connection, and one that breaks off looks like a whole one. The service of a connection now sets its own version, at the one place through which all responses of hosts go; the library lowers it for callers that speak HTTP/1.0. The header Connection is set for requests of HTTP/1 only, as was meant: its condition asked the version of the response, which is 1.1 at most for HTTP/2 too.

--- a/elmstream_edge/tests/broken_answers.rs
+++ b/elmstream_edge/tests/broken_answers.rs
@@ -358,6 +358,7 @@
         ("GET", "HTTP/1.1 200 ", "content-length: 5\r\n", "hello", (200, "hello")),
         ("GET", "HTTP/1.1 299 OK", "content-length: 5\r\n", "hello", (299, "hello")),
         ("GET", "HTTP/1.1 599 OK", "content-length: 5\r\n", "hello", (599, "hello")),
+        ("GET", "HTTP/1.0 200 OK", "content-length: 5\r\n", "hello", (200, "hello")),
         ("GET", "HTTP/1.1 200 OK", "transfer-encoding: chunked\r\n", CHUNKED, (200, "hello, ")),
         ("GET", "HTTP/1.1 200 OK", "content-length: 0\r\n", "", (200, "")),
         ("GET", "HTTP/1.1 204 No Content", "", "", (204, "")),
--- a/elmstream_http/src/connection.rs
+++ b/elmstream_http/src/connection.rs
@@ -223,14 +223,19 @@
 
     fn call(&self, request: Request<Incoming>) -> Answering {
         let in_flight = self.traffic.enter();
+        let is_http1 = request.version() <= Version::HTTP_11;
         let request = request.map(|body| RequestBody::new(body, self.traffic.unread_bodies()));
         let answering = (self.handler)(self.client, request);
         let (notice, traffic) = (self.notice.clone(), self.traffic.clone());
         let closes_unread = self.closes_unread;
         Box::pin(async move {
             let mut response = answering.await?;
-            if notice.is_announced() || closes_unread && traffic.has_unread_body() {
-                add_connection_close(&mut response);
+            if is_http1 {
+                // A response that a client read has the version of the server there.
+                *response.version_mut() = Version::HTTP_11;
+                if notice.is_announced() || closes_unread && traffic.has_unread_body() {
+                    add_connection_close(&mut response);
+                }
             }
             Ok(response.map(|body| body::holding(body, in_flight)))
         })
@@ -238,12 +243,9 @@
 }
 
 /// Asks the caller to close the connection, at a moment when no request of its own can be in
-/// transit.
+/// transit. HTTP/2 has frames for this, which its graceful shutdown sends.
 fn add_connection_close(response: &mut Response<LocalBody>) {
-    // HTTP/2 has frames for this, which its graceful shutdown sends.
-    if response.version() <= Version::HTTP_11 {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
 
 fn auto_builder(http2: bool, head_timeout: Duration) -> auto::Builder<LocalExecutor> {
--- a/elmstreamd/tests/odd_answers.rs
+++ b/elmstreamd/tests/odd_answers.rs
@@ -5,10 +5,11 @@
 mod support;
 
 use std::{
-    io::{self, Read, Write},
+    io::{self, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
+    time::Duration,
 };
 
 use elmstream_bench::fleet::send;
@@ -16,7 +17,7 @@
 use support::{request, with_fleet};
 
 /// Answers that are not passed on.
-const ODD_ANSWERS: [&str; 22] = [
+const ODD_ANSWERS: [&str; 26] = [
     "HTTP/1.1 000 OK\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 600 OK\r\ncontent-length: 5\r\n\r\nhello",
     "HTTP/1.1 101 Switching Protocols\r\n\r\n",
@@ -30,6 +31,10 @@
     "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 4\r\n\r\nhello",
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
     "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+    "HTTP/1.0 200 OK\r\n\r\n",
+    "HTTP/1.0 200 OK\r\n\r\nhel\0reset",
+    "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhel\0reset",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n\0reset",
     "HTTP/1.0 200 OK\r\ncontent-length: 5\r\n\r\nhel",
     "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nx: HTTP/1.1 500 Error\r\ncontent-length: 0\r\n\r\n",
@@ -42,6 +47,11 @@
 ];
 const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello";
 
+/// Marks the end of an answer after which the server resets the connection.
+const RESET_MARK: &str = "\0reset";
+/// Time between an answer and the reset of its connection, so that the answer is read.
+const RESET_PAUSE: Duration = Duration::from_millis(100);
+
 /// What a server sends before it closes the connection.
 type AnswerText = Arc<Mutex<&'static str>>;
 
@@ -60,13 +70,18 @@
 
 fn answer_once(mut stream: TcpStream, answer: &AnswerText) {
     let mut bytes = [0; 8_192];
-    let Ok(length) = stream.read(&mut bytes) else { return };
+    let Ok(length) = stream.peek(&mut bytes) else { return };
     let probe =
         "HTTP/1.1 200 OK\r\ncontent-length: 15\r\nconnection: close\r\n\r\n{\"in_flight\":0}";
     let text = match bytes[..length].starts_with(b"GET /load") {
         true => probe,
         false => *answer.lock().expect("no panic"),
     };
+    if let Some(text) = text.strip_suffix(RESET_MARK) {
+        // Closing a connection with unread bytes resets it.
+        let _ = stream.write_all(text.as_bytes());
+        return thread::sleep(RESET_PAUSE);
+    }
     // A connection that the daemon has closed gets no answer. The rest of the request is read, as unread
     // bytes would reset the connection.
     let _ = stream.write_all(text.as_bytes()).and_then(|()| stream.shutdown(Shutdown::Write));
