Edge depends on no module that uses it

The state of a host imported connections, rollout and shutdown, each of which imports it, and by way of backend the reading of bodies, which does too. So 17 modules of elmstream_edge formed one import cycle.

Moved, unchanged: the times of a planned stop to planned_stop, the response to a request for whose connection there is no room to connection_refusal, the reading of whole bodies, which backend needs, from counted_body to whole_body. The text of a roll-out's stage is now a method of RolloutStage, beside its name. Two cycles are left: peers and table_fetch, and seven modules around callers.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -16,7 +16,7 @@
 use http::{HeaderMap, Request, response};
 use hyper::client::conn::http1::{Builder, SendRequest};
 
-use crate::{buffer_bound::BufferBound, counted_body};
+use crate::{buffer_bound::BufferBound, whole_body};
 
 /// Timeout of opening a connection to a backend server.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -179,7 +179,7 @@
         if let Some(fault) = fault {
             return unusable(parts, fault);
         }
-        let reading = counted_body::collect(incoming, RESPONSE_BYTES_MAX, &self.buffers);
+        let reading = whole_body::collect(incoming, RESPONSE_BYTES_MAX, &self.buffers);
         let Ok(whole) = reading.await else {
             return Exchange::Broken(Some(Box::new(parts)));
         };
--- a/elmstream_edge/src/connections.rs
+++ b/elmstream_edge/src/connections.rs
@@ -8,15 +8,11 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use elmstream::{
-    code::Code,
-    time::{SECOND, Time},
-};
+use elmstream::time::{SECOND, Time};
 use elmstream_http::{StopNotice, server};
 use serde_json::{Value, json};
 
-use crate::{Edge, headers};
+use crate::Edge;
 
 /// Shortest time for which a caller's connection may be idle.
 const IDLE_TIMEOUT_MIN: Duration = Duration::from_secs(20);
@@ -25,25 +21,8 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(5);
 /// A head may take this much longer than the configured limit, as its parts may be retransmitted.
 const HEAD_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
-
 /// Shortest interval between two lines about refused requests.
 const REPORT_INTERVAL: u64 = SECOND;
-/// Retry-After of a request for whose connection there is no room, in milliseconds.
-const CONNECTIONS_FULL_RETRY_MS: u64 = 300;
-
-/// The response to a request for whose connection there is no room, as it is sent.
-pub(crate) fn refusal() -> Bytes {
-    let code = Code::ConnectionsFull;
-    let text = format!(
-        "HTTP/1.1 {} Service Unavailable\r\n{}: {}\r\nretry-after: {:.2}\r\n\
-         connection: close\r\ncontent-length: 0\r\n\r\n",
-        code.http_status(),
-        headers::CODE,
-        code.number(),
-        CONNECTIONS_FULL_RETRY_MS as f64 / 1_000.0,
-    );
-    text.into()
-}
 
 /// Counts of callers' connections by their state at the stop.
 #[derive(Debug, Default)]
--- a/elmstream_edge/src/counted_body.rs
+++ b/elmstream_edge/src/counted_body.rs
@@ -1,32 +1,24 @@
-//! Reads whole bodies and counts their bytes while they are held.
+//! Reads the bodies of requests, once there is room for them.
 
-use std::{error::Error, fmt, pin::pin, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use elmstream::code::Code;
-use elmstream_http::{BoxError, LocalBody, RequestBody, server::Aborted};
+use elmstream_http::{LocalBody, RequestBody, server::Aborted};
 use elmstream_steer::model::Route;
 use elmstreamd::{clock, waits};
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::LengthLimitError;
 use hyper::body::Body;
 use serde_json::json;
 
 use crate::{
-    Edge,
-    buffer_bound::{BufferBound, Held},
-    callers,
+    Edge, callers,
+    whole_body::{self, NoRoom, STEP_BYTES},
 };
 
 /// Retry-After of a request whose body was not admitted, in milliseconds.
 const NOT_ADMITTED_RETRY_MS: u64 = 300;
-/// Bytes by which a body without a stated length grows, and most that is allocated before any of a
-/// body has come.
-const STEP_BYTES: u64 = 64 << 10;
-/// Largest step by which the capacity of a body of unknown length grows.
-const CAPACITY_STEP_MAX: usize = 1 << 20;
-/// A body waits to grow when less room than this is left, the most that is usually read at once.
-const READ_BYTES: u64 = 8 << 10;
 
 /// The request that a body belongs to.
 #[derive(Clone, Copy, Debug)]
@@ -39,81 +31,6 @@
     pub remaining: Duration,
 }
 
-/// A body could not grow within its time, or is the longest of too many bytes of answers.
-#[derive(Debug)]
-struct NoRoom;
-
-impl fmt::Display for NoRoom {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("there is no room for the rest of the body")
-    }
-}
-
-impl Error for NoRoom {}
-
-/// Reads an answer of at most `bytes_max` bytes whole and counts it if `buffers` does.
-///
-/// # Errors
-///
-/// The body breaks off, is longer, then the error is a [`LengthLimitError`], or has to be broken off, as
-/// all answers together take too much.
-pub(crate) async fn collect<B>(
-    body: B,
-    bytes_max: usize,
-    buffers: &BufferBound,
-) -> Result<Bytes, BoxError>
-where
-    B: Body<Data = Bytes, Error: Into<BoxError>>,
-{
-    if !buffers.counts() {
-        return Ok(Limited::new(body, bytes_max).collect().await?.to_bytes());
-    }
-    collect_counted(body, bytes_max, buffers.hold(), None).await
-}
-
-/// Reads a body whole; `growth_timeout` is how long it waits for each step, if it has to.
-async fn collect_counted<B>(
-    body: B,
-    bytes_max: usize,
-    mut held: Held,
-    growth_timeout: Option<Duration>,
-) -> Result<Bytes, BoxError>
-where
-    B: Body<Data = Bytes, Error: Into<BoxError>>,
-{
-    let expected = body.size_hint().lower().min(bytes_max as u64) as usize;
-    let mut whole = Vec::with_capacity(expected.min(STEP_BYTES as usize));
-    let mut body = pin!(Limited::new(body, bytes_max));
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else { continue };
-        extend(&mut whole, &data, expected);
-        let length = whole.len() as u64;
-        held.grow_to(length);
-        if held.is_excessive() {
-            metrics::counter!("elmstream_answers_broken_off").increment(1);
-            return Err(NoRoom.into());
-        }
-        if let Some(timeout) = growth_timeout.filter(|_| held.bytes() < length + READ_BYTES) {
-            waits::within_duration(timeout, held.grow_by(STEP_BYTES)).await.ok_or(NoRoom)?;
-        }
-    }
-    whole.shrink_to_fit();
-    Ok(held.attach(whole))
-}
-
-/// Appends to a body. Its capacity grows to the `expected` length once its first part is full, or
-/// doubles if it is longer, by at most [`CAPACITY_STEP_MAX`].
-fn extend(whole: &mut Vec<u8>, data: &[u8], expected: usize) {
-    let length = whole.len() + data.len();
-    if length > whole.capacity() {
-        let capacity = whole.capacity();
-        let longer = capacity + capacity.min(CAPACITY_STEP_MAX);
-        let wanted = if length <= expected { expected } else { longer };
-        whole.reserve_exact(wanted.max(length) - whole.len());
-    }
-    whole.extend_from_slice(data);
-}
-
 /// Reads a request's body once there is room for it.
 ///
 /// # Errors
@@ -135,7 +52,7 @@
     }
     let size = stated.unwrap_or(STEP_BYTES);
     let read = match edge.buffers.is_bounded() {
-        false => Some(collect(incoming, bytes_max as usize, &edge.buffers).await),
+        false => Some(whole_body::collect(incoming, bytes_max as usize, &edge.buffers).await),
         true => {
             let deadline = clock::now() + request.remaining.as_micros() as u64;
             let usual = Duration::from_millis(request.route.objective_ms).min(request.remaining);
@@ -149,7 +66,8 @@
                 return Err(Ok(refuse(edge, request, size, Code::BuffersFull)));
             };
             let growth_timeout = stated.is_none().then_some(usual);
-            let reading = collect_counted(incoming, bytes_max as usize, held, growth_timeout);
+            let reading =
+                whole_body::collect_counted(incoming, bytes_max as usize, held, growth_timeout);
             waits::within(deadline, Box::pin(reading)).await
         }
     };
--- a/elmstream_edge/src/edge.rs
+++ b/elmstream_edge/src/edge.rs
@@ -10,7 +10,9 @@
 use elmstream::time::MILLI;
 use elmstream_http::Connections;
 use elmstream_steer::{
-    Steer, settings,
+    Steer,
+    rollout::RolloutStage,
+    settings,
     steer::{ServerState, StateChange, StoreRestored},
     view::RowKey,
 };
@@ -18,8 +20,8 @@
 use serde_json::{Value, json};
 
 use crate::{
-    backend::Pool, buffer_bound::BufferBound, connections, event_log::EventLog, rollout,
-    settings::Settings, shutdown::PlannedStop,
+    backend::Pool, buffer_bound::BufferBound, connection_refusal, event_log::EventLog,
+    planned_stop::PlannedStop, settings::Settings,
 };
 
 /// If more servers than this change at once, they are logged in one line.
@@ -76,8 +78,10 @@
             true => BufferBound::default(),
             false => BufferBound::new(settings.buffers.total_bytes).with_answers_max(answers_max),
         };
-        let connections =
-            Connections::new(settings.resources.connection_bounds(), connections::refusal());
+        let connections = Connections::new(
+            settings.resources.connection_bounds(),
+            connection_refusal::response(),
+        );
         Rc::new(Edge {
             settings,
             steer: RefCell::new(steer),
@@ -199,7 +203,7 @@
                     self.event_log.write("standstill", json!({"for_ms": for_us / MILLI}));
                 }
                 StateChange::Rollout { service, target, stage } => {
-                    let stage = stage.map(rollout::stage_text);
+                    let stage = stage.map(RolloutStage::text);
                     let fields = json!({
                         "service": service, "target": target, "stage": stage, "from": from,
                     });
--- a/elmstream_edge/src/lifecycle.rs
+++ b/elmstream_edge/src/lifecycle.rs
@@ -21,9 +21,9 @@
     Edge, StoreSource, callers,
     concurrency_limit::ConcurrencyLimit,
     connections::{OpenConnections, caller_options},
-    host_registry, peers, poison, relay, rollout,
-    shutdown::{self, PlannedStop},
-    store_reader,
+    host_registry, peers,
+    planned_stop::PlannedStop,
+    poison, relay, rollout, shutdown, store_reader,
 };
 
 /// Why a host cannot start.
--- a/elmstream_edge/src/rollout.rs
+++ b/elmstream_edge/src/rollout.rs
@@ -5,7 +5,6 @@
 use elmstream_steer::{
     RolloutWrite, Steer,
     canary_analysis::{RejectionCause, route_hash},
-    rollout::RolloutStage,
     view::Table,
 };
 use elmstreamd::clock;
@@ -34,7 +33,7 @@
 
 /// Writes once; returns whether the store accepted the write.
 async fn write_progress<S: StoreSource>(edge: &Rc<Edge>, source: &S, write: &RolloutWrite) -> bool {
-    let (service, stage) = (write.service.as_str(), stage_text(write.progress.stage));
+    let (service, stage) = (write.service.as_str(), write.progress.stage.text());
     match source.write_rollout(write).await {
         Ok(Some(version)) => {
             metrics::counter!("elmstream_rollout_writes", "stage" => write.progress.stage.name())
@@ -68,7 +67,7 @@
         steer.rollout_analysis(&write.service).map(|analysis| analysis.target_counts());
     json!({
         "service": write.service, "target": write.progress.target,
-        "stage": stage_text(write.progress.stage), "order": write.progress.order.to_string(),
+        "stage": write.progress.stage.text(), "order": write.progress.order.to_string(),
         "good": target_counts.map(|counts| counts.good),
         "bad": target_counts.map(|counts| counts.bad),
         "cause": write.cause.as_ref().map(|rejection| cause(&steer, rejection)),
@@ -85,11 +84,3 @@
         "servers": cause.servers, "usual": cause.usual_bad_share,
     })
 }
-
-/// Name of a stage in the event log.
-pub(crate) fn stage_text(stage: RolloutStage) -> String {
-    match stage {
-        RolloutStage::Shift(percent) => format!("shift {percent}%"),
-        stage => stage.name().to_owned(),
-    }
-}
--- a/elmstream_steer/src/rollout.rs
+++ b/elmstream_steer/src/rollout.rs
@@ -71,6 +71,14 @@
             RolloutStage::RolledBack => "rolled_back",
         }
     }
+
+    /// Name of the stage in logs, with the percentage of a shift.
+    pub fn text(self) -> String {
+        match self {
+            RolloutStage::Shift(percent) => format!("{} {percent}%", self.name()),
+            stage => stage.name().to_owned(),
+        }
+    }
 }
 
 /// Progress of an order, as stored.
