Rows that hosts fetch have a module of their own

peers imported table_fetch, which fetches the rows, and table_fetch imported the path and the response from peers, which serves them. Both are in peer_rows now, unchanged.

--- a/elmstream_edge/src/peers.rs
+++ b/elmstream_edge/src/peers.rs
@@ -12,23 +12,23 @@
     Steer,
     heartbeat::{Heartbeat, Message, TableStatus},
     members,
-    poison::ServerCrash,
-    table_sync::{SyncRequest, TableRows},
+    table_sync::SyncRequest,
     version::StoreVersion,
     view::{REQUIRED_TABLES, TABLES},
 };
 use elmstreamd::clock;
 use http::{Request, Response, StatusCode};
-use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use crate::{
-    concurrency_limit::ConcurrencyLimit, connections::ConnectionReport, edge::Edge, poison,
-    refusal_report, server_hints, table_fetch::TableFetcher,
+    concurrency_limit::ConcurrencyLimit,
+    connections::ConnectionReport,
+    edge::Edge,
+    peer_rows::{PeerRows, ROWS_PATH},
+    poison, refusal_report, server_hints,
+    table_fetch::TableFetcher,
 };
 
-/// HTTP path from which other hosts fetch table rows.
-pub(crate) const ROWS_PATH: &str = "/v1/rows";
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES_MAX: usize = 16 << 10;
 /// Interval of the check for whether a heartbeat is due.
@@ -49,21 +49,6 @@
 /// Interval of the ticks that advance the decisions.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Response to a request for rows: what a host knows beyond a version, and which hosts it
-/// knows.
-#[derive(Debug, Deserialize, Serialize)]
-pub(crate) struct PeerRows {
-    /// Rows of the requested table.
-    pub table: TableRows,
-    /// Addresses of hosts.
-    pub hosts: Vec<SocketAddr>,
-    /// Whether `hosts` holds all hosts that the sender knows, and the sender has the whole
-    /// host list.
-    pub all_hosts: bool,
-    /// Crashes of servers under refused requests; sent only to hosts that start.
-    pub crashes: Vec<ServerCrash>,
-}
-
 /// Sends heartbeats until the process ends.
 pub async fn send(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     let mut round = 0u64;
--- a/elmstream_edge/src/table_fetch.rs
+++ b/elmstream_edge/src/table_fetch.rs
@@ -17,7 +17,7 @@
 use crate::{
     edge::Edge,
     fetch_schedule::{FetchOutcome, FetchSchedule, HEDGE_DELAY},
-    peers::{PeerRows, ROWS_PATH},
+    peer_rows::{PeerRows, ROWS_PATH},
     poison,
 };
 
