Requests are handled by the configuration that is known when their bodies are complete

The relay header carried the version of the homes, which are asked anew, beside the route of the time of the head, so that the relaying host took that route for current.

The header now states the version of its route. The sender takes in its own newer configuration when it writes the header, as the relaying host does when it reads it. A caller's request is matched and admitted again after its body if the configuration changed meanwhile; what was admitted before keeps its workspace. So a route that is gone is denied, a part of another service gets its share, and a key that became known counts.

request_whose_route_goes_while_its_body_arrives_is_denied_unsent failed before (200). That the sender takes in its newer configuration has no test of its own.

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -92,6 +92,8 @@
     pub workspace: Option<AdmittedRequest>,
     /// What the workspace sets, if another host relayed the request.
     pub relayed: Option<RelayedTerms>,
+    /// Version of the configuration that the route is of; 0 if a relaying host does not know it.
+    pub version: u64,
     /// Regions in which it may run, by the newest configuration that was asked.
     pub homes: RefCell<Rc<HomeRegions>>,
     /// How far the request has come.
@@ -205,30 +207,31 @@
     progress: Rc<RequestProgress>,
 ) -> Result<Response<LocalBody>, Aborted> {
     let (head, incoming) = request.into_parts();
-    let host = requested_host(&head).to_owned();
-    let route = match find_route(edge, &host, &head) {
-        Ok(route) => route,
-        Err(RouteError::Configuration) => return Ok(retry_later(Code::NotReady, UNREADY_RETRY_MS)),
-        Err(RouteError::Stale) => return Ok(retry_later(Code::RoutesStale, UNREADY_RETRY_MS)),
-        Err(RouteError::Route) => return Ok(reply(Code::UnknownService, StatusCode::NOT_FOUND)),
-    };
-    let workspace = match access::authorize(edge, &head, &route) {
-        Ok(workspace) => workspace,
+    let accepted = match accept(edge, &head, None) {
+        Ok(accepted) => accepted,
         Err(answer) => return Ok(*answer),
     };
-    let homes = homes_of(edge, &route, workspace.as_ref());
+    let route = &accepted.route;
     let body_of = BodyOf {
         id: headers::text(&head.headers, &edge.settings.headers.request_id).unwrap_or_default(),
-        route: &route,
+        route,
         remaining: Duration::from_millis(
-            timeout_ms(edge, &head.headers, &route).min(route.timeout_ms),
+            timeout_ms(edge, &head.headers, route).min(route.timeout_ms),
         ),
     };
     let body = match Box::pin(counted_body::read_request(edge, body_of, incoming)).await {
         Ok(body) => body,
         Err(answer) => return answer,
     };
-    let accepted = Accepted { host, route, workspace, homes };
+    // The body may have taken long.
+    let version = edge.steer.borrow().configuration_version();
+    let accepted = match accepted.version == version {
+        true => accepted,
+        false => match accept(edge, &head, accepted.workspace) {
+            Ok(accepted) => accepted,
+            Err(answer) => return Ok(*answer),
+        },
+    };
     let caller_request = caller_request(edge, (caller, head), accepted, body, received, progress);
     Ok(forward::run(edge, &caller_request).await)
 }
@@ -243,14 +246,44 @@
     Stale,
 }
 
-/// What the configuration stated of a request when its head was read.
+impl RouteError {
+    fn response(self) -> Response<LocalBody> {
+        match self {
+            RouteError::Configuration => retry_later(Code::NotReady, UNREADY_RETRY_MS),
+            RouteError::Stale => retry_later(Code::RoutesStale, UNREADY_RETRY_MS),
+            RouteError::Route => reply(Code::UnknownService, StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+/// What a configuration states of a request.
 struct Accepted {
+    /// Version of the configuration.
+    version: Option<u64>,
     host: String,
     route: Rc<Route>,
     workspace: Option<AdmittedRequest>,
     homes: HomeRegions,
 }
 
+/// Finds the route of a request and admits it. A request that is `admitted` already counts against
+/// the same workspace.
+fn accept(
+    edge: &Rc<Edge>,
+    head: &request::Parts,
+    admitted: Option<AdmittedRequest>,
+) -> Result<Accepted, Box<Response<LocalBody>>> {
+    let host = requested_host(head).to_owned();
+    let route = find_route(edge, &host, head).map_err(|error| Box::new(error.response()))?;
+    let workspace = match admitted {
+        Some(admitted) => Some(admitted),
+        None => access::authorize(edge, head, &route)?,
+    };
+    let homes = homes_of(edge, &route, workspace.as_ref());
+    let version = edge.steer.borrow().configuration_version();
+    Ok(Accepted { version, host, route, workspace, homes })
+}
+
 /// The host name that a request is for; empty if it names none.
 pub(crate) fn requested_host(head: &request::Parts) -> &str {
     let host = head.uri.host().or_else(|| headers::text(&head.headers, &header::HOST));
@@ -259,8 +292,12 @@
 
 /// Regions in which a request may run by the configuration in force.
 fn homes_of(edge: &Edge, route: &Route, workspace: Option<&AdmittedRequest>) -> HomeRegions {
-    let version = edge.steer.borrow().configuration_version().unwrap_or_default();
-    HomeRegions::new(version, route, workspace.map(|admitted| &admitted.entry.workspace))
+    let steer = edge.steer.borrow();
+    let version = steer.configuration_version().unwrap_or_default();
+    // The workspace may have been admitted under an earlier configuration.
+    let workspace = workspace
+        .map(|admitted| steer.workspaces().get(admitted.entry.id).unwrap_or(&admitted.entry));
+    HomeRegions::new(version, route, workspace.map(|entry| &entry.workspace))
 }
 
 /// The route of a request, or why there is none; a missing route is logged.
@@ -294,7 +331,7 @@
 fn caller_request(
     edge: &Edge,
     (caller, head): (IpAddr, request::Parts),
-    Accepted { host, route, workspace, homes }: Accepted,
+    Accepted { host, route, workspace, homes, .. }: Accepted,
     body: Bytes,
     received: Time,
     progress: Rc<RequestProgress>,
@@ -332,6 +369,7 @@
         returning,
         workspace,
         relayed: None,
+        version: homes.version,
         homes: RefCell::new(Rc::new(homes)),
         progress,
         digests: OnceCell::new(),
--- a/elmstream_edge/src/relay.rs
+++ b/elmstream_edge/src/relay.rs
@@ -120,12 +120,12 @@
     relayed
 }
 
-/// The request to send to a relaying host in a region; `None` if no time remains, or a newer
-/// configuration forbids the region.
+/// The request to send to a relaying host in a region; `None` if no time remains, or the newest
+/// known configuration has no route for it or forbids the region.
 fn relay_request(edge: &Edge, request: &CallerRequest, region: &str) -> Option<Request<LocalBody>> {
-    let homes = request.current_homes(&edge.steer.borrow());
-    let header = RelayHeader::new(request, &homes);
-    if header.remaining_ms == 0 || !homes.get().allow(region) {
+    let header = RelayHeader::new(request);
+    let header = header.updated(&edge.steer.borrow(), request.uri.path(), &request.id)?;
+    if header.remaining_ms == 0 || !header.homes().get().allow(region) {
         return None;
     }
     let mut relayed = Request::new(backend::request_body(&request.body));
@@ -307,6 +307,7 @@
         returning,
         workspace: None,
         relayed: Some(terms),
+        version: homes.version,
         homes: RefCell::new(Rc::new(homes)),
         progress,
         digests: OnceCell::new(),
--- a/elmstream_edge/src/relay_header.rs
+++ b/elmstream_edge/src/relay_header.rs
@@ -11,7 +11,7 @@
 /// What a relaying host is told of a request, beside the request itself.
 #[derive(Debug, Deserialize, Serialize)]
 pub(crate) struct RelayHeader {
-    /// Version of the sender's configuration; 0 if it does not tell.
+    /// Version of the configuration that `route` and `terms` are of; 0 if the sender does not tell.
     #[serde(default)]
     pub(crate) version: u64,
     /// The host name that the request is for; empty if the sender does not tell.
@@ -28,13 +28,13 @@
 }
 
 impl RelayHeader {
-    /// The header of a request that may run in `homes`.
-    pub(crate) fn new(request: &CallerRequest, homes: &HomeRegions) -> RelayHeader {
+    /// The header of a request by the configuration that it was received under.
+    pub(crate) fn new(request: &CallerRequest) -> RelayHeader {
         let workspace = request.workspace.as_ref().map(|admitted| &admitted.entry.workspace);
         RelayHeader {
-            version: homes.version,
+            version: request.version,
             host: request.host.clone(),
-            route: Route { homes: homes.route.clone(), ..(*request.route).clone() },
+            route: (*request.route).clone(),
             service: request.service.clone(),
             key: request.key,
             has_key: request.has_key,
@@ -42,7 +42,7 @@
             caller: request.caller,
             remaining_ms: request.remaining().as_millis() as u64,
             terms: RelayedTerms {
-                homes: homes.workspace.clone(),
+                homes: workspace.map(|workspace| workspace.homes.clone()).unwrap_or_default(),
                 priority: workspace.and_then(|workspace| workspace.priority),
                 workspace: request.workspace_id(),
             },
@@ -66,7 +66,7 @@
         }
     }
 
-    /// The request as this host's configuration handles it, if that is newer than the sender's.
+    /// The request as a host's configuration handles it, if that is newer than the header's.
     /// `None` if it has no route for the request, or one that needs a key that was not presented.
     pub(crate) fn updated(self, steer: &Steer, path: &str, id: &str) -> Option<RelayHeader> {
         let version = steer.configuration_version().unwrap_or_default();
--- a/elmstream_edge/tests/content_cost.rs
+++ b/elmstream_edge/tests/content_cost.rs
@@ -55,6 +55,7 @@
         returning: false,
         workspace: None,
         relayed: None,
+        version: 0,
         homes: RefCell::default(),
         progress: Rc::default(),
         digests: OnceCell::new(),
--- a/elmstream_edge/tests/homes.rs
+++ b/elmstream_edge/tests/homes.rs
@@ -15,7 +15,7 @@
 use elmstream_edge::Settings;
 use elmstream_steer::{
     key::KeyDigest,
-    model::{Repeatability, Route, Workspace},
+    model::{Configuration, Repeatability, Route, Workspace},
     view::{RowContent, RowKey},
 };
 use serde_json::json;
@@ -90,6 +90,17 @@
         assert!(until(TIMEOUT, is_known).await);
     }
 
+    /// Changes the configuration, and waits until the host knows of it.
+    async fn configure(&self, change: impl Fn(&mut Configuration)) {
+        let RowContent::Configuration(mut new) = configured(2, (&["a"], &[])) else {
+            panic!("a configuration");
+        };
+        change(&mut new);
+        self.store.put(RowKey::Configuration, Some(RowContent::Configuration(new)));
+        let is_known = || self.host.edge.steer.borrow().configuration_version() == Some(2);
+        assert!(until(TIMEOUT, is_known).await);
+    }
+
     /// Numbers of requests that reached servers in regions `a` and `b`.
     fn reached(&self) -> (usize, usize) {
         let count = |servers: &[Received]| {
@@ -231,13 +242,7 @@
 fn relaying_host_does_not_run_requests_of_routes_that_it_knows_to_be_gone() {
     run(async || {
         let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
-        let RowContent::Configuration(mut without) = configured(2, (&["a"], &[])) else {
-            panic!("a configuration");
-        };
-        without.routes.clear();
-        world.store.put(RowKey::Configuration, Some(RowContent::Configuration(without)));
-        let is_known = || world.host.edge.steer.borrow().configuration_version() == Some(2);
-        assert!(until(TIMEOUT, is_known).await);
+        world.configure(|new| new.routes.clear()).await;
         let mut sender = Caller::connect(world.host.edge.settings.host.peers).await;
         sender.write(&relayed(true, &["a"])).await;
         let (status, head) = sender.answer().await;
@@ -254,15 +259,8 @@
         let RowContent::Server(mut other) = server(address) else { panic!("a server") };
         other.service = "other".into();
         world.store.put(RowKey::Server("o".into()), Some(RowContent::Server(other)));
-        let RowContent::Configuration(mut moved) = configured(2, (&[], &[])) else {
-            panic!("a configuration");
-        };
-        moved.routes[0].parts[0].service = "other".into();
-        world.store.put(RowKey::Configuration, Some(RowContent::Configuration(moved)));
-        let is_known = || {
-            let steer = world.host.edge.steer.borrow();
-            steer.configuration_version() == Some(2) && steer.servers().find("o").is_some()
-        };
+        world.configure(|new| new.routes[0].parts[0].service = "other".into()).await;
+        let is_known = || world.host.edge.steer.borrow().servers().find("o").is_some();
         assert!(until(TIMEOUT, is_known).await);
         let mut sender = Caller::connect(world.host.edge.settings.host.peers).await;
         sender.write(&relayed(true, &[])).await;
@@ -271,3 +269,18 @@
         assert_eq!((status, world.reached(), reached_other), (200, (0, 0), 1));
     });
 }
+
+#[test]
+fn request_whose_route_goes_while_its_body_arrives_is_denied_unsent() {
+    run(async || {
+        let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
+        let mut caller = Caller::connect(world.host.callers).await;
+        caller.write(UPLOAD).await;
+        caller.write("bo").await;
+        compio::time::sleep(Duration::from_millis(50)).await;
+        world.configure(|new| new.routes.clear()).await;
+        caller.write("dy").await;
+        let (status, head) = caller.answer().await;
+        assert_eq!((status, world.reached()), (404, (0, 0)), "{head}");
+    });
+}
