HTTP is started on outgoing connections in one place

elmstream_http::client and elmstream_edge::backend both did the handshake and the spawning of the task that drives a connection, and each disabled Nagle's algorithm before it. client::start now does this for both; the pool of backend servers passes its bound on heads and keeps the task, so that a dropped connection is still closed at once.

backend::open_stream therefore leaves the option alone; connections that are opened only to see whether they are refused do without it. How the two wait for a connection stays apart on purpose: backend counts time in suspension, client does not.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use compio::{net::TcpStream, runtime::JoinHandle};
 use elmstream::time::Time;
-use elmstream_http::{LocalBody, PlainStream, ResponseFault, body, client, response_check};
+use elmstream_http::{LocalBody, ResponseFault, body, client, response_check};
 use elmstreamd::{clock, waits};
 use http::{HeaderMap, Request, response};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -312,7 +312,6 @@
 pub async fn open_stream(address: SocketAddr) -> io::Result<(TcpStream, io::Result<()>)> {
     let connecting = waits::within_duration(CONNECT_TIMEOUT, TcpStream::connect(address));
     let stream = connecting.await.ok_or(io::ErrorKind::TimedOut)??;
-    stream.set_nodelay(true)?;
     let timeout_set = client::set_unacked_timeout(&stream, UNACKED_TIMEOUT);
     Ok((stream, timeout_set))
 }
@@ -321,12 +320,7 @@
 async fn start_connection(stream: TcpStream) -> io::Result<Connection> {
     let mut builder = Builder::new();
     builder.max_buf_size(RESPONSE_HEAD_BYTES_MAX);
-    let handshake = builder.handshake(PlainStream::new(stream)?).await;
-    let (sender, connection) = handshake.map_err(io::Error::other)?;
-    let driver = compio::runtime::spawn(async move {
-        // The future of the request returns the error.
-        let _ = connection.await;
-    });
+    let (sender, driver) = client::start(&builder, stream).await?;
     let now = clock::now();
     let idle_until = now + IDLE_TIMEOUT.as_micros() as u64;
     Ok(Connection { sender, _driver: driver, idle_until, last_response: now })
--- a/elmstream_http/src/client.rs
+++ b/elmstream_http/src/client.rs
@@ -8,8 +8,11 @@
     time::Duration,
 };
 
-use compio::net::{TcpSocket, TcpStream};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use compio::{
+    net::{TcpSocket, TcpStream},
+    runtime::JoinHandle,
+};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use socket2::SockRef;
 
 use crate::{LocalBody, PlainStream};
@@ -35,7 +38,7 @@
 ) -> io::Result<SendRequest<LocalBody>> {
     let connecting = compio::time::timeout(timeout, stream(source, address));
     let stream = connecting.await.map_err(|_| io::ErrorKind::TimedOut)??;
-    start(stream).await
+    start_detached(stream).await
 }
 
 /// Opens a connection as [`connect`] does, which fails if sent data is not acknowledged
@@ -56,7 +59,7 @@
     if let Err(error) = set_unacked_timeout(&stream, unacked_timeout) {
         WARN_ONCE.call_once(|| log::warn!("cannot limit the time of unacknowledged data: {error}"));
     }
-    start(stream).await
+    start_detached(stream).await
 }
 
 /// Makes a connection fail if sent data is not acknowledged within `unacked_timeout`.
@@ -72,15 +75,29 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(unacked_timeout))
 }
 
-async fn start(stream: TcpStream) -> io::Result<SendRequest<LocalBody>> {
+/// Starts HTTP/1.1 on a connected stream. The returned task drives the connection: dropping it
+/// closes the connection at once, detached it ends when the sender is dropped.
+///
+/// # Errors
+///
+/// The runtime cannot wait for the socket, or the system refuses an option.
+pub async fn start(
+    builder: &Builder,
+    stream: TcpStream,
+) -> io::Result<(SendRequest<LocalBody>, JoinHandle<()>)> {
     stream.set_nodelay(true)?;
-    let handshake = handshake(PlainStream::new(stream)?).await;
+    let handshake = builder.handshake(PlainStream::new(stream)?).await;
     let (sender, connection) = handshake.map_err(io::Error::other)?;
-    compio::runtime::spawn(async move {
+    let driver = compio::runtime::spawn(async move {
         // The future of the request returns the error.
         let _ = connection.await;
-    })
-    .detach();
+    });
+    Ok((sender, driver))
+}
+
+async fn start_detached(stream: TcpStream) -> io::Result<SendRequest<LocalBody>> {
+    let (sender, driver) = start(&Builder::new(), stream).await?;
+    driver.detach();
     Ok(sender)
 }
 
