A body that fails resets the connection of a caller that speaks HTTP/1.0

Callers that speak HTTP/1.0 to a host with owners got a chunked body that broke off, or one without a length that was reset, as a 200 that ended in good order, with a part of the body. Found by tests, not reported.

HTTP/1.0 has no chunks: without a length the end of the caller's connection is that of the body. The connection was closed in good order when the body failed, which for HTTP/1.1 leaves the chunks incomplete and says enough. Now a failure of the body is recorded for requests of HTTP/1.0, and the socket is reset when it is closed. Connections of other versions close as before. Hosts without owners send a length and are not concerned.

Before: broken_body_without_length_ends_with_a_reset_for_callers_of_http_1_0 failed, as the caller read "hello" and "hel" to a good end. It passes now, on each of three hosts, and the tests of elmstream_http.

--- a/elmstream_http/src/connection.rs
+++ b/elmstream_http/src/connection.rs
@@ -14,6 +14,7 @@
 use cyper_core::{CompioTimer, HyperStream};
 use futures_util::future::{Either, select};
 use http::{HeaderValue, Request, Response, Version, header};
+use http_body_util::BodyExt;
 use hyper::{body::Incoming, server::conn::http1, service::Service};
 use hyper_util::server::conn::auto;
 use socket2::SockRef;
@@ -65,12 +66,18 @@
     pub(crate) async fn serve(self) {
         let traffic = Rc::new(Traffic::default());
         let (client, on_unread) = (self.client, self.options.on_unread.clone());
+        let socket = self.stream.clone();
         if let Err(error) = self.serve_watched(traffic.clone()).await {
             log::warn!("cannot serve a connection: {error}");
         }
         if traffic.left_unread() {
             on_unread(client);
         }
+        if traffic.has_failed_body()
+            && let Err(error) = SockRef::from(&socket).set_linger(Some(Duration::ZERO))
+        {
+            log::warn!("cannot reset a connection whose response broke off: {error}");
+        }
     }
 
     async fn serve_watched(self, traffic: Rc<Traffic>) -> io::Result<()> {
@@ -223,25 +230,37 @@
 
     fn call(&self, request: Request<Incoming>) -> Answering {
         let in_flight = self.traffic.enter();
-        let is_http1 = request.version() <= Version::HTTP_11;
+        let version = request.version();
         let request = request.map(|body| RequestBody::new(body, self.traffic.unread_bodies()));
         let answering = (self.handler)(self.client, request);
         let (notice, traffic) = (self.notice.clone(), self.traffic.clone());
         let closes_unread = self.closes_unread;
         Box::pin(async move {
             let mut response = answering.await?;
-            if is_http1 {
+            if version <= Version::HTTP_11 {
                 // A response that a client read has the version of the server there.
                 *response.version_mut() = Version::HTTP_11;
                 if notice.is_announced() || closes_unread && traffic.has_unread_body() {
                     add_connection_close(&mut response);
                 }
             }
+            if version <= Version::HTTP_10 {
+                response = response.map(|body| mark_failure(body, traffic));
+            }
             Ok(response.map(|body| body::holding(body, in_flight)))
         })
     }
 }
 
+/// Has the connection reset if the body fails. Without chunks it may end with the connection, and its
+/// caller would take it for whole otherwise.
+fn mark_failure(body: LocalBody, traffic: Rc<Traffic>) -> LocalBody {
+    Box::pin(body.map_err(move |error| {
+        traffic.record_failed_body();
+        error
+    }))
+}
+
 /// Asks the caller to close the connection, at a moment when no request of its own can be in
 /// transit. HTTP/2 has frames for this, which its graceful shutdown sends.
 fn add_connection_close(response: &mut Response<LocalBody>) {
--- a/elmstream_http/src/watched.rs
+++ b/elmstream_http/src/watched.rs
@@ -70,6 +70,7 @@
     /// Whether bytes wait because the client has not read those before them.
     unsent: Cell<bool>,
     unread_bodies: UnreadBodies,
+    failed_body: Cell<bool>,
 }
 
 impl Traffic {
@@ -120,6 +121,16 @@
         self.unread_timeout.get()
     }
 
+    /// Records that a response's body failed whose end may be that of the connection.
+    pub(crate) fn record_failed_body(&self) {
+        self.failed_body.set(true);
+    }
+
+    /// Whether such a body failed.
+    pub(crate) fn has_failed_body(&self) -> bool {
+        self.failed_body.get()
+    }
+
     fn read(&self, bytes: &[u8]) {
         if self.bytes.get() == 0 {
             self.http2.set(bytes.starts_with(HTTP2_PREFIX));
--- a/elmstreamd/tests/odd_answers.rs
+++ b/elmstreamd/tests/odd_answers.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use std::{
-    io::{self, Write},
+    io::{self, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
@@ -13,8 +13,9 @@
 };
 
 use elmstream_bench::fleet::send;
+use elmstream_config::Configuration;
 use http::Method;
-use support::{request, with_fleet};
+use support::{Running, request, with_fleet};
 
 /// Answers that are not passed on.
 const ODD_ANSWERS: [&str; 26] = [
@@ -88,40 +89,82 @@
     let _ = io::copy(&mut stream, &mut io::sink());
 }
 
+/// Runs a test against a fleet whose service "release" has its servers at this address.
+fn with_server(address: SocketAddr, test: impl AsyncFnOnce(&mut Running)) {
+    let change = |configuration: &mut Configuration| {
+        let servers = configuration.backend_servers.iter_mut();
+        servers.filter(|server| &*server.service == "release").for_each(|server| {
+            server.address = address;
+        });
+    };
+    with_fleet(change, test);
+}
+
 #[test]
 fn odd_answers_are_not_passed_on_as_whole() {
     let answer = AnswerText::new(Mutex::new(WITHOUT_LENGTH));
     let address = odd_server(answer.clone());
-    with_fleet(
-        |configuration| {
-            let servers = configuration.backend_servers.iter_mut();
-            servers.filter(|server| &*server.service == "release").for_each(|server| {
-                server.address = address;
-            });
-        },
-        async |running| {
-            for host in 0..3 {
-                *answer.lock().expect("no panic") = WITHOUT_LENGTH;
-                let whole = running.send_to(host, request(Method::POST, "release", "whole")).await;
-                assert_eq!(
-                    (whole.status, whole.body.as_deref()),
-                    (200, Some(&b"hello"[..])),
-                    "through host {host}"
-                );
-                let mut passed_on = Vec::new();
-                for odd in ODD_ANSWERS {
-                    *answer.lock().expect("no panic") = odd;
-                    let address = running.fleet.hosts[host].settings.listen.callers;
-                    let got = send(address, request(Method::POST, "release", "odd")).await;
-                    // Without an answer, the connection has failed.
-                    let Ok(got) = got else { continue };
-                    let is_whole = (100..400).contains(&got.status) && got.body.is_some();
-                    if is_whole || got.status > 599 {
-                        passed_on.push((odd, got.status));
-                    }
+    with_server(address, async |running| {
+        for host in 0..3 {
+            *answer.lock().expect("no panic") = WITHOUT_LENGTH;
+            let whole = running.send_to(host, request(Method::POST, "release", "whole")).await;
+            assert_eq!(
+                (whole.status, whole.body.as_deref()),
+                (200, Some(&b"hello"[..])),
+                "through host {host}"
+            );
+            let mut passed_on = Vec::new();
+            for odd in ODD_ANSWERS {
+                *answer.lock().expect("no panic") = odd;
+                let address = running.fleet.hosts[host].settings.listen.callers;
+                let got = send(address, request(Method::POST, "release", "odd")).await;
+                // Without an answer, the connection has failed.
+                let Ok(got) = got else { continue };
+                let is_whole = (100..400).contains(&got.status) && got.body.is_some();
+                if is_whole || got.status > 599 {
+                    passed_on.push((odd, got.status));
+                }
+            }
+            assert_eq!(passed_on, [], "through host {host}");
+        }
+    });
+}
+
+/// Answers whose bodies break off.
+const BROKEN_BODIES: [&str; 3] = [
+    "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n\0reset",
+    "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhel\0reset",
+];
+
+/// What a caller that speaks HTTP/1.0 gets until the connection ends.
+fn answer_to_old_caller(host: SocketAddr) -> io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect(host)?;
+    let fields = "host: test\r\nelmstream-service: release\r\nelmstream-request-id: old\r\n";
+    stream.write_all(format!("GET / HTTP/1.0\r\n{fields}\r\n").as_bytes())?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer)?;
+    Ok(answer)
+}
+
+/// Without chunks, only a reset tells a body that broke off from a whole one.
+#[test]
+fn broken_body_without_length_ends_with_a_reset_for_callers_of_http_1_0() {
+    let answer = AnswerText::new(Mutex::new(WITHOUT_LENGTH));
+    with_server(odd_server(answer.clone()), async |running| {
+        for host in &running.fleet.hosts {
+            let host = host.settings.listen.callers;
+            *answer.lock().expect("no panic") = WITHOUT_LENGTH;
+            let whole = answer_to_old_caller(host).expect("an answer");
+            assert!(whole.starts_with(b"HTTP/1.0 200 ") && whole.ends_with(b"\r\n\r\nhello"));
+            for broken in BROKEN_BODIES {
+                *answer.lock().expect("no panic") = broken;
+                match answer_to_old_caller(host) {
+                    // The body broke off before the head was sent on.
+                    Ok(failure) => assert!(failure.starts_with(b"HTTP/1.0 502 "), "{broken:?}"),
+                    Err(error) => assert_eq!(error.kind(), io::ErrorKind::ConnectionReset),
                 }
-                assert_eq!(passed_on, [], "through host {host}");
             }
-        },
-    );
+        }
+    });
 }
