Test: bytes behind an answer are not the next answer, at hosts with owners

A server keeps its connections and sends bytes, an empty line or a whole answer behind an answer. Later requests over its connections, through each host, must get their own answers: hosts with owners do not compare ids, so only the connection pool guards this.

--- a/elmstreamd/tests/odd_answers.rs
+++ b/elmstreamd/tests/odd_answers.rs
@@ -12,10 +12,10 @@
     time::Duration,
 };
 
-use elmstream_bench::fleet::send;
+use elmstream_bench::fleet::{Answer, send};
 use elmstream_config::Configuration;
 use http::Method;
-use support::{Running, request, with_fleet};
+use support::{Running, request, with_fleet, with_headers};
 
 /// Answers that are not passed on.
 const ODD_ANSWERS: [&str; 26] = [
@@ -53,6 +53,12 @@
 /// Time between an answer and the reset of its connection, so that the answer is read.
 const RESET_PAUSE: Duration = Duration::from_millis(100);
 
+/// Answers with bytes behind them, of each kind.
+const CASES: usize = 20;
+/// Most times that a refused request is sent again, and the pause before.
+const REFUSALS_MAX: usize = 20;
+const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
+
 /// What a server sends before it closes the connection.
 type AnswerText = Arc<Mutex<&'static str>>;
 
@@ -130,6 +136,78 @@
     });
 }
 
+/// Starts a server that keeps its connections and answers a request with its header `x-case`; `behind`
+/// follows the answer if that begins with "odd".
+fn keeping_server(behind: AnswerText) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let behind = behind.clone();
+            thread::spawn(move || answer_each(stream, &behind));
+        }
+    });
+    address
+}
+
+fn answer_each(mut stream: TcpStream, behind: &AnswerText) {
+    let (mut bytes, mut head) = ([0; 8_192], String::new());
+    while let Ok(length @ 1..) = stream.read(&mut bytes) {
+        head += &String::from_utf8_lossy(&bytes[..length]);
+        if !head.ends_with("\r\n\r\n") {
+            continue;
+        }
+        let case = head.lines().find_map(|line| line.strip_prefix("x-case: "));
+        let body = case.unwrap_or("{\"in_flight\":0}");
+        let mut text = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+        if body.starts_with("odd") {
+            text += *behind.lock().expect("no panic");
+        }
+        if stream.write_all(text.as_bytes()).is_err() {
+            return;
+        }
+        head.clear();
+    }
+}
+
+/// Sends a request with a header `x-case`, again while it is refused: a region may count as full
+/// shortly after the start of its hosts.
+async fn send_until_admitted(running: &Running, host: usize, case: &str) -> Answer {
+    let headers = [("elmstream-request-id", case), ("x-case", case)];
+    let send = || running.send_to(host, with_headers(Method::GET, "release", &headers));
+    let mut got = send().await;
+    for _ in 0..REFUSALS_MAX {
+        if got.status != 503 {
+            break;
+        }
+        compio::time::sleep(REFUSAL_PAUSE).await;
+        got = send().await;
+    }
+    got
+}
+
+#[test]
+fn bytes_behind_an_answer_are_not_the_next_answer() {
+    let behind = AnswerText::new(Mutex::new(""));
+    let address = keeping_server(behind.clone());
+    with_server(address, async |running| {
+        let texts = ["hello", "\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstale"];
+        for (host, text) in (0..3).flat_map(|host| texts.map(|text| (host, text))) {
+            *behind.lock().expect("no panic") = text;
+            for n in 0..CASES {
+                for case in [format!("odd-{n}"), format!("next-{n}")] {
+                    let got = send_until_admitted(running, host, &case).await;
+                    assert_eq!(
+                        (got.status, got.body.as_deref()),
+                        (200, Some(case.as_bytes())),
+                        "through host {host}, behind the answer: {text:?}"
+                    );
+                }
+            }
+        }
+    });
+}
+
 /// Answers whose bodies break off.
 const BROKEN_BODIES: [&str; 3] = [
     "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
