--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -112,13 +112,13 @@
         }
         let homes = request.current_homes(&edge.steer.borrow());
         let outdated = edge.steer.borrow().homes_are_outdated(clock::now());
-        if outdated && !homes.get().is_empty() {
+        if outdated && !homes.as_homes().is_empty() {
             if !possibly_run && failed_response.is_none() {
                 return refuse_outdated(edge, request);
             }
             break;
         }
-        let pick_request = pick_request(request, homes.get(), &attempts.servers);
+        let pick_request = pick_request(request, homes.as_homes(), &attempts.servers);
         if is_retry {
             let steer = edge.steer.borrow();
             let service = &request.service;
@@ -328,7 +328,7 @@
     let Some(server) = steer.servers().get(index) else { return false };
     let picked_under = request.homes.borrow().version;
     let homes = request.current_homes(&steer);
-    if homes.get().allow(&server.region) {
+    if homes.as_homes().allow(&server.region) {
         return true;
     }
     metrics::counter!("elmstream_homes_moved").increment(1);
--- a/elmstream_edge/src/relay.rs
+++ b/elmstream_edge/src/relay.rs
@@ -89,7 +89,7 @@
         return Vec::new();
     }
     let homes = request.current_homes(&steer);
-    steer.relays(clock::now(), &request.service, homes.get(), hash::of(&request.id))
+    steer.relays(clock::now(), &request.service, homes.as_homes(), hash::of(&request.id))
 }
 
 async fn exchange(edge: &Edge, request: &CallerRequest, relay: &RelayHost) -> Relayed {
@@ -125,7 +125,7 @@
 fn relay_request(edge: &Edge, request: &CallerRequest, region: &str) -> Option<Request<LocalBody>> {
     let header = RelayHeader::new(request);
     let header = header.updated(&edge.steer.borrow(), request.uri.path(), &request.id)?;
-    if header.remaining_ms == 0 || !header.homes().get().allow(region) {
+    if header.remaining_ms == 0 || !header.homes().as_homes().allow(region) {
         return None;
     }
     let mut relayed = Request::new(backend::request_body(&request.body));
--- a/elmstream_steer/src/homes.rs
+++ b/elmstream_steer/src/homes.rs
@@ -47,7 +47,7 @@
     }
 
     /// The home regions that decide on a region.
-    pub fn get(&self) -> Homes<'_> {
+    pub fn as_homes(&self) -> Homes<'_> {
         Homes { route: &self.route, workspace: &self.workspace }
     }
 
