--- a/elmstream_edge/tests/homes.rs
+++ b/elmstream_edge/tests/homes.rs
@@ -4,7 +4,7 @@
 
 use std::{
     net::{IpAddr, SocketAddr},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use compio::{
@@ -17,7 +17,7 @@
     key::KeyDigest,
     model::{Configuration, Repeatability, Route, Workspace},
     version::StoreVersion,
-    view::{RowContent, RowKey, Table},
+    view::{Row, RowContent, RowKey, Table},
 };
 use elmstreamd::clock;
 use serde_json::json;
@@ -319,3 +319,49 @@
         }
     });
 }
+
+/// Lets other tasks run once.
+async fn yield_now() {
+    let mut yielded = false;
+    std::future::poll_fn(|cx| {
+        if std::mem::replace(&mut yielded, true) {
+            return std::task::Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        std::task::Poll::Pending
+    })
+    .await;
+}
+
+#[test]
+fn send_that_is_withheld_counts_as_no_attempt() {
+    run(async || {
+        let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
+        let one_attempt = |version, homes: &[&str]| {
+            let RowContent::Configuration(mut content) = configured(version, (homes, &[])) else {
+                panic!("a configuration");
+            };
+            content.routes[0].attempts = 1;
+            RowContent::Configuration(content)
+        };
+        world.store.put(RowKey::Configuration, Some(one_attempt(2, &["a"])));
+        let steer = &world.host.edge.steer;
+        assert!(until(TIMEOUT, || steer.borrow().configuration_version() == Some(2)).await);
+        let mut caller = Caller::connect(world.host.callers).await;
+        caller.write("GET /r HTTP/1.1\r\nhost: shop.example\r\nelmstream-request: r\r\n\r\n").await;
+        let is_chosen = || steer.borrow().servers().all().any(|(_, entry)| entry.own_in_flight > 0);
+        let began = Instant::now();
+        while !is_chosen() && began.elapsed() < TIMEOUT {
+            yield_now().await;
+        }
+        assert!(is_chosen() && world.reached() == (0, 0), "the test came too late");
+        let row = Row::new(
+            RowKey::Configuration,
+            StoreVersion::new(1, 1_000),
+            Some(one_attempt(3, &["b"])),
+        );
+        steer.borrow_mut().on_changes(clock::now(), Table::Rules, vec![row]);
+        let (status, _) = caller.answer().await;
+        assert_eq!((status, world.reached()), (200, (0, 1)));
+    });
+}
