How far rules can be relied on has a module of its own

The questions whether routes may be denied and whether homes are outdated stood among the scheduling of store reads.

--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod digest;
 pub mod domain_split;
 pub mod era;
+mod freshness;
 pub mod gossip;
 pub mod hash;
 pub mod heartbeat;
--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -10,7 +10,7 @@
     reader_rank::{self, RankedReader},
     routes::RouteTable,
     startup::StartupContext,
-    steer::{PendingNews, ServerState, StateChange, Steer},
+    steer::{ServerState, StateChange, Steer},
     store_schedule::{self, ReadContext, ReadReason},
     version::StoreVersion,
     view::{Effect, Row, RowContent, RowKey, Table},
@@ -20,10 +20,6 @@
 /// Age of the servers table above which the store is considered to have been away, without the time in
 /// which this host could not have learned of a read.
 const OUTAGE_AGE: u64 = 2_500 * MILLI;
-/// Fraction of the configuration bound during which a host can state with certainty that a route
-/// does not exist. In a working fleet, updates reach all hosts within half the bound, of which they
-/// spend up to a quarter in transit.
-const DENY_AGE_FRACTION: f64 = 0.6;
 /// Seed of the random number that a host draws at its start.
 const START_SEED: u64 = 0x7374_6172;
 /// Added to the cold time of servers whose evacuation ends.
@@ -95,35 +91,6 @@
         }
     }
 
-    /// Whether this host can answer that a route does not exist.
-    ///
-    /// Callers take such an answer as final. It is given only while this host's knowledge is recent
-    /// and no other host has announced a newer version.
-    pub fn can_deny_routes(&self, now: Time) -> bool {
-        let max_age = self.current_age_max();
-        let is_recent = self.view.age(now, Table::Rules).is_some_and(|age| age < max_age);
-        is_recent && self.missing_update(Table::Rules).is_none()
-    }
-
-    /// Whether this host has lacked a configuration, an evacuation or a rollout order that another
-    /// host announced for so long that the home regions that it knows may no longer be in force.
-    pub fn homes_are_outdated(&self, now: Time) -> bool {
-        let missing_since = self.missing_update(Table::Rules).map(|update| update.reported_at);
-        missing_since.is_some_and(|since| now.since(since) >= self.current_age_max())
-    }
-
-    /// Age up to which this host's knowledge of the rules counts as current, in microseconds.
-    fn current_age_max(&self) -> u64 {
-        let bound = self.settings.bounds.configuration_ms * MILLI;
-        (bound as f64 * DENY_AGE_FRACTION) as u64
-    }
-
-    /// A version of a table that another host announced and this host lacks.
-    fn missing_update(&self, table: Table) -> Option<PendingNews> {
-        self.pending_news[table as usize]
-            .filter(|update| update.version > self.known_version(table))
-    }
-
     /// Records that the store answered a read of this host, begun at `began`, with everything up to
     /// `version`.
     ///
