--- a/elmstream/src/code.rs
+++ b/elmstream/src/code.rs
@@ -76,7 +76,7 @@
     BackendConnect = 1114, 503, "no connection to the backend server";
     PeerUnreachable = 1115, 503, "the owning entry host could not be reached";
     RetryBudget = 1116, 503, "the retry budget allows no further try";
-    RoutesStale = 1117, 503, "no route fits, or the route has home regions, but what is known of the routes may be out of date";
+    RoutesStale = 1117, 503, "what is known of the routes may be out of date: none fits, the one that fits has home regions, or most hosts know newer ones";
     KeysStale = 1118, 503, "the key is not known, but what is known of keys may be out of date";
     WorkspaceLimit = 1119, 429, "the workspace is over its limit";
     Harmful = 1120, 503, "backend servers have ended under this request, so it is sent to no other";
--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -26,6 +26,7 @@
     counted_body::{self, BodyOf},
     edge::Edge,
     forward, headers,
+    outdated::{self, RefusedRequest},
     request_digest::RequestDigests,
 };
 
@@ -212,8 +213,19 @@
         Err(answer) => return Ok(*answer),
     };
     let route = &accepted.route;
+    let id = headers::text(&head.headers, &edge.settings.headers.request_id).unwrap_or_default();
+    if outdated::forbids_sending(edge, accepted.homes.as_homes()) {
+        let refused = RefusedRequest {
+            id,
+            route,
+            service: routes::pick_service(route, hash::of(id)),
+            workspace: accepted.workspace_name(),
+            received,
+        };
+        return Ok(outdated::refuse(edge, refused));
+    }
     let body_of = BodyOf {
-        id: headers::text(&head.headers, &edge.settings.headers.request_id).unwrap_or_default(),
+        id,
         route,
         remaining: Duration::from_millis(
             timeout_ms(edge, &head.headers, route).min(route.timeout_ms),
@@ -266,6 +278,13 @@
     homes: HomeRegions,
 }
 
+impl Accepted {
+    /// Name of the workspace; empty if there is none.
+    fn workspace_name(&self) -> &str {
+        self.workspace.as_ref().map_or("", |admitted| &admitted.entry.workspace.name)
+    }
+}
+
 /// Finds the route of a request and admits it. A request that is `admitted` already counts against
 /// the same workspace.
 fn accept(
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -20,9 +20,10 @@
 
 use crate::{
     backend::{self, Exchange},
-    callers::{self, CallerRequest, STOPPING_RETRY_MS, UNREADY_RETRY_MS},
+    callers::{self, CallerRequest, STOPPING_RETRY_MS},
     edge::Edge,
     headers,
+    outdated::{self, RefusedRequest},
     poison::{self, SuspectedServer},
     relay,
     server_hints::Hints,
@@ -111,8 +112,7 @@
             break;
         }
         let homes = request.current_homes(&edge.steer.borrow());
-        let outdated = edge.steer.borrow().homes_are_outdated(clock::now());
-        if outdated && !homes.as_homes().is_empty() {
+        if outdated::forbids_sending(edge, homes.as_homes()) {
             if !possibly_run && failed_response.is_none() {
                 return refuse_outdated(edge, request);
             }
@@ -442,20 +442,16 @@
     callers::retry_later(code, STOPPING_RETRY_MS)
 }
 
-/// Refuses a request that no server ran and whose home regions may have changed.
+/// Refuses a request that no server ran, as the known rules may be out of date.
 fn refuse_outdated(edge: &Edge, request: &CallerRequest) -> Response<LocalBody> {
-    metrics::counter!("elmstream_requests", "outcome" => "not_run").increment(1);
-    let code = Code::RoutesStale;
-    let steer = edge.steer.borrow();
-    let now = clock::now();
-    let fields = json!({
-        "id": request.id, "code": code.number(), "status": code.http_status(),
-        "route": request.route.name, "service": request.service,
-        "workspace": request.workspace_name(), "version": steer.configuration_version(),
-        "stale_ms": steer.staleness(now) / MILLI, "took_ms": now.since(request.received) / MILLI,
-    });
-    edge.event_log.request("not_run_outdated", fields);
-    callers::retry_later(code, UNREADY_RETRY_MS)
+    let refused = RefusedRequest {
+        id: &request.id,
+        route: &request.route,
+        service: &request.service,
+        workspace: request.workspace_name(),
+        received: request.received,
+    };
+    outdated::refuse(edge, refused)
 }
 
 /// Result code of a request that no server ran.
--- a/elmstream_edge/src/lib.rs
+++ b/elmstream_edge/src/lib.rs
@@ -23,6 +23,7 @@
 mod host_registry;
 pub mod lifecycle;
 pub mod load_header;
+mod outdated;
 mod peer_rows;
 pub mod peers;
 mod planned_stop;
--- a/elmstream_edge/tests/homes.rs
+++ b/elmstream_edge/tests/homes.rs
@@ -287,15 +287,35 @@
     });
 }
 
-/// Lets a host hear that another one, which answers no fetch, has a newer configuration.
-fn announce_newer_rules(host: &Running) {
-    let mut steer = host.edge.steer.borrow_mut();
-    let mut heartbeat = steer.next_heartbeat(clock::now());
-    heartbeat.host.name = "other".into();
-    heartbeat.host.peers = SocketAddr::new(ip(), PEERS);
-    let status = &mut heartbeat.tables[Table::Rules as usize];
-    status.version = StoreVersion::new(status.version.era, status.version.count + 1_000);
-    steer.on_heartbeat(clock::now(), &heartbeat).expect("it is news");
+/// Other hosts, which answer no fetch and have a newer configuration: names and addresses.
+struct Announcers(Vec<(&'static str, SocketAddr)>);
+
+impl Announcers {
+    fn new(names: &[&'static str]) -> Announcers {
+        Announcers(names.iter().map(|name| (*name, SocketAddr::new(ip(), PEERS))).collect())
+    }
+
+    /// Lets a host hear of the newer configuration.
+    fn announce(&self, host: &Running) {
+        let mut steer = host.edge.steer.borrow_mut();
+        for (name, peers) in &self.0 {
+            let mut heartbeat = steer.next_heartbeat(clock::now());
+            heartbeat.host.name = (*name).into();
+            heartbeat.host.peers = *peers;
+            let status = &mut heartbeat.tables[Table::Rules as usize];
+            status.version = StoreVersion::new(status.version.era, status.version.count + 1_000);
+            steer.on_heartbeat(clock::now(), &heartbeat).expect("it is news");
+        }
+    }
+
+    /// Lets a host hear of it again and again for 1.9 s, which is more than three fifths of the
+    /// configuration bound.
+    async fn keep_announcing(&self, host: &Running) {
+        for _ in 0..19 {
+            self.announce(host);
+            compio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
 }
 
 #[test]
@@ -309,7 +329,7 @@
             let is_gone = || world.host.edge.steer.borrow().servers().all().count() == 2;
             assert!(until(TIMEOUT, is_gone).await);
             world.store.down.set(true);
-            announce_newer_rules(&world.host);
+            Announcers::new(&["other"]).announce(&world.host);
             // Three fifths of the configuration bound.
             compio::time::sleep(Duration::from_millis(1_900)).await;
             let answer = send_request(world.host.callers, "r", "/r").await.expect("an answer");
@@ -320,6 +340,39 @@
     });
 }
 
+#[test]
+fn request_is_refused_while_most_hosts_know_a_configuration_that_cannot_be_fetched() {
+    run(async || {
+        let world = World::start((&[], &[]), |head| good(head, "ok")).await;
+        world.store.down.set(true);
+        let most = Announcers::new(&["other", "third"]);
+        most.announce(&world.host);
+        let early = send_request(world.host.callers, "r-1", "/r").await.expect("an answer");
+        assert_eq!(early.status, 200, "the bound has not passed");
+        most.keep_announcing(&world.host).await;
+        let reached = world.reached();
+        let late = send_request(world.host.callers, "r-2", "/r").await.expect("an answer");
+        let code = late.headers.get("elmstream-code").map(|code| code.as_bytes());
+        assert_eq!((late.status.as_u16(), code), (503, Some(&b"1117"[..])));
+        assert!(late.headers.contains_key("retry-after"));
+        assert_eq!(world.reached(), reached);
+    });
+}
+
+#[test]
+fn upload_is_refused_before_its_body_while_most_hosts_know_a_newer_configuration() {
+    run(async || {
+        let world = World::start((&[], &[]), |head| good(head, "ok")).await;
+        world.store.down.set(true);
+        Announcers::new(&["other", "third"]).keep_announcing(&world.host).await;
+        let mut caller = Caller::connect(world.host.callers).await;
+        caller.write(UPLOAD).await;
+        let answer = compio::time::timeout(Duration::from_secs(1), caller.answer()).await;
+        let (status, head) = answer.expect("an answer before the body");
+        assert_eq!((status, world.reached()), (503, (0, 0)), "{head}");
+    });
+}
+
 /// Lets other tasks run once.
 async fn yield_now() {
     let mut yielded = false;
--- a/elmstream_steer/src/freshness.rs
+++ b/elmstream_steer/src/freshness.rs
@@ -30,6 +30,26 @@
         self.overdue_rules(now).is_some()
     }
 
+    /// Whether this host has lacked announced rules for so long that the ones that it knows may no
+    /// longer be in force, while most hosts know newer ones and can serve in its place.
+    ///
+    /// As long as few hosts know them, no host refuses requests because of them: what one host
+    /// announces may be out of reach for all others.
+    pub fn rules_are_outdated(&self, now: Time) -> bool {
+        let Some(overdue) = self.overdue_rules(now) else { return false };
+        let own = self.known_version(Table::Rules);
+        let heard = self
+            .members
+            .live(now)
+            .filter(|member| !member.leaving && member.last_heartbeat >= overdue.reported_at);
+        let (mut hosts, mut ahead) = (1, 0);
+        for member in heard {
+            hosts += 1;
+            ahead += usize::from(member.rules_version > own);
+        }
+        2 * ahead > hosts
+    }
+
     /// Rules that another host announced, and that this host has lacked for too long.
     fn overdue_rules(&self, now: Time) -> Option<PendingNews> {
         let missing = self.missing_update(Table::Rules)?;
--- a/elmstream_steer/src/members.rs
+++ b/elmstream_steer/src/members.rs
@@ -16,6 +16,8 @@
     hash,
     heartbeat::{Heartbeat, LivenessUpdate, ServerLoad},
     settings::Host,
+    version::StoreVersion,
+    view::Table,
     warm_keys::HEARTBEATS_PER_UPDATE,
 };
 
@@ -120,6 +122,8 @@
     pub cut_services: Vec<u32>,
     /// Number of hosts that it considers possibly running.
     pub fleet_size: u32,
+    /// Up to which version it knows the rules.
+    pub rules_version: StoreVersion,
 }
 
 /// All known hosts, by their address for messages of other hosts.
@@ -229,6 +233,7 @@
             demand: heartbeat.demand.clone(),
             cut_services: heartbeat.cut_services.clone(),
             fleet_size: heartbeat.fleet_size,
+            rules_version: heartbeat.tables[Table::Rules as usize].version,
         };
         if known.is_none() {
             match member.host.region == self.region {
--- a/elmstream_steer/tests/table_age.rs
+++ b/elmstream_steer/tests/table_age.rs
@@ -81,3 +81,38 @@
     fetch_tables(&mut older[0], &newer[0], 4_000);
     assert!(!older[0].homes_are_outdated(ms(4_000)));
 }
+
+#[test]
+fn rules_are_outdated_while_most_hosts_know_newer_ones_and_this_host_cannot_get_them() {
+    let mut fleet: Vec<Steer> = (0..4).map(|number| ready(number, ms(0), servers(1))).collect();
+    for host in &mut fleet[..2] {
+        host.on_changes(ms(100), Table::Rules, vec![configuration(2, 30)]);
+    }
+    for at in (100..=2_000).step_by(100) {
+        exchange_heartbeats(ms(at), &mut fleet, |_, _| true);
+        assert!(
+            fleet.iter().all(|host| !host.rules_are_outdated(ms(at))),
+            "half know them at {at}"
+        );
+    }
+    fleet[2].on_changes(ms(2_000), Table::Rules, vec![configuration(2, 30)]);
+    for at in (2_100..=4_000).step_by(100) {
+        exchange_heartbeats(ms(at), &mut fleet, |_, _| true);
+        assert!(fleet[..3].iter().all(|host| !host.rules_are_outdated(ms(at))));
+    }
+    assert!(fleet[3].rules_are_outdated(ms(4_000)));
+    let (newer, older) = fleet.split_at_mut(3);
+    fetch_tables(&mut older[0], &newer[0], 4_000);
+    assert!(!older[0].rules_are_outdated(ms(4_000)));
+}
+
+#[test]
+fn hosts_that_were_not_heard_since_an_announcement_do_not_make_rules_outdated() {
+    let mut fleet: Vec<Steer> = (0..4).map(|number| ready(number, ms(0), servers(1))).collect();
+    exchange_heartbeats(ms(50), &mut fleet, |_, _| true);
+    fleet[0].on_changes(ms(100), Table::Rules, vec![configuration(2, 30)]);
+    for at in (100..=2_000).step_by(100) {
+        exchange_heartbeats(ms(at), &mut fleet, |from, _| from == 0);
+        assert!(!fleet[3].rules_are_outdated(ms(at)), "one host is no majority");
+    }
+}
