How long announced rules are missing is counted from their own announcement

What callers saw: on a host that hears of one configuration after another and gets older ones from neighbours that are behind themselves, requests with homes go by old ones for longer than three fifths of the bound, and routes that do not fit get a final 404 for some 100 ms although newer rules are known to exist.

Cause: only the first announced version was kept, with its time. When it arrived, the newer ones were forgotten, and counted as new at the next heartbeat.

A read of the store covers what was announced before it began, as before.

Evidence: homes_are_outdated_although_an_older_configuration_than_the_announced_one_arrived and routes_are_not_denied_after_an_older_configuration_than_the_announced_one_arrived failed before and pass now, with the others of table_age.

--- a/elmstream_steer/src/freshness.rs
+++ b/elmstream_steer/src/freshness.rs
@@ -3,10 +3,7 @@
 
 use elmstream::time::{MILLI, Time};
 
-use crate::{
-    steer::{PendingNews, Steer},
-    view::Table,
-};
+use crate::{announcements::Announcement, steer::Steer, view::Table};
 
 /// Fraction of the configuration bound during which a host relies on what it knows. In a working
 /// fleet, updates reach all hosts within half the bound, of which they spend up to a quarter in
@@ -51,7 +48,7 @@
     }
 
     /// Rules that another host announced, and that this host has lacked for too long.
-    fn overdue_rules(&self, now: Time) -> Option<PendingNews> {
+    fn overdue_rules(&self, now: Time) -> Option<Announcement> {
         let missing = self.missing_update(Table::Rules)?;
         (now.since(missing.reported_at) >= self.current_age_max()).then_some(missing)
     }
@@ -63,8 +60,7 @@
     }
 
     /// A version of a table that another host announced and this host lacks.
-    pub(crate) fn missing_update(&self, table: Table) -> Option<PendingNews> {
-        self.pending_news[table as usize]
-            .filter(|update| update.version > self.known_version(table))
+    pub(crate) fn missing_update(&self, table: Table) -> Option<Announcement> {
+        self.announcements[table as usize].first_after(self.known_version(table))
     }
 }
--- a/elmstream_steer/src/gossip.rs
+++ b/elmstream_steer/src/gossip.rs
@@ -21,10 +21,9 @@
     server_limit::RequestRate,
     server_speed::{self, SpeedSource},
     servers::{AnswerTimes, ServerEntry},
-    steer::{PendingNews, ServerState, StateChange, Steer},
+    steer::{ServerState, StateChange, Steer},
     table_sync::SyncRequest,
     tally::{FractionBroadcast, UsageReply, UsageReport},
-    version::StoreVersion,
     view::{TABLES, Table},
 };
 
@@ -239,7 +238,8 @@
                 outdated_tables.push((table, self.sync_request(table)));
             }
             if watermark.confirmed_at.is_none() || status.version > watermark.version {
-                self.record_pending_news(now, table, status.version);
+                let known = self.known_version(table);
+                self.announcements[table as usize].record(now, status.version, known);
             } else if status.version == watermark.version {
                 self.view.confirm(now, table, status.version, (last_read, status.age_ms));
                 self.view.confirm_keys(table, &status);
@@ -299,15 +299,6 @@
         }
     }
 
-    /// Records when other hosts first announced a newer version than this host knows.
-    fn record_pending_news(&mut self, now: Time, table: Table, version: StoreVersion) {
-        let own = self.known_version(table);
-        let pending = &mut self.pending_news[table as usize];
-        if version > own && pending.is_none_or(|pending| pending.version <= own) {
-            *pending = Some(PendingNews { version, reported_at: now });
-        }
-    }
-
     /// Adds another host's load and reachability reports to the servers' sums, or subtracts them.
     fn apply_loads(&mut self, loads: &[ServerLoad], add: bool) {
         let is_believed = !reports_mass_silence(loads);
--- a/elmstream_steer/src/lib.rs
+++ b/elmstream_steer/src/lib.rs
@@ -11,6 +11,7 @@
 
 #![deny(clippy::all, clippy::if_not_else, clippy::enum_glob_use)]
 
+mod announcements;
 pub mod budget;
 pub mod canary_analysis;
 pub mod cold_start;
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -13,6 +13,7 @@
 use elmstream::time::{MILLI, SECOND, Time};
 
 use crate::{
+    announcements::Announcements,
     budget::Budgets,
     demand::DecayingCount,
     digest::RequestDigest,
@@ -90,8 +91,8 @@
     pub(crate) is_seed: bool,
     /// Whether a peer that this host asked could not provide any table.
     pub(crate) has_uninformed_peer: bool,
-    /// For each table, a newer version that other hosts have announced and this host lacks.
-    pub(crate) pending_news: [Option<PendingNews>; 3],
+    /// For each table, newer versions that other hosts have announced and this host lacks.
+    pub(crate) announcements: [Announcements; 3],
     /// For each table, the version up to which this host has itself read the store.
     pub(crate) read_up_to: [StoreVersion; 3],
     /// Digests of retained rows that this host has already merged from others, as in
@@ -118,15 +119,6 @@
     pub(crate) address_hashes: Vec<u64>,
 }
 
-/// A newer table version that another host has announced.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct PendingNews {
-    /// Version of the table at the other host.
-    pub(crate) version: StoreVersion,
-    /// When the version was first announced.
-    pub(crate) reported_at: Time,
-}
-
 /// A change of state, reported for logging.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StateChange {
@@ -304,7 +296,7 @@
             registry: Registry::default(),
             is_seed: false,
             has_uninformed_peer: false,
-            pending_news: [None; 3],
+            announcements: Default::default(),
             read_up_to: [StoreVersion::default(); 3],
             merged_retained_digests: HashSet::new(),
             store_ms: UNMEASURED_READ_MS,
--- a/elmstream_steer/src/store_reads.rs
+++ b/elmstream_steer/src/store_reads.rs
@@ -105,10 +105,9 @@
     ) {
         self.store_schedule.record_answer(began, table, reason);
         self.view.mark_complete(table, version);
-        let update = self.missing_update(table).filter(|update| update.reported_at <= began);
+        let announced = self.announcements[table as usize].newest_at(began).unwrap_or(version);
         let read_up_to = &mut self.read_up_to[table as usize];
-        let update = update.map_or(version, |update| update.version);
-        *read_up_to = version.max(*read_up_to).max(update);
+        *read_up_to = version.max(*read_up_to).max(announced);
     }
 
     /// Records that a read of this host failed.
--- a/elmstream_steer/tests/table_age.rs
+++ b/elmstream_steer/tests/table_age.rs
@@ -116,3 +116,37 @@
         assert!(!fleet[3].rules_are_outdated(ms(at)), "one host is no majority");
     }
 }
+
+#[test]
+fn homes_are_outdated_although_an_older_configuration_than_the_announced_one_arrived() {
+    let mut fleet: Vec<Steer> = (0..3).map(|number| ready(number, ms(0), servers(1))).collect();
+    fleet[1].on_changes(ms(100), Table::Rules, vec![configuration(2, 30)]);
+    exchange_heartbeats(ms(150), &mut fleet, |_, _| true);
+    fleet[0].on_changes(ms(160), Table::Rules, vec![configuration(3, 40)]);
+    // Host 2 hears of configuration 3 from now on, host 1 does not.
+    for at in (200..=3_000).step_by(100) {
+        exchange_heartbeats(ms(at), &mut fleet, |from, to| (from, to) == (0, 2));
+        if at == 1_300 {
+            let (newer, older) = fleet.split_at_mut(2);
+            fetch_tables(&mut older[0], &newer[1], at);
+            assert_eq!(older[0].configuration_version(), Some(2));
+        }
+        if at >= 200 + 2_000 {
+            let outdated = fleet[2].homes_are_outdated(ms(at));
+            assert!(outdated, "configuration 3 was heard of {} ms ago, bound 2,000", at - 200);
+        }
+    }
+}
+
+#[test]
+fn routes_are_not_denied_after_an_older_configuration_than_the_announced_one_arrived() {
+    let mut fleet: Vec<Steer> = (0..3).map(|number| ready(number, ms(0), servers(1))).collect();
+    fleet[1].on_changes(ms(100), Table::Rules, vec![configuration(2, 30)]);
+    exchange_heartbeats(ms(150), &mut fleet, |_, _| true);
+    fleet[0].on_changes(ms(160), Table::Rules, vec![configuration(3, 40)]);
+    exchange_heartbeats(ms(200), &mut fleet, |from, _| from == 0);
+    let (newer, older) = fleet.split_at_mut(2);
+    assert!(!older[0].can_deny_routes(ms(210)));
+    fetch_tables(&mut older[0], &newer[1], 220);
+    assert!(!older[0].can_deny_routes(ms(230)), "configuration 3 was announced at 200");
+}
