Only hosts that can serve count as a majority with newer rules

Two hosts that have just started and know no servers made the only serving host refuse all requests after three fifths of the bound; starting hosts without rules hid a majority.

Cause: each live host that is not leaving counted. The reason to refuse is that others serve in this host's place.

Change: hosts count that are ready and reach all services.

Evidence: hosts_that_do_not_serve_callers_do_not_make_rules_outdated failed before and passes now.

--- a/elmstream_steer/src/freshness.rs
+++ b/elmstream_steer/src/freshness.rs
@@ -31,16 +31,19 @@
     /// longer be in force, while most hosts know newer ones and can serve in its place.
     ///
     /// As long as few hosts know them, no host refuses requests because of them: what one host
-    /// announces may be out of reach for all others.
+    /// announces may be out of reach for all others. Hosts that do not serve callers, or do not
+    /// reach some servers, take no part.
     pub fn rules_are_outdated(&self, now: Time) -> bool {
         let Some(overdue) = self.overdue_rules(now) else { return false };
         let own = self.known_version(Table::Rules);
-        let heard = self
-            .members
-            .live(now)
-            .filter(|member| !member.leaving && member.last_heartbeat >= overdue.reported_at);
+        let replacements = self.members.live(now).filter(|member| {
+            member.ready
+                && !member.leaving
+                && member.cut_services.is_empty()
+                && member.last_heartbeat >= overdue.reported_at
+        });
         let (mut hosts, mut ahead) = (1, 0);
-        for member in heard {
+        for member in replacements {
             hosts += 1;
             ahead += usize::from(member.rules_version > own);
         }
--- a/elmstream_steer/tests/table_age.rs
+++ b/elmstream_steer/tests/table_age.rs
@@ -150,3 +150,17 @@
     fetch_tables(&mut older[0], &newer[1], 220);
     assert!(!older[0].can_deny_routes(ms(230)), "configuration 3 was announced at 200");
 }
+
+#[test]
+fn hosts_that_do_not_serve_callers_do_not_make_rules_outdated() {
+    let mut fleet = vec![ready(0, ms(0), servers(1)), host(1, ms(0)), host(2, ms(0))];
+    for started in &mut fleet[1..] {
+        // They know the newest rules, but no servers yet.
+        started.on_full_read(ms(100), Table::Rules, support::at(30), vec![configuration(2, 30)]);
+        assert!(!started.serves());
+    }
+    for at in (100..=2_000).step_by(100) {
+        exchange_heartbeats(ms(at), &mut fleet, |_, _| true);
+        assert!(!fleet[0].rules_are_outdated(ms(at)), "no other host can serve, at {at}");
+    }
+}
