Requests are not relayed while their homes may be outdated

What callers saw: a body with homes was sent to a host of another region to be relayed, by homes that were known to be outdated (200 in place of 503).

A body that takes long may pass the bound meanwhile.

Change: it is asked first.

Evidence: body_with_homes_is_not_sent_to_a_relaying_host_while_a_newer_configuration_cannot_be_fetched failed before (200, one request relayed) and passes now.

--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -99,6 +99,13 @@
             }
             break;
         }
+        let homes = request.current_homes(&edge.steer.borrow());
+        if outdated::forbids_sending(edge, homes.as_homes()) {
+            if !possibly_run && failed_response.is_none() {
+                return refuse_outdated(edge, request);
+            }
+            break;
+        }
         let is_retry = !attempts.servers.is_empty();
         if !possibly_run && let Some(response) = Box::pin(relay::send(edge, request)).await {
             return response;
@@ -112,12 +119,6 @@
             break;
         }
         let homes = request.current_homes(&edge.steer.borrow());
-        if outdated::forbids_sending(edge, homes.as_homes()) {
-            if !possibly_run && failed_response.is_none() {
-                return refuse_outdated(edge, request);
-            }
-            break;
-        }
         let pick_request = pick_request(request, homes.as_homes(), &attempts.servers);
         if is_retry {
             let steer = edge.steer.borrow();
--- a/elmstream_edge/tests/homes.rs
+++ b/elmstream_edge/tests/homes.rs
@@ -16,6 +16,7 @@
 use elmstream_steer::{
     key::KeyDigest,
     model::{Configuration, Repeatability, Route, Workspace},
+    servers::Outcome,
     version::StoreVersion,
     view::{Row, RowContent, RowKey, Table},
 };
@@ -373,6 +374,69 @@
     });
 }
 
+/// A host of region `b` that has a newer configuration, and answers what is sent to it.
+struct RelayInB(SocketAddr);
+
+impl RelayInB {
+    fn announce(&self, host: &Running) {
+        let mut steer = host.edge.steer.borrow_mut();
+        let mut heartbeat = steer.next_heartbeat(clock::now());
+        heartbeat.host.name = "relay".into();
+        heartbeat.host.region = "b".into();
+        heartbeat.host.domain = "b1".into();
+        heartbeat.host.peers = self.0;
+        heartbeat.cut_services.clear();
+        let status = &mut heartbeat.tables[Table::Rules as usize];
+        status.version = StoreVersion::new(status.version.era, status.version.count + 1_000);
+        steer.on_heartbeat(clock::now(), &heartbeat).expect("it is news");
+    }
+}
+
+#[test]
+fn body_with_homes_is_not_sent_to_a_relaying_host_while_a_newer_configuration_cannot_be_fetched() {
+    run(async || {
+        let world = World::start((&["b"], &[]), |head| good(head, "ok")).await;
+        for number in 0..2 {
+            world.store.put(RowKey::Server(format!("s-a-{number}")), None);
+        }
+        for number in 0..3 {
+            let listener = compio::net::TcpListener::bind((ip(), 0)).await.expect("a port");
+            let closed = listener.local_addr().expect("an address");
+            drop(listener);
+            world.store.put(RowKey::Server(format!("s-b-{number}")), Some(server_in("b1", closed)));
+        }
+        let is_known = || {
+            let steer = world.host.edge.steer.borrow();
+            steer.servers().find("s-b-2").is_some() && steer.servers().all().count() == 3
+        };
+        assert!(until(TIMEOUT, is_known).await);
+        world.store.down.set(true);
+        {
+            let mut steer = world.host.edge.steer.borrow_mut();
+            let indices: Vec<_> = steer.servers().all().map(|(index, _)| index).collect();
+            for index in indices {
+                steer.record_outcome(clock::now(), index, Outcome::NoConnection);
+            }
+            assert!(steer.is_cut(SERVICE));
+        }
+        let (address, relayed) = backend(ip(), |head| good(head, "ok")).await;
+        let relay = RelayInB(address);
+        relay.announce(&world.host);
+        let mut caller = Caller::connect(world.host.callers).await;
+        caller.write(UPLOAD).await;
+        caller.write("bo").await;
+        for _ in 0..19 {
+            compio::time::sleep(Duration::from_millis(100)).await;
+            relay.announce(&world.host);
+        }
+        assert!(world.host.edge.steer.borrow().homes_are_outdated(clock::now()));
+        caller.write("dy").await;
+        let (status, head) = caller.answer().await;
+        let to_b = relayed.requests.borrow().iter().filter(|r| r.contains(" /u ")).count();
+        assert_eq!((status, to_b), (503, 0), "{head}");
+    });
+}
+
 /// Lets other tasks run once.
 async fn yield_now() {
     let mut yielded = false;
