A relaying host that is behind sends by the newer rules that came with the request

What callers saw: 503 with 1117 for requests of hosts that know the newest rules and do not reach the servers, if the host that reaches them cannot fetch these rules. Where only such hosts reach the servers nobody is served. Found by a review.

Cause: the relaying host asked whether its own rules are outdated, although it goes by those of the request's header if they are newer.

Change: it does not ask if the request's configuration is newer than its own; the sender has asked already. Requests with homes are asked for these first, which costs less than the majority does.

Evidence: relaying_host_behind_the_others_sends_by_the_newer_configuration_that_came_with_the_request failed before (503) and passes now, with the other tests of homes and cut_paths.

--- a/elmstream_edge/src/callers.rs
+++ b/elmstream_edge/src/callers.rs
@@ -214,7 +214,7 @@
     };
     let route = &accepted.route;
     let id = headers::text(&head.headers, &edge.settings.headers.request_id).unwrap_or_default();
-    if outdated::forbids_sending(edge, accepted.homes.as_homes()) {
+    if outdated::forbids_sending(edge, accepted.homes.version, accepted.homes.as_homes()) {
         let refused = RefusedRequest {
             id,
             route,
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -100,7 +100,7 @@
             break;
         }
         let homes = request.current_homes(&edge.steer.borrow());
-        if outdated::forbids_sending(edge, homes.as_homes()) {
+        if outdated::forbids_sending(edge, request.version, homes.as_homes()) {
             if !possibly_run && failed_response.is_none() {
                 return refuse_outdated(edge, request);
             }
--- a/elmstream_edge/src/outdated.rs
+++ b/elmstream_edge/src/outdated.rs
@@ -30,11 +30,16 @@
     pub(crate) received: Time,
 }
 
-/// Whether the known rules may be too old to send a request that may run in `homes`.
-pub(crate) fn forbids_sending(edge: &Edge, homes: Homes<'_>) -> bool {
+/// Whether the rules that decide on a request may be too old for it to be sent: those of the
+/// configuration `version`, by which it may run in `homes`.
+pub(crate) fn forbids_sending(edge: &Edge, version: u64, homes: Homes<'_>) -> bool {
     let steer = edge.steer.borrow();
+    // The host that had this host relay the request knows newer rules, and has asked this itself.
+    if steer.configuration_version().is_some_and(|known| known < version) {
+        return false;
+    }
     let now = clock::now();
-    steer.rules_are_outdated(now) || !homes.is_empty() && steer.homes_are_outdated(now)
+    !homes.is_empty() && steer.homes_are_outdated(now) || steer.rules_are_outdated(now)
 }
 
 /// Refuses a request that no server ran.
--- a/elmstream_edge/tests/homes.rs
+++ b/elmstream_edge/tests/homes.rs
@@ -374,6 +374,21 @@
     });
 }
 
+#[test]
+fn relaying_host_behind_the_others_sends_by_the_newer_configuration_that_came_with_the_request() {
+    run(async || {
+        let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
+        world.store.down.set(true);
+        Announcers::new(&["other", "third"]).keep_announcing(&world.host).await;
+        let mut sender = Caller::connect(world.host.edge.settings.host.peers).await;
+        let request = relayed(true, &["b"]).replace("\"version\":1", "\"version\":2");
+        assert!(request.contains("\"version\":2"), "{request}");
+        sender.write(&request).await;
+        let (status, head) = sender.answer().await;
+        assert_eq!((status, world.reached()), (200, (0, 1)), "{head}");
+    });
+}
+
 /// A host of region `b` that has a newer configuration, and answers what is sent to it.
 struct RelayInB(SocketAddr);
 
