Withheld sends count neither as attempts nor against the retry budget

Cause: a send is withheld when its connection is open and the request may not be sent any more: its homes changed, or the server asked for no more meanwhile. The server was noted among those that the request was sent to before the connection was opened. So the withheld send used up one of the route's attempts, the next send was a retry, and a retry that was withheld had been withdrawn from the budget for good.

What callers saw: 503 (1113, or 1116 as the retry budget was empty) though a server in the new homes, or another one, was free; 502 if an earlier attempt may have run.

Change: a server to which nothing was sent is kept in a list of its own, `PickRequest::withheld`. It is not picked again, and counts neither as an attempt nor makes the next send a retry (also for the choice of a server: roll-outs, moves of keys and servers that are expected to refuse go by `tried`). A retry that was withdrawn for it is returned when the attempt ends, with what it took from the parts that less valuable requests may use. `elmstream_retries_spent` counts a retry when its attempt ends, and not if it was returned. The loop ends, as each pass ends the request, sends it, or adds a server that is not picked again; a send that is withheld because too little time remains ends it as before, as that time only shrinks.

Looked for elsewhere: - Relays: a withheld relay is charged to nothing, but it is one of the two relays that a request has, and these are chosen once, by the homes of that time. The relaying host sends by the loop above. - Hosts with owners: nothing is withheld for homes. A refusal after the connection is open goes to the next owner and is not charged. By reading, `take_retry` withdraws a retry after the last owner too, when nothing follows, and it is not returned if the owners that follow do not run the request. Not changed. - What a pick counts beside that stays counted: a canary request, a send to a cold server or to one with a limit. All of these make the host send less. A withheld retry asks for the budget a second time when the next server is picked, so the expected need counts it twice.

Struct literals of `PickRequest` in tests name the new field.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -92,7 +92,7 @@
 pub enum Exchange {
     /// No connection could be opened; nothing was sent.
     NoConnection,
-    /// No time was left for the request; nothing was sent.
+    /// The request was not to be sent any more when the connection was open; nothing was sent.
     NoTime,
     /// The complete response.
     Whole(response::Parts, Bytes),
@@ -113,7 +113,7 @@
     ///
     /// `request` builds the request once a connection is open, so that it carries the time
     /// that remains then: opening a connection may take 0.4 s, and the host may be suspended
-    /// meanwhile. It returns `None` if no time is left; then nothing is sent.
+    /// meanwhile. It returns `None` if the request is not to be sent any more; then nothing is.
     pub async fn exchange(
         &self,
         id: &str,
--- a/elmstream_edge/src/forward.rs
+++ b/elmstream_edge/src/forward.rs
@@ -7,6 +7,7 @@
 use elmstream_http::{LocalBody, body};
 use elmstream_steer::{
     Pick, PickRequest, Refusal,
+    budget::Withdrawal,
     homes::Homes,
     model::Repeatability,
     pick::RefusalReason,
@@ -39,6 +40,8 @@
 #[derive(Debug, Default)]
 struct Attempts {
     servers: Vec<ServerIndex>,
+    /// Servers that were picked and to which nothing was sent.
+    withheld: Vec<ServerIndex>,
     /// Id of the server, outcome, and duration in microseconds, by attempt.
     outcomes: Vec<(String, Outcome, u64)>,
     /// Value of the last second send that was considered.
@@ -53,6 +56,8 @@
     Failed(response::Parts, Bytes),
     /// The request did not reach the server, or the server did not run it.
     NotRun,
+    /// The request was not sent, though the server could be reached; this counts as no attempt.
+    Withheld,
     /// The server may have run the request.
     Unknown,
 }
@@ -62,6 +67,8 @@
     edge: &'a Rc<Edge>,
     request: &'a CallerRequest,
     index: ServerIndex,
+    /// The retry that was withdrawn for it; returned if nothing was sent.
+    retry: Option<Withdrawal>,
     outcome: Outcome,
 }
 
@@ -72,6 +79,15 @@
         steer.count_rollout_outcome(now, self.index, &self.request.route.name, self.outcome);
         steer.record_outcome(now, self.index, self.outcome);
         steer.remove_body_in_flight(self.index, self.request.body.len() as u64);
+        match self.retry {
+            Some(retry) if self.outcome == Outcome::NotSent => {
+                steer.return_retry(&self.request.service, retry);
+            }
+            Some(Withdrawal { worth, .. }) => {
+                metrics::counter!("elmstream_retries_spent", "worth" => worth.name()).increment(1);
+            }
+            None => {}
+        }
         if self.outcome == Outcome::CallerGone && !self.request.progress.ended.get() {
             metrics::counter!("elmstream_requests", "outcome" => "left").increment(1);
             let server = steer.servers().get(self.index).map(|entry| entry.id.as_str());
@@ -119,15 +135,16 @@
             break;
         }
         let homes = request.current_homes(&edge.steer.borrow());
-        let pick_request = pick_request(request, homes.as_homes(), &attempts.servers);
+        let chosen = (&attempts.servers[..], &attempts.withheld[..]);
+        let pick_request = pick_request(request, homes.as_homes(), chosen);
         if is_retry {
             let steer = edge.steer.borrow();
             let service = &request.service;
             let retry_ms = steer.refused_retry_ms(clock::now(), service, RETRY_AFTER_MS);
             attempts.worth = Some(steer.retry_worth(&pick_request, possibly_run, retry_ms));
         }
-        let index = match pick_next(edge, &pick_request, attempts.worth) {
-            Ok(index) => index,
+        let picked = match pick_next(edge, &pick_request, attempts.worth) {
+            Ok(picked) => picked,
             Err(refusal) if is_retry => {
                 return give_up(edge, request, &attempts, possibly_run, failed_response, refusal);
             }
@@ -135,13 +152,13 @@
         };
         // Boxed, as are the futures below, because a future takes the room of all that it may wait
         // for, several times over if it is passed on.
-        match Box::pin(attempt(edge, request, index, &mut attempts)).await {
+        match Box::pin(attempt(edge, request, picked, &mut attempts)).await {
             Attempt::Answer(parts, body) => return respond(edge, request, &attempts, parts, body),
             Attempt::Failed(parts, body) if request.route.repeat == Repeatability::Safe => {
                 failed_response = Some((parts, body));
             }
             Attempt::Failed(parts, body) => return respond(edge, request, &attempts, parts, body),
-            Attempt::NotRun => {}
+            Attempt::NotRun | Attempt::Withheld => {}
             Attempt::Unknown => possibly_run = true,
         }
         if possibly_run && request.route.repeat == Repeatability::Once {
@@ -155,11 +172,12 @@
     give_up(edge, request, &attempts, possibly_run, failed_response, refusal)
 }
 
-/// What the choice of a server goes by.
+/// What the choice of a server goes by; it is none of those that were tried, nor of those to which
+/// a send was withheld.
 fn pick_request<'a>(
     request: &'a CallerRequest,
     homes: Homes<'a>,
-    tried: &'a [ServerIndex],
+    (tried, withheld): (&'a [ServerIndex], &'a [ServerIndex]),
 ) -> PickRequest<'a> {
     let workspace = request.workspace.as_ref();
     PickRequest {
@@ -167,6 +185,7 @@
         service: &request.service,
         key: request.key,
         tried,
+        withheld,
         returning: request.returning,
         homes,
         priority: request.priority(),
@@ -175,12 +194,13 @@
     }
 }
 
-/// Picks the next server. A retry, of the value `retry`, must be within the retry budget.
+/// Picks the next server. A retry, of the value `retry`, must be within the retry budget, and is
+/// withdrawn from it.
 fn pick_next(
     edge: &Rc<Edge>,
     pick_request: &PickRequest<'_>,
     retry: Option<RetryWorth>,
-) -> Result<ServerIndex, Refusal> {
+) -> Result<(ServerIndex, Option<Withdrawal>), Refusal> {
     let mut steer = edge.steer.borrow_mut();
     let (now, service) = (clock::now(), pick_request.service);
     if let Some(worth) = retry.filter(|worth| !steer.can_retry(now, service, *worth)) {
@@ -191,11 +211,7 @@
     match steer.pick_server(now, pick_request) {
         Pick::Send(index) => {
             // The budget is charged only for requests that are sent.
-            if let Some(worth) = retry {
-                steer.withdraw_retry(service, worth);
-                metrics::counter!("elmstream_retries_spent", "worth" => worth.name()).increment(1);
-            }
-            Ok(index)
+            Ok((index, retry.and_then(|worth| steer.take_retry(service, worth))))
         }
         // Every usable server was tried.
         Pick::Refuse(refusal) if retry.is_some() && refusal.reason == RefusalReason::NoServer => {
@@ -210,11 +226,10 @@
 async fn attempt(
     edge: &Rc<Edge>,
     request: &CallerRequest,
-    index: ServerIndex,
+    (index, retry): (ServerIndex, Option<Withdrawal>),
     attempts: &mut Attempts,
 ) -> Attempt {
-    let mut in_flight = InFlight { edge, request, index, outcome: Outcome::CallerGone };
-    attempts.servers.push(index);
+    let mut in_flight = InFlight { edge, request, index, retry, outcome: Outcome::CallerGone };
     let server_bytes = edge.settings.buffers.server_bytes;
     let body_bytes = request.body.len() as u64;
     edge.steer.borrow_mut().add_body_in_flight(index, body_bytes, server_bytes);
@@ -224,8 +239,9 @@
         entry.map(|entry| (entry.id.clone(), entry.server.address, entry.start_hash()))
     };
     let Some((id, address, start)) = target else {
-        in_flight.outcome = Outcome::NoConnection;
-        return Attempt::NotRun;
+        in_flight.outcome = Outcome::NotSent;
+        attempts.withheld.push(index);
+        return Attempt::Withheld;
     };
     let sent = clock::now();
     let generations = poison::crash_generations(edge, request);
@@ -242,7 +258,7 @@
     let (outcome, result) = match exchange {
         None => (Outcome::Silent, Attempt::Unknown),
         Some(Exchange::NoConnection) => (Outcome::NoConnection, Attempt::NotRun),
-        Some(Exchange::NoTime) => (Outcome::NotSent, Attempt::NotRun),
+        Some(Exchange::NoTime) => (Outcome::NotSent, Attempt::Withheld),
         Some(Exchange::Broken(head)) => {
             let broken = if head.is_some() { Outcome::Unknown } else { Outcome::NoResponse };
             if let Some(head) = head.filter(|head| echoes_id(edge, request, head)) {
@@ -262,13 +278,17 @@
             on_response(edge, request, (index, &id), (*parts, None), answered)
         }
     };
-    if matches!(result, Attempt::NotRun) {
+    if matches!(result, Attempt::NotRun | Attempt::Withheld) {
         request.progress.may_have_run.set(had_run);
         if let Some(admitted) = &request.workspace {
             admitted.refund(had_run);
         }
     }
     let outcome = edge.steer.borrow().refusal_outcome(clock::now(), index, outcome);
+    match result {
+        Attempt::Withheld => attempts.withheld.push(index),
+        _ => attempts.servers.push(index),
+    }
     attempts.outcomes.push((id, outcome, micros));
     in_flight.outcome = outcome;
     result
--- a/elmstream_edge/tests/homes.rs
+++ b/elmstream_edge/tests/homes.rs
@@ -16,7 +16,8 @@
 use elmstream_steer::{
     key::KeyDigest,
     model::{Configuration, Repeatability, Route, Workspace},
-    servers::Outcome,
+    retry_worth::RetryWorth,
+    servers::{Outcome, ServerIndex},
     version::StoreVersion,
     view::{Row, RowContent, RowKey, Table},
 };
@@ -51,6 +52,17 @@
     RowContent::Configuration(configuration)
 }
 
+/// A configuration as [`configured`] returns it whose route has these home regions, this number of
+/// attempts, and this timeout in milliseconds.
+fn limited(version: u64, homes: &[&str], (attempts, timeout_ms): (u32, u64)) -> RowContent {
+    let RowContent::Configuration(mut content) = configured(version, (homes, &[])) else {
+        panic!("a configuration");
+    };
+    content.routes[0].attempts = attempts;
+    content.routes[0].timeout_ms = timeout_ms;
+    RowContent::Configuration(content)
+}
+
 fn server_in(domain: &str, address: SocketAddr) -> RowContent {
     let RowContent::Server(mut entry) = server(address) else { panic!("a server") };
     entry.domain = domain.into();
@@ -68,6 +80,15 @@
 impl World {
     /// Starts two servers in each region; those in region `a` answer with what `answer_in_a` returns.
     async fn start(homes: Homes<'_>, answer_in_a: fn(&str) -> Vec<u8>) -> World {
+        World::start_with(homes, answer_in_a, |_| ()).await
+    }
+
+    /// Starts as [`World::start`] does, with changed settings of the host.
+    async fn start_with(
+        homes: Homes<'_>,
+        answer_in_a: fn(&str) -> Vec<u8>,
+        change: fn(&mut Settings),
+    ) -> World {
         let store = Store::default();
         store.put(RowKey::Configuration, Some(configured(1, homes)));
         let (mut in_a, mut in_b) = (Vec::new(), Vec::new());
@@ -80,7 +101,9 @@
             store.put(RowKey::Server(format!("s-b-{number}")), Some(server_in("b1", address)));
         }
         let at = ip();
-        let host = start_with(at, two_regions(at), &store);
+        let mut settings = two_regions(at);
+        change(&mut settings);
+        let host = start_with(at, settings, &store);
         let is_ready = || host.edge.serves() && host.edge.steer.borrow().has_host_list();
         assert!(until(TIMEOUT, is_ready).await);
         World { store, host, in_a, in_b }
@@ -104,6 +127,51 @@
         assert!(until(TIMEOUT, is_known).await);
     }
 
+    /// Changes the configuration of the route to one with these home regions, attempts, and most
+    /// milliseconds, and waits until the host knows of it.
+    async fn limit_route(&self, homes: &[&str], attempts: u32, timeout_ms: u64) {
+        let limited = limited(2, homes, (attempts, timeout_ms));
+        self.store.put(RowKey::Configuration, Some(limited));
+        let is_known = || self.host.edge.steer.borrow().configuration_version() == Some(2);
+        assert!(until(TIMEOUT, is_known).await);
+    }
+
+    /// Lets the host know a configuration at once, of a route as for [`World::limit_route`].
+    fn learn_homes(&self, homes: &[&str], attempts: u32, timeout_ms: u64) {
+        let content = limited(3, homes, (attempts, timeout_ms));
+        let row = Row::new(RowKey::Configuration, StoreVersion::new(1, 1_000), Some(content));
+        self.host.edge.steer.borrow_mut().on_changes(clock::now(), Table::Rules, vec![row]);
+    }
+
+    /// Waits until a server of region `a` is chosen that `may_be`, by its number there, to which the
+    /// connection is not open yet, and returns its index.
+    async fn chosen_in_a(&self, may_be: impl Fn(usize) -> bool) -> ServerIndex {
+        let chosen = || {
+            let steer = self.host.edge.steer.borrow();
+            (0..2).filter(|number| may_be(*number)).find_map(|number| {
+                let index = steer.servers().find(&format!("s-a-{number}"))?;
+                (steer.servers().get(index)?.own_in_flight > 0).then_some(index)
+            })
+        };
+        let began = Instant::now();
+        while began.elapsed() < TIMEOUT {
+            if let Some(index) = chosen() {
+                return index;
+            }
+            yield_now().await;
+        }
+        panic!("no server was chosen");
+    }
+
+    /// Starts a request without a body.
+    async fn begin(&self, path: &str) -> Caller {
+        let mut caller = Caller::connect(self.host.callers).await;
+        let head =
+            format!("GET {path} HTTP/1.1\r\nhost: shop.example\r\nelmstream-request: r\r\n\r\n");
+        caller.write(&head).await;
+        caller
+    }
+
     /// Numbers of requests that reached servers in regions `a` and `b`.
     fn reached(&self) -> (usize, usize) {
         let count = |servers: &[Received]| {
@@ -497,3 +565,99 @@
         assert_eq!((status, world.reached()), (200, (0, 1)));
     });
 }
+
+#[test]
+fn first_send_after_a_withheld_one_is_no_retry() {
+    run(async || {
+        // The retry budget of a new host is empty.
+        let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
+        world.limit_route(&["a"], 2, 3_000).await;
+        let mut caller = world.begin("/r").await;
+        world.chosen_in_a(|_| true).await;
+        assert_eq!(world.reached(), (0, 0), "the test came too late");
+        world.learn_homes(&["b"], 2, 3_000);
+        let (status, head) = caller.answer().await;
+        assert_eq!((status, world.reached()), (200, (0, 1)), "{head}");
+    });
+}
+
+#[test]
+fn send_to_a_server_that_asks_for_no_more_meanwhile_counts_as_no_attempt() {
+    run(async || {
+        let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
+        world.limit_route(&["a"], 1, 3_000).await;
+        let mut caller = world.begin("/r").await;
+        let chosen = world.chosen_in_a(|_| true).await;
+        assert_eq!(world.reached(), (0, 0), "the test came too late");
+        let mut steer = world.host.edge.steer.borrow_mut();
+        steer.on_server_backoff(clock::now(), chosen, Duration::from_secs(1));
+        drop(steer);
+        let (status, head) = caller.answer().await;
+        assert_eq!((status, world.reached()), (200, (1, 0)), "{head}");
+    });
+}
+
+#[test]
+fn retry_that_is_withheld_is_returned_to_the_budget() {
+    run(async || {
+        let answer = |head: &str| match head.starts_with("GET /break") {
+            true => CLOSE_MARK.to_vec(),
+            false => good(head, "ok"),
+        };
+        // A request after the first one deposits 1.08 retries.
+        let change = |settings: &mut Settings| settings.bounds.retry_ratio = 1.2;
+        let world = World::start_with((&["a"], &[]), answer, change).await;
+        world.limit_route(&["a"], 3, 3_000).await;
+        send_request(world.host.callers, "first", "/").await.expect("an answer");
+        for number in 0..2 {
+            world.host.edge.pool.discard_connections(&format!("s-a-{number}"));
+        }
+        let (before, _) = world.reached();
+        let mut caller = world.begin("/break").await;
+        let is_broken = |number: usize| {
+            let requests = world.in_a[number].requests.borrow();
+            requests.iter().any(|head| head.starts_with("GET /break"))
+        };
+        world.chosen_in_a(|number| is_broken(1 - number)).await;
+        assert_eq!(world.reached(), (before + 1, 0), "the test came too late");
+        world.learn_homes(&["b"], 3, 3_000);
+        let (status, head) = caller.answer().await;
+        assert_eq!((status, world.reached()), (200, (before + 1, 1)), "{head}");
+        let mut steer = world.host.edge.steer.borrow_mut();
+        let has_more = steer.can_retry(clock::now(), SERVICE, RetryWorth::LastChance);
+        assert!(!has_more, "the retry that was sent is charged");
+    });
+}
+
+#[test]
+fn withheld_sends_end_with_the_servers() {
+    run(async || {
+        let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
+        world.limit_route(&["a"], 1, 3_000).await;
+        let mut caller = world.begin("/r").await;
+        world.chosen_in_a(|_| true).await;
+        assert_eq!(world.reached(), (0, 0), "the test came too late");
+        world.learn_homes(&["c"], 1, 3_000);
+        let began = Instant::now();
+        let (status, head) = caller.answer().await;
+        assert_eq!((status, world.reached()), (503, (0, 0)), "{head}");
+        assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
+    });
+}
+
+#[test]
+fn withheld_sends_end_with_the_deadline() {
+    run(async || {
+        let world = World::start((&["a"], &[]), |head| good(head, "ok")).await;
+        world.limit_route(&["a"], 1, 300).await;
+        let began = Instant::now();
+        let mut caller = world.begin("/r").await;
+        world.chosen_in_a(|_| true).await;
+        assert_eq!(world.reached(), (0, 0), "the test came too late");
+        // The host, which runs on this thread, stands still until less remains than a send needs.
+        std::thread::sleep(Duration::from_millis(290).saturating_sub(began.elapsed()));
+        let (status, head) = caller.answer().await;
+        assert!(matches!(status, 503 | 504), "{head}");
+        assert_eq!(world.reached(), (0, 0));
+    });
+}
--- a/elmstream_steer/src/budget.rs
+++ b/elmstream_steer/src/budget.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     hash,
-    retry_worth::{Deposit, RetryWorth, SpendingOrder},
+    retry_worth::{Deposit, RetryWorth, SpendingOrder, WORTHS},
 };
 
 /// Fraction of the ratio that a host deposits. Nearly all of it can be used, because retries in a
@@ -33,6 +33,15 @@
     order: SpendingOrder,
 }
 
+/// A retry that was withdrawn.
+#[derive(Clone, Copy, Debug)]
+pub struct Withdrawal {
+    /// Value of the request that it was withdrawn for.
+    pub worth: RetryWorth,
+    /// By how much it lessened the part that requests of each value may use, in retries.
+    lessened: [f64; WORTHS.len()],
+}
+
 impl Budgets {
     /// Creates empty balances; `seed` differs between hosts.
     pub fn new(seed: u64) -> Budgets {
@@ -125,12 +134,27 @@
 
     /// Withdraws one retry for a request of a value if there is one for it. Returns whether it did.
     pub fn withdraw_for(&mut self, service: &str, worth: RetryWorth) -> bool {
-        let available = self.can_withdraw_for(service, worth);
-        if let Some(balance) = self.balances.get_mut(service).filter(|_| available) {
-            *balance -= 1.0;
-            self.order.record_used(service, worth, 1.0, *balance);
+        self.take_for(service, worth).is_some()
+    }
+
+    /// Withdraws one retry as [`Budgets::withdraw_for`] does, in a form that can be returned; `None`
+    /// if there is none.
+    pub fn take_for(&mut self, service: &str, worth: RetryWorth) -> Option<Withdrawal> {
+        if !self.can_withdraw_for(service, worth) {
+            return None;
         }
-        available
+        let balance = self.balances.get_mut(service)?;
+        *balance -= 1.0;
+        let lessened = self.order.record_used(service, worth, 1.0, *balance);
+        Some(Withdrawal { worth, lessened })
+    }
+
+    /// Returns a retry that was withdrawn and not made. Deposits may have filled the balance
+    /// meanwhile: it does not exceed its maximum, or one retry if that is less.
+    pub fn give_back(&mut self, service: &str, withdrawal: Withdrawal) {
+        let Some(balance) = self.balances.get_mut(service) else { return };
+        *balance = (*balance + 1.0).min(self.balance_max.max(1.0));
+        self.order.record_returned(service, withdrawal.lessened, *balance);
     }
 
     /// Balance of a service, in retries.
--- a/elmstream_steer/src/pick.rs
+++ b/elmstream_steer/src/pick.rs
@@ -83,6 +83,8 @@
     pub key: u64,
     /// Servers that the request was already sent to; they are not picked again.
     pub tried: &'a [ServerIndex],
+    /// Servers that were picked and to which the request was not sent; they are not picked again.
+    pub withheld: &'a [ServerIndex],
     /// Whether the caller has probably been refused before; the request then accepts a longer wait.
     pub returning: bool,
     /// Regions in which the request may run.
@@ -453,6 +455,7 @@
             || entry.in_flight(context.now) < entry.server.slots)
         && !context.evacuated.contains(&entry.server.domain)
         && !request.tried.contains(&index)
+        && !request.withheld.contains(&index)
         && entry.is_reachable(context.now)
         && entry.bears_more_bytes()
         && (entry.own_in_flight == 0 || !entry.is_probing())
--- a/elmstream_steer/src/retry_worth.rs
+++ b/elmstream_steer/src/retry_worth.rs
@@ -144,14 +144,34 @@
         }
     }
 
-    /// Records that a request used `amount` retries and left a balance of `balance`.
-    pub fn record_used(&mut self, service: &str, worth: RetryWorth, amount: f64, balance: f64) {
-        let Some(account) = self.accounts.get_mut(service) else { return };
-        for (other, free) in WORTHS.into_iter().zip(&mut account.free) {
+    /// Records that a request used `amount` retries and left a balance of `balance`. Returns by how
+    /// much this lessened the part that requests of each value may use, in retries.
+    pub fn record_used(
+        &mut self,
+        service: &str,
+        worth: RetryWorth,
+        amount: f64,
+        balance: f64,
+    ) -> [f64; WORTHS.len()] {
+        let mut lessened = [0.0; WORTHS.len()];
+        let Some(account) = self.accounts.get_mut(service) else { return lessened };
+        for ((other, free), less) in WORTHS.into_iter().zip(&mut account.free).zip(&mut lessened) {
+            let before = *free;
             if other <= worth && worth != RetryWorth::LastChance {
                 *free -= amount;
             }
             *free = free.clamp(0.0, balance.max(0.0));
+            *less = before - *free;
+        }
+        lessened
+    }
+
+    /// Records that a retry was returned, which left a balance of `balance`; `lessened` is what
+    /// [`SpendingOrder::record_used`] returned for it.
+    pub fn record_returned(&mut self, service: &str, lessened: [f64; WORTHS.len()], balance: f64) {
+        let Some(account) = self.accounts.get_mut(service) else { return };
+        for (free, less) in account.free.iter_mut().zip(lessened) {
+            *free = (*free + less).clamp(0.0, balance.max(0.0));
         }
     }
 }
--- a/elmstream_steer/src/server.rs
+++ b/elmstream_steer/src/server.rs
@@ -160,7 +160,7 @@
     WrongServer,
     /// No connection could be established; nothing was sent.
     NoConnection,
-    /// The request's time ended before there was a connection; nothing was sent.
+    /// The request was not to be sent any more when there was a connection; nothing was sent.
     NotSent,
     /// The request was sent and its result is unknown, as the response is not usable.
     Unknown,
--- a/elmstream_steer/src/steer.rs
+++ b/elmstream_steer/src/steer.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     announcements::Announcements,
-    budget::Budgets,
+    budget::{Budgets, Withdrawal},
     demand::DecayingCount,
     digest::RequestDigest,
     domain_split::TransferSize,
@@ -672,6 +672,17 @@
         self.budgets.withdraw_for(service, worth)
     }
 
+    /// Takes one retry as [`Steer::withdraw_retry`] does, in a form that can be returned; `None` if
+    /// none was available.
+    pub fn take_retry(&mut self, service: &str, worth: RetryWorth) -> Option<Withdrawal> {
+        self.budgets.take_for(service, worth)
+    }
+
+    /// Returns a retry to a service's budget that was taken and not made.
+    pub fn return_retry(&mut self, service: &str, withdrawal: Withdrawal) {
+        self.budgets.give_back(service, withdrawal);
+    }
+
     // Requests that crash servers.
 
     /// Crashes of servers and the requests suspected of causing them.
--- a/elmstream_steer/tests/budget.rs
+++ b/elmstream_steer/tests/budget.rs
@@ -1,6 +1,14 @@
 //! Retries of all hosts together stay within the fleet's retry budget.
 
-use elmstream_steer::{Bounds, budget::Budgets, hash};
+use std::iter;
+
+use elmstream::time::Time;
+use elmstream_steer::{
+    Bounds,
+    budget::Budgets,
+    hash,
+    retry_worth::{RetryWorth, WORTHS},
+};
 use quickcheck::{QuickCheck, TestResult};
 
 /// Retries and requests in one window after a long idle time, when every host retries whenever its
@@ -147,3 +155,64 @@
     }
     assert!(retries <= 630, "{retries} at once");
 }
+
+#[test]
+fn returned_retry_can_be_withdrawn_once_more() {
+    let mut budgets = Budgets::default();
+    for _ in 0..20 {
+        budgets.deposit("s", 0.2, 60.0, 1);
+    }
+    let taken: Vec<_> = iter::from_fn(|| budgets.take_for("s", RetryWorth::LastChance)).collect();
+    assert_eq!(taken.len(), 3);
+    budgets.give_back("s", taken[0]);
+    assert!(budgets.withdraw("s"));
+    assert!(!budgets.withdraw("s"));
+}
+
+#[test]
+fn returned_retries_do_not_exceed_the_maximum() {
+    for (hosts, most) in [(1, 2), (4, 1)] {
+        let mut budgets = Budgets::new(1);
+        let mut deposit = |budgets: &mut Budgets| budgets.deposit("s", 0.2, 4.0, hosts);
+        let taken = loop {
+            deposit(&mut budgets);
+            if let Some(taken) = budgets.take_for("s", RetryWorth::LastChance) {
+                break taken;
+            }
+        };
+        for _ in 0..100 {
+            deposit(&mut budgets);
+        }
+        budgets.give_back("s", taken);
+        let available = iter::from_fn(|| budgets.withdraw("s").then_some(())).count();
+        assert_eq!(available, most, "{hosts} hosts");
+    }
+}
+
+/// The retries that requests of each value may make, after others have used and asked for some.
+#[test]
+fn returned_retry_is_free_to_those_to_whom_it_was() {
+    fn check(steps: Vec<u8>, worth: u8) -> bool {
+        let mut budgets = Budgets::default();
+        for (n, step) in steps.into_iter().enumerate() {
+            let now = Time(n as u64 * 10_000);
+            match step % 8 {
+                0 => budgets.record_asked(now, "s", WORTHS[usize::from(step / 8) % WORTHS.len()]),
+                1 => {
+                    budgets.withdraw_for("s", WORTHS[usize::from(step / 8) % WORTHS.len()]);
+                }
+                _ => budgets.deposit_in_order(now, "s", 0.2, 20.0, 1),
+            }
+        }
+        let untouched = budgets.clone();
+        if let Some(taken) = budgets.take_for("s", WORTHS[usize::from(worth) % WORTHS.len()]) {
+            budgets.give_back("s", taken);
+        }
+        let available = |budgets: &Budgets, worth| {
+            let mut budgets = budgets.clone();
+            iter::from_fn(|| budgets.withdraw_for("s", worth).then_some(())).count()
+        };
+        WORTHS.into_iter().all(|worth| available(&budgets, worth) == available(&untouched, worth))
+    }
+    QuickCheck::new().tests(2_000).quickcheck(check as fn(Vec<u8>, u8) -> bool);
+}
--- a/elmstream_steer/tests/returns.rs
+++ b/elmstream_steer/tests/returns.rs
@@ -36,6 +36,7 @@
             service: SERVICE,
             key: *key,
             tried: &[],
+            withheld: &[],
             returning,
             homes: Homes { route: &route.homes, workspace: &[] },
             priority: route.priority,
--- a/elmstream_steer/tests/support/mod.rs
+++ b/elmstream_steer/tests/support/mod.rs
@@ -172,6 +172,7 @@
         service: SERVICE,
         key,
         tried: &[],
+        withheld: &[],
         returning: false,
         homes: Homes { route: &route.homes, workspace: &[] },
         priority: route.priority,
--- a/elmstream_steer/tests/support/rollouts.rs
+++ b/elmstream_steer/tests/support/rollouts.rs
@@ -540,6 +540,7 @@
             service: SERVICE,
             key,
             tried: &[],
+            withheld: &[],
             returning: false,
             homes: Homes { route: &route.homes, workspace: &[] },
             priority: route.priority,
--- a/elmstream_steer/tests/workspaces.rs
+++ b/elmstream_steer/tests/workspaces.rs
@@ -119,7 +119,7 @@
         let texts: Vec<&str> = homes.iter().map(String::as_str).collect();
         let route = route(Repeatability::Safe, &texts);
         let request = PickRequest {
-            route: &route, service: SERVICE, key, tried: &[], returning: false,
+            route: &route, service: SERVICE, key, tried: &[], withheld: &[], returning: false,
             homes: Homes { route: &route.homes, workspace: &own },
             priority: route.priority, workspace: None, remaining_ms: route.timeout_ms,
         };
