Requests at hosts with owners name their service while they wait

What callers saw: a connection that closed without an answer (the task panics: index out of bounds, the len is 3 but the index is 3), if the configuration drops the last service while its request waits up to 0.5 s for an owner. If an earlier service is dropped, the request goes on with the owners and the retry budget of another one (by reading). Found by a review that looked for decisions made from one configuration and acted on under another.

Cause: a job held its service's position in the list of the configuration at its arrival, and each round looked it up in the list of that time.

Change: a job holds the name, and each round looks the service up.

--- a/elmstream/src/request_handling.rs
+++ b/elmstream/src/request_handling.rs
@@ -137,7 +137,8 @@
         home: RegionId,
         deadline: u64,
     ) -> Result<Vec<Attempt>, Refusal> {
-        let service = &self.catalog.services[id.index()];
+        let unknown = Refusal::new(Code::UnknownService, 0);
+        let service = self.catalog.services.get(id.index()).ok_or(unknown)?;
         let is_isolated = self.is_isolated(now);
         if is_isolated && service.isolation == Isolation::Stop {
             return Err(Refusal::new(Code::Isolated, SECOND));
--- a/elmstreamd/src/callers.rs
+++ b/elmstreamd/src/callers.rs
@@ -115,8 +115,8 @@
 ) -> Result<Response<LocalBody>, Refusal> {
     let _in_flight = daemon.count_request()?;
     let (parts, incoming) = request.into_parts();
-    let job = build_job(daemon, client, &parts, incoming)?;
-    let priority = daemon.node.borrow().service(job.service).priority;
+    let (job, service) = build_job(daemon, client, &parts, incoming)?;
+    let priority = daemon.node.borrow().service(service).priority;
     if !daemon.admits_priority(priority) {
         return Err(refusal_of(Code::LowPriority));
     }
@@ -128,7 +128,7 @@
     if job.repeatable {
         return Ok(forward::run(daemon, job).await.response);
     }
-    let once = daemon.node.borrow().service(job.service).once;
+    let once = daemon.node.borrow().service(service).once;
     match once {
         OncePolicy::TicketOptional => Ok(forward::run(daemon, job).await.response),
         OncePolicy::TicketRequired => Err(refusal_of(Code::TicketNeeded)),
@@ -141,13 +141,14 @@
     }
 }
 
-/// Builds the job of a request: finds its service, home region and deadline.
+/// Builds the job of a request: finds its service, home region and deadline. Returns the service
+/// too, by its index in the configuration in force.
 fn build_job(
     daemon: &Daemon,
     client: SocketAddr,
     parts: &http::request::Parts,
     incoming: RequestBody,
-) -> Result<Job, Refusal> {
+) -> Result<(Job, ServiceId), Refusal> {
     let node = daemon.node.borrow();
     let host = header_text(&parts.headers, HOST.as_str()).or(parts.uri.host());
     let id = node.service_of(header_text(&parts.headers, header::SERVICE), host)?;
@@ -167,13 +168,13 @@
         remaining_us: deadline,
         max_wait_us: 0,
     };
-    Ok(Job {
+    let job = Job {
         repeatable: service.is_repeatable(parts.method.as_str(), parts.uri.path()),
-        service: id,
         deadline: clock::now() + deadline,
         body: has_body.then(|| body::boxed(incoming)),
         head,
-    })
+    };
+    Ok((job, id))
 }
 
 /// Timeout that the caller sets in its header, in microseconds; `u64::MAX` if it sets none.
@@ -309,7 +310,6 @@
     let path = head.target.split('?').next().unwrap_or("/");
     Some(Job {
         repeatable: node.service(service).is_repeatable(&head.method, path),
-        service,
         deadline: clock::now() + head.remaining_us,
         body: head.has_body.then_some(body),
         head,
--- a/elmstreamd/src/forward.rs
+++ b/elmstreamd/src/forward.rs
@@ -6,7 +6,7 @@
 use compio::quic::{RecvStream, SendStream};
 use elmstream::{
     code::{Code, Outcome},
-    id::{Name, ServiceId},
+    id::Name,
     message::ServiceLoad,
     request_handling::Refusal,
     route::Attempt,
@@ -59,8 +59,6 @@
 pub struct Job {
     /// Method, target, headers and routing data of the request.
     pub head: RequestHead,
-    /// Service that the request is for.
-    pub service: ServiceId,
     /// Whether the request may safely run more than once.
     pub repeatable: bool,
     /// Time by which the request must be answered.
@@ -191,7 +189,7 @@
     let AttemptResult::NotRun(refusal) = result else { return None };
     let is_cap = matches!(refusal.code, Code::ShiftCapped | Code::LinkLimited);
     let is_soon = refusal.retry_after <= CAP_WAIT_MAX;
-    let may = is_cap && is_soon && daemon.node.borrow_mut().withdraw_retry(job.service);
+    let may = is_cap && is_soon && withdraw_retry(daemon, job);
     may.then(|| Duration::from_micros(refusal.retry_after))
 }
 
@@ -219,14 +217,20 @@
     let mut node = daemon.node.borrow_mut();
     let unknown = Refusal { code: Code::UnknownService, retry_after: 0 };
     let home = node.catalog().region(&job.head.home).ok_or(unknown)?;
-    node.route(now, job.service, home, job.deadline.since(now))
+    let service = node.catalog().service(&job.head.service).ok_or(unknown)?;
+    node.route(now, service, home, job.deadline.since(now))
+}
+
+/// Withdraws a retry from the budget of the request's service. Returns whether there was one.
+fn withdraw_retry(daemon: &Daemon, job: &Job) -> bool {
+    let mut node = daemon.node.borrow_mut();
+    let service = node.catalog().service(&job.head.service);
+    service.is_some_and(|service| node.withdraw_retry(service))
 }
 
 /// Whether a request that may have run may be retried; withdraws the retry from the budget.
 fn take_retry(daemon: &Daemon, job: &Job) -> bool {
-    job.repeatable
-        && !job.is_body_consumed()
-        && daemon.node.borrow_mut().withdraw_retry(job.service)
+    job.repeatable && !job.is_body_consumed() && withdraw_retry(daemon, job)
 }
 
 async fn try_owner(daemon: &Rc<Daemon>, job: &mut Job, attempt: &Attempt) -> AttemptResult {
