Rows that arrive slowly are neither given up nor asked of further hosts

Cause: a fetch had 0.7 s as a whole, and after 150 ms another host was asked too. A configuration is one row, and of some thousand routes it takes 0.5 s or more over 10 Mbit/s. Beside other traffic all fetches that ran at once then missed their time, and the next ones started anew: one host had 109 failures of this kind in a row, 150 ms apart. (Bytes were not counted; the size is worked out.)

Change: 0.7 s is the time in which a response must begin and the longest time without a byte of it; a fetch that progresses may take 5 s. While bytes arrive no other host is asked, for 1.5 s after the start at most, so that a host that sends slowly delays the rows by no more.

--- a/elmstream_edge/src/fetch_schedule.rs
+++ b/elmstream_edge/src/fetch_schedule.rs
@@ -7,7 +7,8 @@
 //! The schedule does no I/O: its inputs are heartbeats, outcomes of fetches and the current time,
 //! its output is the next host to ask. The time until the rows arrive must stay bounded even if a
 //! few hosts do not answer. Such a host delays the rows by [`HEDGE_DELAY`] once; afterwards it is
-//! a suspect, and suspects are only asked in parallel with the other hosts.
+//! a suspect, and suspects are only asked in parallel with the other hosts. While the rows of one host
+//! arrive no other is asked, as over a slow link each further fetch delays all of them.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -25,6 +26,9 @@
 /// separately to suspects, the hosts whose last fetch failed. With [`HEDGE_DELAY`] between the
 /// fetches, a fourth host is asked after 450 ms even if three do not respond.
 pub const MAX_CONCURRENT_FETCHES: usize = 4;
+/// Time after the start of a fetch during which bytes that arrive keep other fetches from starting,
+/// in microseconds. A host that sends slowly thus delays the rows by no more.
+pub const PROGRESS_CREDIT: u64 = 1_500 * MILLI;
 /// After a failed fetch a host is not asked for this long, in microseconds, as long as a
 /// trusted host has an offer: a network cut or a restart lasts seconds.
 pub const FAILED_HOST_PAUSE: u64 = 5 * SECOND;
@@ -80,6 +84,8 @@
 #[derive(Clone, Copy, Debug)]
 struct ActiveFetch {
     started_at: Time,
+    /// When bytes of its rows last arrived; at first when it started.
+    progressed_at: Time,
     /// Whether the host's last fetch had failed when this one started.
     suspect: bool,
 }
@@ -143,7 +149,8 @@
             None => fetches.pick_suspect(now, &self.failed_at)?,
         };
         let suspect = self.failed_at.contains_key(&host);
-        fetches.active.insert(host, ActiveFetch { started_at: now, suspect });
+        let fetch = ActiveFetch { started_at: now, progressed_at: now, suspect };
+        fetches.active.insert(host, fetch);
         Some(host)
     }
 
@@ -152,6 +159,13 @@
         self.tables[table as usize].active.contains_key(&host)
     }
 
+    /// Records that bytes of the rows of a running fetch arrived.
+    pub fn on_progress(&mut self, now: Time, table: Table, host: SocketAddr) {
+        if let Some(fetch) = self.tables[table as usize].active.get_mut(&host) {
+            fetch.progressed_at = now.min(fetch.started_at + PROGRESS_CREDIT);
+        }
+    }
+
     /// Records the result of a fetch. Returns the earliest time to ask the host again if it
     /// refused or failed.
     pub fn on_fetch_ended(
@@ -187,9 +201,9 @@
     /// Whether another fetch may start from a suspect, or else from a trusted host.
     fn has_capacity(&self, now: Time, suspect: bool) -> bool {
         let kind = self.active.values().filter(|fetch| fetch.suspect == suspect);
-        let start_times: Vec<Time> = kind.map(|fetch| fetch.started_at).collect();
-        let last = start_times.iter().max();
-        start_times.len() < MAX_CONCURRENT_FETCHES
+        let active_times: Vec<Time> = kind.map(|fetch| fetch.progressed_at).collect();
+        let last = active_times.iter().max();
+        active_times.len() < MAX_CONCURRENT_FETCHES
             && last.is_none_or(|last| now.since(*last) >= HEDGE_DELAY)
     }
 
--- a/elmstream_edge/src/table_fetch.rs
+++ b/elmstream_edge/src/table_fetch.rs
@@ -5,13 +5,14 @@
 use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use elmstream::time::Time;
-use elmstream_http::{body, client};
+use elmstream_http::{LocalBody, body, client};
 use elmstream_steer::{
     hash, heartbeat::TableStatus, table_sync::SyncRequest, version::StoreVersion, view::Table,
 };
 use elmstreamd::{clock, waits};
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
+use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use serde_json::json;
 
 use crate::{
@@ -23,8 +24,10 @@
 
 /// Largest response to a fetch, in bytes.
 const ROWS_BYTES_MAX: usize = 64 << 20;
-/// Timeout of a fetch.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time in which a host has to begin its response, and longest time without a byte of it.
+const STALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Timeout of a fetch whose rows keep arriving.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Fetches tables that other hosts know better; clones share the schedule.
 #[derive(Clone, Debug)]
@@ -73,8 +76,15 @@
         .detach();
     }
 
+    /// Records that rows of a running fetch arrive.
+    fn on_progress(&self, table: Table, host: SocketAddr) {
+        let now = clock::now();
+        self.fetches.borrow_mut().on_progress(now, table, host);
+    }
+
     async fn fetch(&self, host: SocketAddr, table: Table, sync_request: SyncRequest) {
-        let fetched = fetch(&self.edge, host, table, sync_request).await;
+        let on_progress = || self.on_progress(table, host);
+        let fetched = fetch(&self.edge, host, table, sync_request, on_progress).await;
         let outcome = match &fetched {
             Ok(()) => FetchOutcome::Received,
             Err(error) if error.kind() == io::ErrorKind::ResourceBusy => FetchOutcome::Refused,
@@ -109,8 +119,10 @@
     address: SocketAddr,
     table: Table,
     sync_request: SyncRequest,
+    on_progress: impl Fn(),
 ) -> io::Result<()> {
-    let fetched = waits::within_duration(FETCH_TIMEOUT, get(address, table, sync_request)).await;
+    let fetched = get(address, table, sync_request, on_progress);
+    let fetched = waits::within_duration(FETCH_TIMEOUT, fetched).await;
     let fetched = fetched.ok_or(io::ErrorKind::TimedOut)??;
     let now = clock::now();
     let changes = {
@@ -137,21 +149,48 @@
     Ok(())
 }
 
-async fn get(address: SocketAddr, table: Table, sync_request: SyncRequest) -> io::Result<PeerRows> {
+/// Requests rows and reads them; `on_progress` is called when bytes of them arrive.
+async fn get(
+    address: SocketAddr,
+    table: Table,
+    sync_request: SyncRequest,
+    on_progress: impl Fn(),
+) -> io::Result<PeerRows> {
+    let response = request_rows(address, table, sync_request);
+    let response = waits::within_duration(STALL_TIMEOUT, response).await;
+    // The connection ends when the sender is dropped.
+    let (_sender, response) = response.ok_or(io::ErrorKind::TimedOut)??;
+    match response.status() {
+        StatusCode::SERVICE_UNAVAILABLE => return Err(io::ErrorKind::ResourceBusy.into()),
+        status if !status.is_success() => return Err(io::Error::other(format!("status {status}"))),
+        _ => {}
+    }
+    let mut rows = Limited::new(response.into_body(), ROWS_BYTES_MAX);
+    let mut bytes = Vec::new();
+    while let Some(frame) =
+        waits::within_duration(STALL_TIMEOUT, rows.frame()).await.ok_or(io::ErrorKind::TimedOut)?
+    {
+        let frame = frame.map_err(io::Error::other)?;
+        if let Ok(data) = frame.into_data() {
+            on_progress();
+            bytes.extend_from_slice(&data);
+        }
+    }
+    postcard::from_bytes(&bytes).map_err(io::Error::other)
+}
+
+async fn request_rows(
+    address: SocketAddr,
+    table: Table,
+    sync_request: SyncRequest,
+) -> io::Result<(SendRequest<LocalBody>, Response<Incoming>)> {
     let mut sender =
-        client::connect_with_unacked_timeout(address, FETCH_TIMEOUT, FETCH_TIMEOUT).await?;
+        client::connect_with_unacked_timeout(address, STALL_TIMEOUT, STALL_TIMEOUT).await?;
     let SyncRequest { after: StoreVersion { era, count }, complete_to: complete } = sync_request;
     let complete = format!("complete_era={}&complete={}", complete.era, complete.count);
     let uri = format!("{ROWS_PATH}?table={}&era={era}&after={count}&{complete}", table as usize);
     let request = Request::builder().uri(uri).header("host", address.to_string());
     let request = request.body(body::empty()).map_err(io::Error::other)?;
     let response = sender.send_request(request).await.map_err(io::Error::other)?;
-    match response.status() {
-        StatusCode::SERVICE_UNAVAILABLE => return Err(io::ErrorKind::ResourceBusy.into()),
-        status if !status.is_success() => return Err(io::Error::other(format!("status {status}"))),
-        _ => {}
-    }
-    let rows = Limited::new(response.into_body(), ROWS_BYTES_MAX);
-    let whole = rows.collect().await.map_err(io::Error::other)?;
-    postcard::from_bytes(&whole.to_bytes()).map_err(io::Error::other)
+    Ok((sender, response))
 }
--- a/elmstream_edge/tests/fetches.rs
+++ b/elmstream_edge/tests/fetches.rs
@@ -5,7 +5,7 @@
 use elmstream::time::{MILLI, SECOND, Time};
 use elmstream_edge::fetch_schedule::{
     FAILED_HOST_PAUSE, FetchOutcome, FetchSchedule, HEDGE_DELAY, MAX_CONCURRENT_FETCHES,
-    RETRY_JITTER, RETRY_PAUSE,
+    PROGRESS_CREDIT, RETRY_JITTER, RETRY_PAUSE,
 };
 use elmstream_steer::{
     heartbeat::TableStatus,
@@ -255,3 +255,32 @@
     let took = time_until_healthy(&mut schedule, START + SECOND, 3, 9);
     assert!(took <= 3 * HEDGE_DELAY + 10 * MILLI, "it took {took} us");
 }
+
+#[test]
+fn no_other_host_is_asked_while_the_rows_of_one_arrive() {
+    let mut schedule = schedule();
+    let mut asked = Vec::new();
+    for step in 0..=100 {
+        let now = START + step * 20 * MILLI;
+        offer_from(&mut schedule, now, [1, 2, 3]);
+        while let Some(host) = schedule.next(now, Rules, newer_than(1)) {
+            asked.push((step * 20, host));
+        }
+        schedule.on_progress(now, Rules, asked[0].1);
+        let by_now = 1 + usize::from(step * 20 * MILLI >= PROGRESS_CREDIT + HEDGE_DELAY);
+        assert!(asked.len() >= by_now, "at {} ms: {asked:?}", step * 20);
+    }
+    assert!(asked[1].0 * MILLI >= PROGRESS_CREDIT, "{asked:?}");
+}
+
+#[test]
+fn another_host_is_asked_when_rows_stop_arriving() {
+    let mut schedule = schedule();
+    offer_from(&mut schedule, START, [1, 2]);
+    let first = schedule.next(START, Rules, newer_than(1)).expect("a host is asked");
+    let stalled = START + 300 * MILLI;
+    schedule.on_progress(stalled, Rules, first);
+    let before = Time(stalled.0 + HEDGE_DELAY - 1);
+    assert_eq!(schedule.next(before, Rules, newer_than(1)), None);
+    assert!(schedule.next(stalled + HEDGE_DELAY, Rules, newer_than(1)).is_some());
+}
