View: one module a job

Cause: view.rs (733 lines) held the row types, reader clocks, retained rows, tombstones and the change of eras beside the view itself.

Change: table, row, watermark, reader_clocks, retained_rows, tombstones and era_change are modules of their own; view.rs keeps the rest (194 lines) and re-exports the public names, so that callers stay as they are. Field and variant order of all messages is unchanged.

--- a/elmstream_steer/src/era.rs
+++ b/elmstream_steer/src/era.rs
@@ -16,8 +16,8 @@
 use crate::{
     model::EntryNumber,
     rollout::RolloutProgress,
+    row::{RemovedCounters, RowContent, RowKey},
     version::StoreVersion,
-    view::{RemovedCounters, RowContent, RowKey},
 };
 
 /// How long after the store's return servers stay in use that it no longer lists. A server that runs
--- a/elmstream_steer/src/stored_row.rs
+++ b/elmstream_steer/src/stored_row.rs
@@ -8,8 +8,8 @@
 use crate::{
     era::{EarlierRow, Era, Retention, same_content},
     model::EntryNumber,
+    row::{RemovedCounters, RetainedRow, Row, RowContent, RowKey},
     version::StoreVersion,
-    view::{RemovedCounters, RetainedRow, Row, RowContent, RowKey},
 };
 
 /// A row of the view with its versions and the time of its last change.
