HTTP streams: one way to fill hyper's buffer

Cause: the plain and the watched stream had the same code for reading into hyper's buffer by way of initialized bytes (found by a search for duplicates). The further runs that the search names for this pair are signatures of a trait and stay.

Change: plain_stream::poll_fill serves both. The watched stream still counts what was read before hyper gets it.

--- a/elmstream_http/src/plain_stream.rs
+++ b/elmstream_http/src/plain_stream.rs
@@ -19,6 +19,23 @@
 /// Bytes read at once.
 pub(crate) const READ_BYTES_MAX: usize = 8 << 10;
 
+/// Reads at most [`READ_BYTES_MAX`] bytes into hyper's buffer, by way of initialized bytes that
+/// `poll_read` fills; its result is the number of them that it filled.
+///
+/// # Errors
+///
+/// Those of `poll_read`.
+pub(crate) fn poll_fill(
+    mut into: ReadBufCursor<'_>,
+    poll_read: impl FnOnce(&mut [u8]) -> Poll<io::Result<usize>>,
+) -> Poll<io::Result<()>> {
+    let mut chunk = [0; READ_BYTES_MAX];
+    let room = into.remaining().min(READ_BYTES_MAX);
+    let length = ready!(poll_read(&mut chunk[..room]))?;
+    into.put_slice(&chunk[..length]);
+    Poll::Ready(Ok(()))
+}
+
 /// A plain TCP stream.
 #[derive(Debug)]
 pub struct PlainStream {
@@ -85,13 +102,9 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        mut into: ReadBufCursor<'_>,
+        into: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut chunk = [0; READ_BYTES_MAX];
-        let room = into.remaining().min(READ_BYTES_MAX);
-        let length = ready!(self.poll_read_bytes(cx, &mut chunk[..room]))?;
-        into.put_slice(&chunk[..length]);
-        Poll::Ready(Ok(()))
+        poll_fill(into, |chunk| self.poll_read_bytes(cx, chunk))
     }
 }
 
--- a/elmstream_http/src/watched.rs
+++ b/elmstream_http/src/watched.rs
@@ -20,7 +20,7 @@
 use socket2::SockRef;
 
 use crate::{
-    plain_stream::{PlainStream, READ_BYTES_MAX},
+    plain_stream::{PlainStream, poll_fill},
     request_body::UnreadBodies,
 };
 
@@ -265,14 +265,13 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        mut into: ReadBufCursor<'_>,
+        into: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut chunk = [0; READ_BYTES_MAX];
-        let room = into.remaining().min(READ_BYTES_MAX);
-        let length = ready!(self.poll_read_bytes(cx, &mut chunk[..room]))?;
-        self.traffic.read(&chunk[..length]);
-        into.put_slice(&chunk[..length]);
-        Poll::Ready(Ok(()))
+        poll_fill(into, |chunk| {
+            let length = ready!(self.poll_read_bytes(cx, chunk))?;
+            self.traffic.read(&chunk[..length]);
+            Poll::Ready(Ok(length))
+        })
     }
 }
 
