--- a/elmstream_steer/src/stored_row.rs
+++ b/elmstream_steer/src/stored_row.rs
@@ -120,9 +120,16 @@
                 };
             }
         }
+        self.replace_in_force(now, row, enters_era)
+    }
+
+    /// Puts a row of the store in force, whose version is higher than all known ones. `enters_era`
+    /// tells whether it is of a later era than the row known so far.
+    fn replace_in_force(&mut self, now: Time, row: &Row, enters_era: bool) -> Effect {
+        let new_content = row.content.as_ref();
         let was_retained = self.store_copy.take().is_some();
         let previous_version = std::mem::replace(&mut self.last_version, row.version);
-        if !is_unchanged(before, new_content) {
+        if !is_unchanged(self.content.as_ref(), new_content) {
             // After a restore the row had other counters, and a backup may be older than that
             // restore.
             let known = self.content.is_some() && self.carried_from.is_none();
