Connections of requests that are given up are reset

Cause: when a request was given up (deadline, caller gone, stop) its connection was closed in good order. The kernel goes on sending what was not acknowledged, so what a cut path held up arrived once the path was back, up to 6 s after the caller had got 504, and ran, also in an evacuated zone.

What callers saw: 504, and the request ran later, those that may run once among them.

Change: `client::start` returns a `Driver` beside the sender, which keeps the socket beside hyper's part. While a request is under way it is set to reset: dropping it sets a linger time of 0 s on the socket, before the cancelled task drops the stream. It is unset once the answer is whole. This covers connections of the hosts without owners to servers and to relaying hosts (one pool), broken answers among them, and those of hosts with owners to servers. The driver does not shut the connection down itself any more; it closes it, as a shutdown would let the peer see an end before the reset. Idle connections, those over which nothing was sent, and those whose answers are whole are closed in good order as before. The descriptor of an idle connection that its server closed is closed at once as before; during a request it stays until the request ends. Store calls, fetches from other hosts and probes are as they were.

What servers see: a reset in place of an end. While the path is cut the reset may be lost; then a server learns of it only when it sends next, where an end would have been sent again.

--- a/elmstream_edge/src/backend.rs
+++ b/elmstream_edge/src/backend.rs
@@ -9,12 +9,22 @@
 };
 
 use bytes::Bytes;
-use compio::{net::TcpStream, runtime::JoinHandle};
+use compio::net::TcpStream;
 use elmstream::time::Time;
-use elmstream_http::{LocalBody, ResponseFault, body, client, response_check};
+use elmstream_http::{
+    LocalBody, ResponseFault, body,
+    client::{self, Driver},
+    response_check,
+};
 use elmstreamd::{clock, waits};
 use http::{HeaderMap, Request, response};
-use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{Builder, SendRequest},
+    },
+};
 
 use crate::{buffer_bound::BufferBound, whole_body};
 
@@ -41,17 +51,28 @@
 /// Largest response body, in bytes.
 const RESPONSE_BYTES_MAX: usize = 64 << 20;
 
-/// A connection; dropping it closes it at once and aborts what is being sent.
+/// A connection; dropping it closes it at once, with a reset if it has a request under way.
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<LocalBody>,
-    /// Task that drives the connection; cancelled when this is dropped.
-    _driver: JoinHandle<()>,
+    driver: Driver,
     idle_until: Time,
     /// When its last response was complete.
     last_response: Time,
 }
 
+impl Connection {
+    /// Sends a request. Until its response is complete, the connection is reset when it closes, so
+    /// that a request that is given up does not arrive later.
+    async fn send(
+        &mut self,
+        request: Request<LocalBody>,
+    ) -> Result<http::Response<Incoming>, TrySendError<Request<LocalBody>>> {
+        self.driver.set_reset_on_close(true);
+        self.sender.try_send_request(request).await
+    }
+}
+
 /// A request that was sent and is waiting for its response.
 ///
 /// Connections to one server usually stop responding together. So if this is dropped without
@@ -139,13 +160,16 @@
         request: &impl Fn() -> Option<Request<LocalBody>>,
     ) -> Exchange {
         let Some(made) = request() else { return Exchange::NoTime };
-        let answer = match connection.sender.try_send_request(made).await {
+        let answer = match connection.send(made).await {
             Ok(answer) => answer,
             Err(mut error) => {
                 // hyper returns the request if nothing was sent: the connection had been
                 // closed while it was idle.
                 return match error.take_message() {
-                    Some(_) => self.exchange_over_new(address, request).await,
+                    Some(_) => {
+                        connection.driver.set_reset_on_close(false);
+                        self.exchange_over_new(address, request).await
+                    }
                     None => Exchange::Broken(None),
                 };
             }
@@ -161,7 +185,7 @@
     ) -> Exchange {
         let Ok(mut connection) = self.connect(address).await else { return Exchange::NoConnection };
         let Some(made) = request() else { return Exchange::NoTime };
-        match connection.sender.try_send_request(made).await {
+        match connection.send(made).await {
             Ok(answer) => self.read("", connection, answer).await,
             Err(_) => Exchange::Broken(None),
         }
@@ -171,7 +195,7 @@
         &self,
         id: &str,
         mut connection: Connection,
-        answer: http::Response<hyper::body::Incoming>,
+        answer: http::Response<Incoming>,
     ) -> Exchange {
         let fault = response_check::check(&answer).err();
         let ends_with_connection = response_check::ends_with_connection(&answer);
@@ -189,6 +213,7 @@
             }
             metrics::counter!("elmstream_answers_without_length").increment(1);
         }
+        connection.driver.set_reset_on_close(false);
         if let Some(idle_timeout) = idle_timeout(&parts.headers) {
             connection.last_response = clock::now();
             connection.idle_until = connection.last_response + idle_timeout.as_micros() as u64;
@@ -323,7 +348,7 @@
     let (sender, driver) = client::start(&builder, stream).await?;
     let now = clock::now();
     let idle_until = now + IDLE_TIMEOUT.as_micros() as u64;
-    Ok(Connection { sender, _driver: driver, idle_until, last_response: now })
+    Ok(Connection { sender, driver, idle_until, last_response: now })
 }
 
 /// A request body of these bytes.
--- a/elmstreamd/src/owner.rs
+++ b/elmstreamd/src/owner.rs
@@ -143,7 +143,9 @@
     let Some(request) = request(head, body, unix_ms_now, span) else {
         return not_run(Code::BadRequest);
     };
-    let exchange = connection.try_send_request(request);
+    // A request that is given up is not to arrive at the backend server later.
+    connection.driver.set_reset_on_close(true);
+    let exchange = connection.sender.try_send_request(request);
     guard.running = true;
     match compio::time::timeout_at(ends_at, exchange).await {
         Ok(Ok(response)) => match response_check::check(&response) {
@@ -288,10 +290,10 @@
     fn finish(&mut self) {
         self.guard.result = RunResult::Succeeded;
         self.guard.running = false;
+        let Some(connection) = self.connection.take() else { return };
+        connection.driver.set_reset_on_close(false);
         let daemon = &self.guard.daemon;
-        if let (Some(connection), Some(address)) =
-            (self.connection.take(), daemon.backend_address(&self.guard.slot))
-        {
+        if let Some(address) = daemon.backend_address(&self.guard.slot) {
             daemon.pool.release(address, connection);
         }
     }
--- a/elmstreamd/src/pool.rs
+++ b/elmstreamd/src/pool.rs
@@ -2,7 +2,10 @@
 
 use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, time::Duration};
 
-use elmstream_http::{LocalBody, client};
+use elmstream_http::{
+    LocalBody,
+    client::{self, Driver},
+};
 use hyper::client::conn::http1::SendRequest;
 
 /// Time to open a connection before the attempt fails.
@@ -10,8 +13,14 @@
 /// Most idle connections that are kept to one backend server.
 const IDLE_PER_SERVER_MAX: usize = 16;
 
-/// HTTP/1.1 connection to a backend server.
-pub type Connection = SendRequest<LocalBody>;
+/// HTTP/1.1 connection to a backend server; dropping it closes it at once.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends requests.
+    pub sender: SendRequest<LocalBody>,
+    /// Decides whether the connection is reset when it closes.
+    pub driver: Driver,
+}
 
 /// Idle connections by the address of the backend server.
 #[derive(Debug, Default)]
@@ -25,9 +34,10 @@
         loop {
             let idle = self.idle.borrow_mut().get_mut(&address).and_then(Vec::pop);
             let Some(mut connection) = idle else {
-                return client::connect(address, CONNECT_TIMEOUT).await;
+                let (sender, driver) = client::connect_driven(address, CONNECT_TIMEOUT).await?;
+                return Ok(Connection { sender, driver });
             };
-            if !connection.is_closed() && connection.ready().await.is_ok() {
+            if !connection.sender.is_closed() && connection.sender.ready().await.is_ok() {
                 return Ok(connection);
             }
         }
@@ -37,7 +47,7 @@
     ///
     /// Connections that are closed or beyond the pool's size are dropped.
     pub fn release(&self, address: SocketAddr, connection: Connection) {
-        if connection.is_closed() {
+        if connection.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
--- a/elmstreamd/src/ticker.rs
+++ b/elmstreamd/src/ticker.rs
@@ -146,7 +146,7 @@
         let mut connection = daemon.pool.acquire(address).await.ok()?;
         let request = Request::get("/load").header(HOST, address.to_string());
         let request = request.body(body::empty()).ok()?;
-        let response = connection.send_request(request).await.ok()?;
+        let response = connection.sender.send_request(request).await.ok()?;
         let bytes = response.into_body().collect().await.ok()?.to_bytes();
         serde_json::from_slice::<LoadReply>(&bytes).ok()
     };
--- a/elmstreamd/tests/odd_answers.rs
+++ b/elmstreamd/tests/odd_answers.rs
@@ -246,3 +246,62 @@
         }
     });
 }
+
+/// How the connections of requests that were never answered ended.
+type Ends = Arc<Mutex<Vec<io::Result<()>>>>;
+
+/// Starts a server that answers probes and nothing else.
+fn silent_server(ends: Ends) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let ends = ends.clone();
+            thread::spawn(move || answer_probes(stream, &ends));
+        }
+    });
+    address
+}
+
+fn answer_probes(mut stream: TcpStream, ends: &Ends) {
+    let (mut bytes, mut is_request) = ([0; 8_192], false);
+    loop {
+        let end = match stream.read(&mut bytes) {
+            Ok(length @ 1..) => {
+                is_request |= !bytes[..length].starts_with(b"GET /load");
+                let text = "HTTP/1.1 200 OK\r\ncontent-length: 15\r\n\r\n{\"in_flight\":0}";
+                if !is_request && stream.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
+            Ok(_) => Ok(()),
+            Err(error) => Err(error),
+        };
+        if is_request {
+            ends.lock().expect("no panic").push(end);
+        }
+        return;
+    }
+}
+
+/// After a plain close the kernel still delivers what a cut path holds up.
+#[test]
+fn connection_of_a_request_that_is_given_up_is_reset() {
+    let ends = Ends::default();
+    with_server(silent_server(ends.clone()), async |running| {
+        let headers = [("elmstream-request-id", "late"), ("elmstream-timeout-ms", "400")];
+        for _ in 0..REFUSALS_MAX {
+            running.send_to(0, with_headers(Method::POST, "release", &headers)).await;
+            compio::time::sleep(REFUSAL_PAUSE).await;
+            if !ends.lock().expect("no panic").is_empty() {
+                break;
+            }
+        }
+        let ends = ends.lock().expect("no panic");
+        let kinds: Vec<_> =
+            ends.iter().map(|end| end.as_ref().map_err(|error| error.kind())).collect();
+        assert!(!kinds.is_empty(), "no request was sent");
+        assert!(kinds.iter().all(|end| *end == Err(io::ErrorKind::ConnectionReset)), "{kinds:?}");
+    });
+}
