--- a/elmstream_edge/tests/homes.rs
+++ b/elmstream_edge/tests/homes.rs
@@ -589,9 +589,8 @@
         let mut caller = world.begin("/r").await;
         let chosen = world.chosen_in_a(|_| true).await;
         assert_eq!(world.reached(), (0, 0), "the test came too late");
-        let mut steer = world.host.edge.steer.borrow_mut();
-        steer.on_server_backoff(clock::now(), chosen, Duration::from_secs(1));
-        drop(steer);
+        let steer = &world.host.edge.steer;
+        steer.borrow_mut().on_server_backoff(clock::now(), chosen, Duration::from_secs(1));
         let (status, head) = caller.answer().await;
         assert_eq!((status, world.reached()), (200, (1, 0)), "{head}");
     });
--- a/elmstream_steer/tests/budget.rs
+++ b/elmstream_steer/tests/budget.rs
@@ -173,7 +173,7 @@
 fn returned_retries_do_not_exceed_the_maximum() {
     for (hosts, most) in [(1, 2), (4, 1)] {
         let mut budgets = Budgets::new(1);
-        let mut deposit = |budgets: &mut Budgets| budgets.deposit("s", 0.2, 4.0, hosts);
+        let deposit = |budgets: &mut Budgets| budgets.deposit("s", 0.2, 4.0, hosts);
         let taken = loop {
             deposit(&mut budgets);
             if let Some(taken) = budgets.take_for("s", RetryWorth::LastChance) {
