The soak's homes move, and requests outside them are detected

The soak had homes of one workspace only, which never changed, so it could not see that.

In every fourth seed (3, 7, ...) hosts and the servers of a service of its own are divided over three regions, and the home of an open route and of a workspace moves on with each configuration. Drawn from a generator of their own and after the others, these faults leave those of a seed as they are. Half of the added configurations come beside a host that is cut from all servers and stands still; requests wait for it when it wakes, which it has relayed by its older route. Servers see which host sent a request, as each host has a name of its own for the header with the server's id (an existing setting).

The ledger checks each such request on arrival: its region has to be the home by a configuration between the newest that must be in force when the caller sends (the bound of the configuration check, with its outages; both checks now share the function) and the newest written. A host is excused as there, within 4 s of a disturbance; with a relay only if both hosts are.

Before: no such check.

--- a/elmstream_soak/src/backend.rs
+++ b/elmstream_soak/src/backend.rs
@@ -7,7 +7,7 @@
 use http::{Request, Response, StatusCode};
 
 use crate::{
-    listen, server_signals, versions, workspaces,
+    homes, listen, process, server_signals, versions, workspaces,
     world::{SHOP, ServerMode, World},
 };
 
@@ -35,7 +35,9 @@
         let value = request.headers().get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or_default().to_owned()
     };
-    let (id, server) = (header_value("elmstream-request"), header_value("elmstream-server"));
+    let id = header_value("elmstream-request");
+    let (server, sender) = process::server_and_sender(request.headers());
+    homes::check_arrival(&world, &id, &server, sender);
     let registered_mode = world.servers.borrow().get(&server).copied();
     let is_next_version = server.starts_with(versions::NEXT_VERSION_PREFIX);
     if is_next_version || server.starts_with(SHOP) {
@@ -120,8 +122,12 @@
         .map(|name| name.as_bytes())
         .collect();
     let workspace = request.uri().path().split('/').nth(2).unwrap_or_default();
-    let expected = if world.breaks("name") { "other" } else { workspace };
-    if names != [expected.as_bytes()] {
+    let expected = match workspace {
+        homes::NO_WORKSPACE => Vec::new(),
+        _ if world.breaks("name") => vec!["other".as_bytes()],
+        _ => vec![workspace.as_bytes()],
+    };
+    if names != expected {
         ledger.add_violation(format!(
             "{id} of workspace {workspace} ran under another name: {names:?}"
         ));
--- a/elmstream_soak/src/callers.rs
+++ b/elmstream_soak/src/callers.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
+    homes,
     ledger::{KeyAcceptance, LostRequest, Outcome, VersionObservation},
     process::Process,
     wire::{Answer, Connection, ExchangeOutcome},
@@ -20,7 +21,7 @@
 /// Time limit for an answer; the routes' timeout is 600 ms.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time without a fault after which a host counts as undisturbed, in milliseconds.
-const RECOVERY_MS: u64 = 4_000;
+pub const RECOVERY_MS: u64 = 4_000;
 /// Time after which the callers of a host that is cut from all backend servers have to be served, in
 /// milliseconds.
 const CUT_LEARNED_MS: u64 = 3_000;
@@ -46,6 +47,15 @@
     pub key_version: u64,
 }
 
+/// A request that is drawn at random.
+#[derive(Clone, Copy, Debug)]
+pub struct Drawn {
+    /// First segment of its path.
+    pub kind: &'static str,
+    /// Its parameters.
+    pub params: RequestParams,
+}
+
 impl RequestParams {
     /// Parameters of a request of the first workspace, with its newest key.
     pub fn with_newest_key(world: &World) -> RequestParams {
@@ -90,15 +100,19 @@
         params: RequestParams,
     ) -> Option<HostConnection> {
         let RequestParams { key, workspace, key_version } = params;
-        let presented_key = workspaces::key(workspace, key_version);
+        let credentials = match workspace {
+            homes::NO_WORKSPACE => String::new(),
+            _ => format!("authorization: Bearer {}\r\n", workspaces::key(workspace, key_version)),
+        };
         // Hosts must ignore any workspace that a caller names itself.
         let text = format!(
             "GET /{kind}/{workspace}/{key} HTTP/1.1\r\nhost: soak.example\r\n\
              elmstream-request: {id}\r\nelmstream-affinity: {key}\r\n\
-             elmstream-deadline: 1000\r\nauthorization: Bearer {presented_key}\r\n\
+             elmstream-deadline: 1000\r\n{credentials}\
              elmstream-workspace: other\r\n\r\n"
         );
         let requested_ms = world.now();
+        world.ledger.borrow_mut().record_sent(id, self.host, requested_ms);
         let reused = self.connection.answered_count > 0;
         match self.connection.exchange(world, text, RESPONSE_TIMEOUT).await {
             ExchangeOutcome::Answer(answer) => {
@@ -254,22 +268,35 @@
     }
 }
 
-/// Sends requests until `until`, in milliseconds since the start of the soak.
-pub async fn run(world: Rc<World>, hosts: Hosts, number: u64, until: u64) {
+/// Draws a request that may have any kind and workspace, and a key of a recent configuration.
+pub fn draw(random: &mut StdRng, newest_version: u64) -> Drawn {
+    let kind = ["safe", "once", "pin"][random.random_range(0..3)];
+    let params = RequestParams {
+        key: random.random_range(0..AFFINITY_KEYS),
+        workspace: NAMES[random.random_range(0..NAMES.len())],
+        key_version: newest_version.saturating_sub(random.random_range(0..RECENT_KEY_VERSIONS)),
+    };
+    Drawn { kind, params }
+}
+
+/// Sends requests, each as `draw` draws it by the newest configuration's version, until `until`, in
+/// milliseconds since the start of the soak.
+pub async fn run(
+    world: Rc<World>,
+    hosts: Hosts,
+    number: u64,
+    until: u64,
+    draw: fn(&mut StdRng, u64) -> Drawn,
+) {
     let mut random = StdRng::seed_from_u64(number);
     let mut connections: BTreeMap<usize, HostConnection> = BTreeMap::new();
     let mut count = 0u64;
     while world.now() < until {
         count += 1;
-        let kind = ["safe", "once", "pin"][random.random_range(0..3)];
+        let newest = world.ledger.borrow().newest_version();
+        let Drawn { kind, params } = draw(&mut random, newest);
         let id = format!("{kind}-{number}-{count}");
         let host = random.random_range(0..hosts.borrow().len());
-        let newest = world.ledger.borrow().newest_version();
-        let params = RequestParams {
-            key: random.random_range(0..AFFINITY_KEYS),
-            workspace: NAMES[random.random_range(0..NAMES.len())],
-            key_version: newest.saturating_sub(random.random_range(0..RECENT_KEY_VERSIONS)),
-        };
         let reused = if random.random_bool(NEW_CONNECTION_FRACTION) {
             None
         } else {
--- a/elmstream_soak/src/faults.rs
+++ b/elmstream_soak/src/faults.rs
@@ -63,6 +63,11 @@
     CutFromServers(usize),
     /// A new configuration is applied.
     Configure,
+    /// Homes move with configurations, from the beginning of the soak; a new configuration is applied.
+    MoveHomes,
+    /// The same, and the host is cut from all backend servers and stands still while the configuration
+    /// is applied.
+    MoveHomesBesideCut(usize),
     /// The shop is rolled out; `true` for a bad version.
     RollOut(bool),
 }
@@ -125,6 +130,7 @@
     series::standstills(seed, total_ms, hosts, &mut events);
     series::late_writes(seed, total_ms, &mut events);
     series::endless_answers(seed, total_ms, servers, &mut events);
+    series::moving_homes(seed, total_ms, hosts, &mut events);
     events.retain(|event| event.at_ms + CALM_MARGIN_MS < total_ms);
     events.sort_by_key(|event| event.at_ms);
     events
--- a/elmstream_soak/src/injection.rs
+++ b/elmstream_soak/src/injection.rs
@@ -8,7 +8,7 @@
     callers::Hosts,
     connection_burst,
     faults::{Event, Fault},
-    late_writes, memory,
+    homes, late_writes, memory,
     process::Process,
     removals, server_signals, standstills, stop_load, versions,
     world::{SHOP, ServerMode, StoreMode, World},
@@ -102,13 +102,17 @@
         Fault::ConnectionBurst(n) => connection_burst::open(world, hosts, n, duration).await,
         Fault::CutFromServers(n) => cut_from_servers(world, hosts, n, duration).await,
         Fault::RollOut(bad) => versions::roll_out(world, hosts, bad, address).await,
-        Fault::Configure => {
-            let next = world.ledger.borrow().newest_version() + 1;
-            // A store that closes all connections acknowledges nothing.
-            if world.store_mode() != StoreMode::Closing {
-                world.configure(next);
-            }
-        }
+        Fault::MoveHomesBesideCut(n) => homes::move_beside_cut(world, hosts, n).await,
+        Fault::Configure | Fault::MoveHomes => configure(world),
+    }
+}
+
+/// Applies a new configuration.
+pub fn configure(world: &World) {
+    let next = world.ledger.borrow().newest_version() + 1;
+    // A store that closes all connections acknowledges nothing.
+    if world.store_mode() != StoreMode::Closing {
+        world.configure(next);
     }
 }
 
@@ -144,7 +148,7 @@
 }
 
 /// Cuts the present start of a host from all backend servers for a while.
-async fn cut_from_servers(world: &World, hosts: &Hosts, n: usize, duration: Duration) {
+pub async fn cut_from_servers(world: &World, hosts: &Hosts, n: usize, duration: Duration) {
     let Some(process) = hosts.borrow()[n].process_id() else { return };
     world.ledger.borrow_mut().count("cut from servers");
     world.gate.cut(process);
--- a/elmstream_soak/src/ledger.rs
+++ b/elmstream_soak/src/ledger.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
-use crate::{outages::Outages, poison, workspaces};
+use crate::{homes, outages::Outages, poison, workspaces};
 
 /// A connection that closes within this time after a request's last byte may have been
 /// closed before the request arrived.
@@ -70,6 +70,19 @@
     pub undisturbed: bool,
 }
 
+/// A request with homes that move, when it reaches a server.
+#[derive(Clone, Copy, Debug)]
+pub struct HomedArrival<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    /// Region of the server.
+    pub region: &'a str,
+    /// Index of the host that sent it to the server.
+    pub sender: usize,
+    /// When it arrived, in milliseconds since the start of the soak.
+    pub arrived_ms: u64,
+}
+
 /// Observations of poison requests, under which servers crash.
 #[derive(Debug, Default)]
 struct PoisonRecord {
@@ -92,6 +105,8 @@
     /// When requests of the limited workspace ran, within the last window.
     limited_runs_ms: VecDeque<u64>,
     requests: HashMap<String, RequestRecord>,
+    /// The host that each request was sent to by its caller, and when.
+    sent: HashMap<String, (usize, u64)>,
     versions: BTreeMap<u64, u64>,
     last_versions: HashMap<(usize, u64), (u64, u64)>,
     counts: BTreeMap<&'static str, u64>,
@@ -136,6 +151,11 @@
         }
     }
 
+    /// Records that a caller sends a request to a host.
+    pub fn record_sent(&mut self, id: &str, host: usize, now_ms: u64) {
+        self.sent.insert(id.to_owned(), (host, now_ms));
+    }
+
     /// Records a request's final outcome and checks it against the request's runs.
     pub fn record_outcome(&mut self, id: &str, outcome: Outcome) {
         let entry = self.requests.entry(id.to_owned()).or_default();
@@ -254,6 +274,49 @@
         }
     }
 
+    /// The newest configuration that has to be in force on undisturbed hosts at a time, and when it was
+    /// acknowledged; `None` if there is none.
+    fn version_in_force(&self, at_ms: u64, outages: &Outages) -> Option<(u64, u64)> {
+        let is_due = |acknowledged| outages.due(acknowledged).is_some_and(|due| due < at_ms);
+        let due = self.versions.iter().rev().find(|(_, acknowledged)| is_due(**acknowledged));
+        due.map(|(version, acknowledged)| (*version, *acknowledged))
+    }
+
+    /// Checks that a request reached a server in a region that is its home by a configuration which
+    /// undisturbed hosts may have used since the caller sent it.
+    ///
+    /// A request that is relayed goes by the newer configuration of two hosts, so it is judged if the
+    /// host that received it or the one that sent it to the server was undisturbed for long enough.
+    pub fn check_homes(
+        &mut self,
+        arrival: &HomedArrival<'_>,
+        is_undisturbed: impl Fn(usize) -> bool,
+        outages: &Outages,
+    ) {
+        let HomedArrival { id, region, sender, arrived_ms } = *arrival;
+        let Some((receiver, sent_ms)) = self.sent.get(id).copied() else {
+            return self.add_violation(format!("{id} reached a server and was not sent"));
+        };
+        self.count(if receiver == sender { "homed arrived" } else { "homed arrived by a relay" });
+        let oldest = self.version_in_force(sent_ms, outages).map_or(0, |(version, _)| version);
+        let may_use =
+            self.versions.range(oldest..).map(|(version, _)| homes::home_of_version(*version));
+        let allowed: Vec<&str> = may_use.collect();
+        let is_narrowed = homes::REGIONS.iter().any(|region| !allowed.contains(region));
+        if !is_narrowed || !(is_undisturbed(receiver) || is_undisturbed(sender)) {
+            return;
+        }
+        self.count(if receiver == sender { "homes judged" } else { "homes judged at a relay" });
+        if !allowed.contains(&region) {
+            let newest = self.newest_version();
+            self.add_violation(format!(
+                "{id} ran outside its homes, in {region}, sent by host {sender} at {arrived_ms} ms; host \
+                 {receiver} got it at {sent_ms} ms; versions {oldest} to {newest} may be in force and \
+                 say {allowed:?}"
+            ));
+        }
+    }
+
     /// Checks that a host served a request by a configuration that is recent enough, and not
     /// by one older than it used before.
     pub fn check_served_version(&mut self, observation: &VersionObservation, outages: &Outages) {
@@ -262,11 +325,9 @@
         let newest = self.newest_version();
         let versions_back = (newest + pin_count - pin % pin_count) % pin_count;
         let version = newest - versions_back.min(newest);
-        let due = |at: u64| outages.due(at).is_some_and(|due| due < sent_ms);
         if undisturbed
-            && let Some((required_version, at)) =
-                self.versions.iter().rev().find(|(_, at)| due(**at))
-            && version < *required_version
+            && let Some((required_version, at)) = self.version_in_force(sent_ms, outages)
+            && version < required_version
         {
             let since = sent_ms - at;
             self.add_violation(format!(
--- a/elmstream_soak/src/lib.rs
+++ b/elmstream_soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod departures;
 pub mod faults;
 pub mod gate;
+pub mod homes;
 pub mod host;
 pub mod injection;
 pub mod late_writes;
--- a/elmstream_soak/src/main.rs
+++ b/elmstream_soak/src/main.rs
@@ -24,7 +24,7 @@
     let broken = long("break")
         .help(
             "Breaks a rule on purpose, to test that the checks detect it: once, back, mixed, lost, name, \
-             key, limit, harm, exposure, rolled_back, completed, era, rest, need, leave or removed",
+             key, limit, harm, exposure, rolled_back, completed, era, rest, need, leave, removed or home",
         )
         .argument("RULE")
         .optional();
--- a/elmstream_soak/src/process.rs
+++ b/elmstream_soak/src/process.rs
@@ -2,13 +2,16 @@
 //! it.
 
 use std::{
+    collections::BTreeMap,
     fs, io,
     net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
 };
 
-use crate::world;
+use http::HeaderMap;
+
+use crate::{homes, world};
 
 /// Time between the stop signal and the end of new connections.
 pub const STOP_NOTICE_MS: u64 = 300;
@@ -20,6 +23,19 @@
 /// Number of hosts that starting hosts contact first.
 pub const SEED_HOSTS: usize = 3;
 
+/// Prefix of the header in which a host tells a backend server's id; the host's index follows, so that
+/// servers know which host sent a request.
+const SERVER_HEADER_PREFIX: &str = "elmstream-server-of-host-";
+
+/// The id of the backend server that a request is for, and the index of the host that sent it.
+pub fn server_and_sender(headers: &HeaderMap) -> (String, usize) {
+    let own = headers.iter().find_map(|(name, value)| {
+        let sender = name.as_str().strip_prefix(SERVER_HEADER_PREFIX)?.parse().ok()?;
+        Some((value.to_str().ok()?.to_owned(), sender))
+    });
+    own.unwrap_or_default()
+}
+
 /// Identifies a host of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct HostId {
@@ -29,6 +45,8 @@
     pub number: usize,
     /// Number of hosts in the soak.
     pub host_count: usize,
+    /// Whether hosts are divided over regions, as homes move.
+    pub homes_move: bool,
 }
 
 /// An entry host that runs as a child process. It is killed when this is dropped.
@@ -97,12 +115,16 @@
     pub fn start(&mut self, now: u64) -> io::Result<()> {
         let peers = |number| world::peer_address(self.host_id.soak, number);
         let seeds: Vec<_> = (0..self.host_id.host_count.min(SEED_HOSTS)).map(peers).collect();
+        let region = homes::region_of_host(self.host_id.number, self.host_id.homes_move);
+        let domains: BTreeMap<_, _> =
+            homes::REGIONS.map(|region| (homes::domain(region), region)).into();
+        let server_header = format!("{SERVER_HEADER_PREFIX}{}", self.host_id.number);
         let settings = serde_json::json!({
             "host": {
-                "name": self.name(), "domain": "a1", "region": "a",
+                "name": self.name(), "domain": homes::domain(region), "region": region,
                 "callers": self.caller_address(), "peers": peers(self.host_id.number),
             },
-            "domains": {"a1": "a"}, "seeds": seeds,
+            "domains": domains, "seeds": seeds, "headers": {"server": server_header},
             "stop": {"notice_ms": STOP_NOTICE_MS, "grace_ms": STOP_GRACE_MS},
             "logging": {"sample": 0, "lines_per_s": 20},
             "resources": {
--- a/elmstream_soak/src/series.rs
+++ b/elmstream_soak/src/series.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     faults::{CALM_MARGIN_MS, Event, Fault},
+    homes,
     process::SEED_HOSTS,
     world::StoreMode,
 };
@@ -60,6 +61,13 @@
 const ENDLESS_INTERVAL_MS: std::ops::Range<u64> = 1_000..5_000;
 const ENDLESS_DURATION_MS: std::ops::Range<u64> = 300..2_000;
 
+/// One in this many seeds has homes that move, and the value that its generator starts with.
+const MOVING_HOMES_SEED_DIVISOR: u64 = 4;
+const MOVING_HOMES_SEED: u64 = 0x686f_6d65;
+/// Time between two configurations that are applied to move homes, in milliseconds. It exceeds the
+/// configuration bound, so that only the newest homes are allowed at times.
+const MOVE_INTERVAL_MS: std::ops::Range<u64> = 3_000..6_000;
+
 /// Time between two configurations of a series, in milliseconds.
 const CONFIGURATION_INTERVAL_MS: u64 = 350;
 /// How long a stopping host gets little processor time, in milliseconds. It lasts beyond the
@@ -270,6 +278,24 @@
     }
 }
 
+/// Moves homes with all configurations, at every fourth seed, and applies more of these, half of them
+/// beside a cut host that stands still if there is time for it. They are drawn from a generator of
+/// their own, so that a seed's other faults do not depend on them.
+pub fn moving_homes(seed: u64, total_ms: u64, hosts: usize, events: &mut Vec<Event>) {
+    if seed % MOVING_HOMES_SEED_DIVISOR != 3 {
+        return;
+    }
+    let mut random = StdRng::seed_from_u64(seed ^ MOVING_HOMES_SEED);
+    let mut at_ms = CALM_MARGIN_MS;
+    while at_ms + CALM_MARGIN_MS < total_ms {
+        let host = random.random_range(0..hosts);
+        let beside_cut = random.random_bool(0.5) && at_ms + homes::CUT_DURATION_MS < total_ms;
+        let fault = if beside_cut { Fault::MoveHomesBesideCut(host) } else { Fault::MoveHomes };
+        events.push(Event { at_ms, duration_ms: 0, fault });
+        at_ms += random.random_range(MOVE_INTERVAL_MS);
+    }
+}
+
 /// Rolls out a bad version at every second seed, in addition to the other faults and if
 /// there is time for it. It is drawn from a generator of its own, so that a seed's other
 /// faults do not depend on it.
--- a/elmstream_soak/src/soak.rs
+++ b/elmstream_soak/src/soak.rs
@@ -14,7 +14,7 @@
     backend,
     callers::{self, Hosts},
     faults::{self, Event},
-    gate, injection, poison,
+    gate, homes, injection, poison,
     process::{HostId, Process},
     store, watch,
     world::{MAX_HOSTS, PIN_SERVICES, SHOP, ServerMode, World},
@@ -147,6 +147,14 @@
         world.servers.borrow_mut().insert(id.clone(), ServerMode::Healthy);
         world.register_server(&id, &service, address, false);
     }
+    let homes_move = homes::move_with(events);
+    world.homes_move.set(homes_move);
+    if homes_move {
+        for id in homes::servers() {
+            world.servers.borrow_mut().insert(id.clone(), ServerMode::Healthy);
+            world.register_server(&id, homes::SERVICE, address, false);
+        }
+    }
     poison::start(world);
     world.configure(1);
     static NEXT_SOAK: AtomicU8 = AtomicU8::new(0);
@@ -154,9 +162,10 @@
     let folder = env::temp_dir().join(format!("elmstream-soak-{}-{soak}", std::process::id()));
     fs::create_dir_all(&folder)?;
     let program = options.program.clone().map_or_else(env::current_exe, Ok)?;
-    let host_id = |number| HostId { soak, number, host_count: options.processes };
+    let host_id = |number| HostId { soak, number, host_count: options.processes, homes_move };
     let new = |n| Process::new(host_id(n), store, folder.clone(), program.clone());
     let hosts: Hosts = Rc::new(RefCell::new((0..options.processes).map(new).collect()));
+    let _ = world.hosts.set(Rc::downgrade(&hosts));
     for number in 0..options.processes {
         if number > 0 && number.is_multiple_of(HOSTS_PER_START_BATCH) {
             compio::time::sleep(START_BATCH_PAUSE).await;
@@ -171,8 +180,12 @@
     let begin = world.now();
     let until = begin + fault_ms;
     let callers = BASE_CALLERS + options.processes / HOSTS_PER_EXTRA_CALLER;
+    let run = |n, draw| callers::run(world.clone(), hosts.clone(), n, until, draw);
+    let homed_callers = if homes_move { homes::CALLERS } else { 0 };
     let caller_tasks: Vec<_> = (0..callers as u64)
-        .map(|n| compio::runtime::spawn(callers::run(world.clone(), hosts.clone(), n, until)))
+        .map(|n| run(n, callers::draw))
+        .chain((0..homed_callers).map(|n| run(n, homes::draw)))
+        .map(compio::runtime::spawn)
         .collect();
     let poison_tasks =
         (0..POISON_CALLERS).map(|n| poison::run(world.clone(), hosts.clone(), n, until));
--- a/elmstream_soak/src/workspaces.rs
+++ b/elmstream_soak/src/workspaces.rs
@@ -23,6 +23,11 @@
     format!("{KEY_PREFIX}{name}-{version}")
 }
 
+/// Digest of a key.
+pub fn key_digest(name: &str, version: u64) -> KeyDigest {
+    KeyDigest::of(key(name, version).as_bytes())
+}
+
 /// The workspaces of a configuration. Each version introduces one key per workspace and
 /// revokes one.
 pub fn workspaces_of_version(version: u64) -> Vec<Workspace> {
@@ -31,7 +36,7 @@
 
 fn workspace(name: &str, version: u64) -> Workspace {
     let first = version.saturating_sub(KEY_LIFETIME_VERSIONS - 1);
-    let keys = (first..=version).map(|version| KeyDigest::of(key(name, version).as_bytes()));
+    let keys = (first..=version).map(|version| key_digest(name, version));
     let rate_per_s = if name == LIMITED_WORKSPACE { LIMITED_RATE_PER_S } else { 0.0 };
     let homes = if name == UNSERVED_WORKSPACE {
         vec![REGION_WITHOUT_SERVERS.to_owned()]
--- a/elmstream_soak/src/world.rs
+++ b/elmstream_soak/src/world.rs
@@ -2,11 +2,11 @@
 //! servers' behaviour and the ledger.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     collections::BTreeMap,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     process,
-    rc::Rc,
+    rc::{Rc, Weak},
     time::Instant,
 };
 
@@ -20,8 +20,17 @@
 };
 
 use crate::{
-    departures::Departures, gate::Gate, ledger::Ledger, outages::Outages, poison,
-    removals::Removals, server_signals::Arrivals, versions, workspaces,
+    callers::{self, Hosts},
+    departures::Departures,
+    gate::Gate,
+    homes,
+    ledger::Ledger,
+    outages::Outages,
+    poison,
+    process::Process,
+    removals::Removals,
+    server_signals::Arrivals,
+    versions, workspaces,
 };
 
 /// Number of services that show the version of a configuration. A host that lags behind by
@@ -98,6 +107,10 @@
 pub struct World {
     /// Start of the soak.
     pub started: Instant,
+    /// The entry hosts, once they are known.
+    pub hosts: OnceCell<Weak<RefCell<Vec<Process>>>>,
+    /// Whether homes move with configurations.
+    pub homes_move: Cell<bool>,
     /// Rows of the store.
     pub rows: RefCell<BTreeMap<RowKey, Row>>,
     /// The store's version counter.
@@ -148,6 +161,8 @@
     pub fn new(broken_rule: Option<String>) -> Rc<World> {
         Rc::new(World {
             started: Instant::now(),
+            hosts: OnceCell::new(),
+            homes_move: Cell::default(),
             rows: RefCell::default(),
             version: Cell::new(0),
             era: Cell::new(1),
@@ -177,6 +192,14 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// Whether a host has been undisturbed for long enough to be judged.
+    pub fn is_undisturbed(&self, host: usize) -> bool {
+        let hosts: Option<Hosts> = self.hosts.get().and_then(Weak::upgrade);
+        let disturbed_ms =
+            hosts.and_then(|hosts| hosts.borrow().get(host).map(|host| host.disturbed_ms));
+        disturbed_ms.is_some_and(|at| self.now() > at + callers::RECOVERY_MS)
+    }
+
     /// Whether a host was cut from all servers for `millis` milliseconds or more at a time; `None` if no
     /// host was, or this one for a shorter time.
     pub fn is_cut_for(&self, host: usize, at_ms: u64, millis: u64) -> Option<bool> {
@@ -305,7 +328,8 @@
 
     /// Applies a configuration version.
     pub fn configure(&self, version: u64) {
-        self.put(RowKey::Configuration, Some(RowContent::Configuration(configuration(version))));
+        let configuration = configuration(version, self.homes_move.get());
+        self.put(RowKey::Configuration, Some(RowContent::Configuration(configuration)));
         self.ledger.borrow_mut().record_configuration(version, self.now());
     }
 
@@ -332,7 +356,7 @@
         let server = Server {
             service: service.into(),
             address,
-            domain: "a1".into(),
+            domain: homes::domain(homes::region_of_server(id)),
             slots: 8,
             draining,
             cold_ms: 0,
@@ -364,7 +388,19 @@
     SocketAddr::new(ip(number), FIRST_PEER_PORT + 2 * (u16::from(soak) % PORT_SETS))
 }
 
-fn configuration(version: u64) -> Configuration {
+fn configuration(version: u64, homes_move: bool) -> Configuration {
+    let stationary = stationary_configuration(version);
+    if !homes_move {
+        return stationary;
+    }
+    let Configuration { mut routes, mut services, mut workspaces, .. } = stationary;
+    routes.extend(homes::routes(version));
+    services.push(Service { name: homes::SERVICE.into(), cold_ms: 0, cold_per_s: 9.0 });
+    workspaces.push(homes::workspace(version));
+    Configuration { routes, services, workspaces, ..stationary }
+}
+
+fn stationary_configuration(version: u64) -> Configuration {
     let pin = format!("pin-{}", version % PIN_SERVICES);
     let services = (0..PIN_SERVICES)
         .map(|n| format!("pin-{n}"))
@@ -383,7 +419,8 @@
     }
 }
 
-fn route(prefix: &str, repeat: Repeatability, service: &str) -> Route {
+/// A route of all requests whose path has a prefix.
+pub fn route(prefix: &str, repeat: Repeatability, service: &str) -> Route {
     Route {
         name: prefix.into(),
         host: "soak.example".into(),
--- a/elmstream_soak/tests/ledger.rs
+++ b/elmstream_soak/tests/ledger.rs
@@ -1,8 +1,9 @@
 //! Which observations the ledger reports as violated guarantees.
 
 use elmstream_soak::{
-    ledger::{Ledger, LostRequest, Outcome, VersionObservation},
-    outages::{Outages, RECOVERY_DEADLINE_MS},
+    homes,
+    ledger::{HomedArrival, Ledger, LostRequest, Outcome, VersionObservation},
+    outages::{CONFIGURATION_DEADLINE_MS, Outages, RECOVERY_DEADLINE_MS},
 };
 
 fn lost_request(ended_after_ms: u64, stall_ms: u64) -> LostRequest {
@@ -63,3 +64,76 @@
         ledger.record_outcome("safe-1", Outcome::Unknown);
     }
 }
+
+/// Number of violations if a request to host 0, sent at a time, reaches the region that a version says,
+/// sent by `sender`. Version 1 is written at 0 s, 2 at 10 s, and 3 at 20 s; no version has no region.
+fn homes_violations(
+    version: Option<u64>,
+    (sent_ms, arrived_ms): (u64, u64),
+    (sender, undisturbed): (usize, &[usize]),
+    outages: &Outages,
+) -> usize {
+    let mut ledger = Ledger::default();
+    for (version, written_ms) in [(1, 0), (2, 10_000), (3, 20_000)] {
+        if written_ms <= arrived_ms {
+            ledger.record_configuration(version, written_ms);
+        }
+    }
+    ledger.record_sent("homed-1", 0, sent_ms);
+    let region = version.map_or("b", homes::home_of_version);
+    let arrival = HomedArrival { id: "homed-1", region, sender, arrived_ms };
+    ledger.check_homes(&arrival, |host| undisturbed.contains(&host), outages);
+    ledger.violations().len()
+}
+
+#[test]
+fn homes_of_a_replaced_configuration_end_after_its_bound() {
+    let due = 10_000 + CONFIGURATION_DEADLINE_MS;
+    let outside = |version, sent_ms| {
+        homes_violations(version, (sent_ms, due + 600), (0, &[0]), &Outages::default())
+    };
+    assert_eq!(outside(Some(1), due), 0, "the replaced configuration may be in force");
+    assert_eq!(outside(Some(1), due + 1), 1, "it was in force too long");
+    assert_eq!(outside(Some(2), due + 1), 0);
+    assert_eq!(outside(Some(3), due + 1), 1, "the region of a later configuration");
+    assert_eq!(outside(None, due), 1, "a region of no configuration");
+}
+
+#[test]
+fn homes_that_are_written_while_a_request_is_under_way_are_allowed() {
+    let sent_ms = 20_000 - 500;
+    let outside = |arrived_ms| {
+        homes_violations(Some(3), (sent_ms, arrived_ms), (0, &[0]), &Outages::default())
+    };
+    assert_eq!(outside(19_999), 1);
+    assert_eq!(outside(20_000), 0);
+}
+
+#[test]
+fn request_outside_its_homes_is_reported_if_receiver_or_sender_is_undisturbed() {
+    let outside = |sender, undisturbed: &[usize]| {
+        homes_violations(Some(1), (15_000, 15_100), (sender, undisturbed), &Outages::default())
+    };
+    assert_eq!(outside(0, &[]), 0);
+    assert_eq!(outside(0, &[1]), 0, "a host that had no part in it");
+    assert_eq!(outside(1, &[]), 0);
+    assert_eq!(outside(1, &[0]), 1, "the receiver tells the relaying host the newer homes");
+    assert_eq!(outside(1, &[1]), 1, "the relaying host knows the newer homes");
+}
+
+#[test]
+fn replaced_homes_are_allowed_longer_only_beside_an_outage_that_delays_the_configuration() {
+    let mut outages = Outages::default();
+    let outage = outages.begin(9_000);
+    let outside = |sent_ms, outages: &Outages| {
+        homes_violations(Some(1), (sent_ms, sent_ms), (0, &[0]), outages)
+    };
+    assert_eq!(outside(15_000, &outages), 0, "the outage lasts");
+    outages.end(outage, 12_000);
+    let due = 12_000 + RECOVERY_DEADLINE_MS;
+    assert_eq!(outside(due, &outages), 0);
+    assert_eq!(outside(due + 1, &outages), 1);
+    let later = outages.begin(due);
+    outages.end(later, due + 900);
+    assert_eq!(outside(due + 1, &outages), 1, "a later outage is no excuse");
+}
--- a/elmstream_soak/tests/soak.rs
+++ b/elmstream_soak/tests/soak.rs
@@ -362,3 +362,46 @@
     let report = killed_during_stops(13);
     assert!(report.passed(), "{report}");
 }
+
+/// Homes move beside a cut host that stands still, then a second host is cut while they move again.
+fn moving_homes(broken: Option<&str>) -> Report {
+    let options = Options { processes: 6, ..options(14, 12, broken) };
+    let event = |at_ms, duration_ms, fault| Event { at_ms, duration_ms, fault };
+    let events = vec![
+        event(1_500, 0, Fault::MoveHomesBesideCut(0)),
+        event(4_000, 5_000, Fault::CutFromServers(4)),
+        event(9_200, 0, Fault::MoveHomes),
+    ];
+    let runtime = Runtime::new().expect("a runtime");
+    runtime.block_on(soak::run_events(&options, Duration::from_secs(12), events))
+}
+
+/// Guards against requests that run outside their homes, as a host goes by homes that have changed
+/// meanwhile or by the older route of a host whose request it relays.
+#[test]
+fn requests_stay_in_homes_that_move_also_at_relays_for_hosts_that_stood_still() {
+    let report = moving_homes(None);
+    assert!(report.passed(), "{report}");
+    for check in ["homes judged", "homes judged at a relay"] {
+        assert!(report.counts().contains_key(check), "{check}: {report}");
+    }
+}
+
+#[test]
+fn requests_outside_their_homes_are_detected() {
+    let options = options(14, 5, Some("home"));
+    let event = Event { at_ms: 500, duration_ms: 0, fault: Fault::MoveHomes };
+    let runtime = Runtime::new().expect("a runtime");
+    let report = runtime.block_on(soak::run_events(&options, Duration::from_secs(5), vec![event]));
+    let is_found = |text: &String| text.contains("ran outside its homes");
+    assert!(report.violations().iter().any(is_found), "{report}");
+}
+
+#[test]
+fn homes_move_in_one_seed_of_four() {
+    let is_move =
+        |event: &Event| matches!(event.fault, Fault::MoveHomes | Fault::MoveHomesBesideCut(_));
+    let moving: Vec<u64> =
+        (0..40).filter(|seed| faults::draw(*seed, 14_000, 5, 5).iter().any(is_move)).collect();
+    assert_eq!(moving, (3..40).step_by(4).collect::<Vec<_>>());
+}
